--- /dev/null
+++ b/cmd/ragwortyard/main.go
@@ -0,0 +1,8 @@
+// Command ragwortyard is the one binary of the fleet.
+package main
+
+import "fmt"
+
+func main() {
+	fmt.Println("ragwortyard")
+}
--- /dev/null
+++ b/decide/rendezvous/rendezvous_test.go
@@ -0,0 +1,64 @@
+package rendezvous
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func fleet(n, zones int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		members[i] = Member{ID: fmt.Sprintf("host-%d", i), Zone: fmt.Sprintf("z%d", i%zones)}
+	}
+	return members
+}
+
+// Guards against keeper roles that move to many members when one host changes.
+func TestRemovingOneMemberReplacesAtMostOnePick(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(12, 60).Draw(t, "hosts"), 4)
+		key := rapid.Uint64().Draw(t, "key")
+		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
+		before := Rank(key, members, 9)
+		rest := append(append([]Member(nil), members[:gone]...), members[gone+1:]...)
+		after := Rank(key, rest, 9)
+		if lost := missing(before, after); lost > 2 {
+			t.Fatalf("one change replaced %d of 9 picks", lost)
+		}
+	})
+}
+
+func missing(before, after []Member) int {
+	kept := make(map[string]bool)
+	for _, m := range after {
+		kept[m.ID] = true
+	}
+	lost := 0
+	for _, m := range before {
+		if !kept[m.ID] {
+			lost++
+		}
+	}
+	return lost
+}
+
+// Guards against picks that concentrate in one availability zone, whose loss
+// would then cost the quorum.
+func TestPicksAreSpreadOverZones(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 6).Draw(t, "zones")
+		members := fleet(zones*9, zones)
+		counts := make(map[string]int)
+		for _, m := range Rank(rapid.Uint64().Draw(t, "key"), members, 9) {
+			counts[m.Zone]++
+		}
+		limit := (9 + zones - 1) / zones
+		for zone, n := range counts {
+			if n > limit {
+				t.Fatalf("zone %s has %d of 9 picks, want at most %d", zone, n, limit)
+			}
+		}
+	})
+}
