--- /dev/null
+++ b/control/loop.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+)
+
+// eventBacklog bounds the events that wait for the loop. At 104 requests a
+// second a node posts a few hundred events a second, so a full backlog means
+// that the loop is stalled by several seconds; dropping is better than memory.
+const eventBacklog = 4096
+
+// Event is something that the control loop reacts to.
+type Event interface{ ControlEvent() }
+
+// Stage is one filter of the control chain. Only the loop calls it.
+type Stage interface {
+	Name() string
+	// Handle reacts to an event; stages ignore events that do not concern them.
+	Handle(now time.Time, ev Event, out *Output)
+	// Deadline returns when the stage next wants a Tick; the zero time means never.
+	Deadline() time.Time
+}
+
+// Tick tells the stages that a deadline has passed.
+type Tick struct{}
+
+// ControlEvent marks Tick as an event.
+func (Tick) ControlEvent() {}
+
+// Command is an action that an outbound worker carries out.
+type Command interface{ ControlCommand() }
+
+// Outbound takes the commands of the loop. Send must not block; it reports
+// false when the command was dropped.
+type Outbound interface {
+	Send(cmd Command) bool
+}
+
+// Output collects what the stages decide while they handle one event.
+type Output struct {
+	commands []Command
+	publish  bool
+}
+
+// Emit adds a command for the outbound workers.
+func (o *Output) Emit(cmd Command) {
+	o.commands = append(o.commands, cmd)
+}
+
+// Publish asks the last stage to publish a new snapshot.
+func (o *Output) Publish() {
+	o.publish = true
+}
+
+// Stats counts what the loop has done.
+type Stats struct {
+	Events          atomic.Uint64
+	DroppedEvents   atomic.Uint64
+	DroppedCommands atomic.Uint64
+	Snapshots       atomic.Uint64
+}
+
+// Loop is the control thread of a process.
+type Loop struct {
+	events   chan Event
+	stages   []Stage
+	outbound Outbound
+	build    func(now time.Time) *Snapshot
+	snapshot atomic.Pointer[Snapshot]
+	stats    Stats
+	output   Output
+}
+
+// NewLoop returns a loop over the stages. build makes a snapshot from the state
+// that the stages own; the loop calls it after an event that changed something.
+func NewLoop(stages []Stage, build func(now time.Time) *Snapshot, outbound Outbound) *Loop {
+	l := &Loop{
+		events:   make(chan Event, eventBacklog),
+		stages:   stages,
+		outbound: outbound,
+		build:    build,
+	}
+	l.snapshot.Store(build(time.Now()))
+	return l
+}
+
+// Snapshot returns the state in force for traffic. It is immutable.
+func (l *Loop) Snapshot() *Snapshot {
+	return l.snapshot.Load()
+}
+
+// Stats returns the counters of the loop.
+func (l *Loop) Stats() *Stats {
+	return &l.stats
+}
+
+// Post hands an event to the loop without waiting. It reports false, and counts
+// the event, when the backlog is full.
+func (l *Loop) Post(ev Event) bool {
+	select {
+	case l.events <- ev:
+		return true
+	default:
+		l.stats.DroppedEvents.Add(1)
+		return false
+	}
+}
+
+// Submit hands an event to the loop and waits for room in the backlog.
+func (l *Loop) Submit(ctx context.Context, ev Event) error {
+	select {
+	case l.events <- ev:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run handles events until ctx is done. It blocks on the event channel and on
+// the earliest deadline of the stages.
+func (l *Loop) Run(ctx context.Context) {
+	timer := time.NewTimer(l.untilDeadline(time.Now()))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ev := <-l.events:
+			l.handle(ev)
+		case <-timer.C:
+			l.handle(Tick{})
+		}
+		timer.Reset(l.untilDeadline(time.Now()))
+	}
+}
+
+func (l *Loop) handle(ev Event) {
+	now := time.Now()
+	l.stats.Events.Add(1)
+	for _, stage := range l.stages {
+		stage.Handle(now, ev, &l.output)
+	}
+	l.flush(now)
+}
+
+func (l *Loop) flush(now time.Time) {
+	if l.output.publish {
+		l.snapshot.Store(l.build(now))
+		l.stats.Snapshots.Add(1)
+	}
+	for i, cmd := range l.output.commands {
+		if !l.outbound.Send(cmd) {
+			l.stats.DroppedCommands.Add(1)
+		}
+		l.output.commands[i] = nil
+	}
+	l.output.commands = l.output.commands[:0]
+	l.output.publish = false
+}
+
+// idleWait is the longest wait of the loop when no stage has a deadline.
+const idleWait = time.Minute
+
+// minWait keeps a stage whose deadline stays in the past from making the loop spin.
+const minWait = time.Millisecond
+
+func (l *Loop) untilDeadline(now time.Time) time.Duration {
+	wait := idleWait
+	for _, stage := range l.stages {
+		deadline := stage.Deadline()
+		if deadline.IsZero() {
+			continue
+		}
+		wait = min(wait, deadline.Sub(now))
+	}
+	return max(wait, minWait)
+}
