--- /dev/null
+++ b/decide/fairqueue/pop.go
@@ -0,0 +1,118 @@
+package fairqueue
+
+import (
+	"slices"
+	"time"
+)
+
+// Pop returns the item to run next; false when no item with time left waits.
+// Expired items stay for Expire.
+func (q *Queue) Pop(now time.Time) (Item, bool) {
+	if !q.hasLive(now) {
+		return Item{}, false
+	}
+	for {
+		t := q.active[0]
+		if item, ok := q.popTurn(now, t); ok {
+			return item, true
+		}
+		q.endTurn(t)
+	}
+}
+
+func (q *Queue) hasLive(now time.Time) bool {
+	for _, t := range q.active {
+		if t.live(now) < len(t.items) {
+			return true
+		}
+	}
+	return false
+}
+
+// live returns the index of the first item that has not expired.
+func (t *teamQueue) live(now time.Time) int {
+	for i := range t.items {
+		if !expired(t.items[i].Item, now) {
+			return i
+		}
+	}
+	return len(t.items)
+}
+
+func (q *Queue) popTurn(now time.Time, t *teamQueue) (Item, bool) {
+	at := t.live(now)
+	if at == len(t.items) {
+		t.deficit = 0
+		return Item{}, false
+	}
+	if !t.visited {
+		t.visited = true
+		t.deficit += quantum
+	}
+	if t.deficit < t.items[at].cost {
+		return Item{}, false
+	}
+	t.deficit -= t.items[at].cost
+	return q.remove(t, at), true
+}
+
+// endTurn moves the team to the end of the round.
+func (q *Queue) endTurn(t *teamQueue) {
+	t.visited = false
+	copy(q.active, q.active[1:])
+	q.active[len(q.active)-1] = t
+}
+
+// Expire removes and returns the items whose deadline has passed.
+func (q *Queue) Expire(now time.Time) []Item {
+	var items []Item
+	for i := len(q.active) - 1; i >= 0; i-- {
+		t := q.active[i]
+		for len(t.items) > 0 && expired(t.items[0].Item, now) {
+			items = append(items, q.remove(t, 0))
+		}
+	}
+	return items
+}
+
+// NextExpiry returns the earliest deadline in the queue, for the owner's timer;
+// false when the queue is empty.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	var next time.Time
+	for i, t := range q.active {
+		if i == 0 || t.items[0].Deadline.Before(next) {
+			next = t.items[0].Deadline
+		}
+	}
+	return next, len(q.active) > 0
+}
+
+// Remove takes an item out whose caller went away; false when it is not queued.
+func (q *Queue) Remove(id uint64) (Item, bool) {
+	for _, t := range q.active {
+		for i := range t.items {
+			if t.items[i].ID == id {
+				return q.remove(t, i), true
+			}
+		}
+	}
+	return Item{}, false
+}
+
+func (q *Queue) remove(t *teamQueue, at int) Item {
+	item := t.items[at].Item
+	t.items = slices.Delete(t.items, at, at+1)
+	q.length--
+	if len(t.items) == 0 {
+		q.deactivate(t)
+	}
+	return item
+}
+
+func (q *Queue) deactivate(t *teamQueue) {
+	delete(q.teams, t.name)
+	at := slices.Index(q.active, t)
+	q.active = slices.Delete(q.active, at, at+1)
+	*t = teamQueue{items: t.items[:0]}
+	q.spare = append(q.spare, t)
+}
--- /dev/null
+++ b/decide/fairqueue/push.go
@@ -0,0 +1,149 @@
+package fairqueue
+
+import (
+	"math"
+	"time"
+)
+
+// Push adds an item. The refusal names the item that was not accepted: the
+// pushed one when its deadline cannot be met, or, when the queue is full, an
+// expired item or else the newest item of the team with the most items.
+func (q *Queue) Push(now time.Time, item Item) Refusal {
+	if expired(item, now) {
+		return Refusal{Item: item, Reason: DeadlinePassed}
+	}
+	entry := queued{Item: item, seq: q.seq, cost: cost(item)}
+	q.seq++
+	if q.tooLate(now, entry) {
+		return Refusal{Item: item, Reason: DeadlineTooShort}
+	}
+	q.insert(entry)
+	if q.length <= q.bound {
+		return Refusal{}
+	}
+	return q.evict(now)
+}
+
+func expired(item Item, now time.Time) bool {
+	return !now.Before(item.Deadline)
+}
+
+func cost(item Item) float64 {
+	if item.Worth == 0 {
+		return quantum
+	}
+	return quantum / min(max(item.Worth, minWorth), maxWorth)
+}
+
+// tooLate judges by the estimate only while other items wait: otherwise an
+// outdated pace could refuse everything and would never be measured again.
+func (q *Queue) tooLate(now time.Time, entry queued) bool {
+	ahead := q.ahead(now, entry)
+	if ahead == 0 {
+		return false
+	}
+	wait := time.Duration(ahead+1) * q.pace.Interval
+	return now.Add(wait + q.pace.Service).After(entry.Deadline)
+}
+
+// ahead counts the items that will be popped before the entry.
+func (q *Queue) ahead(now time.Time, entry queued) int {
+	own := q.teams[entry.Team]
+	need, count := entry.cost, 0
+	if own != nil {
+		for _, other := range own.items {
+			if !expired(other.Item, now) && !entry.Deadline.Before(other.Deadline) {
+				need += other.cost
+				count++
+			}
+		}
+		need -= own.deficit
+	}
+	spend := math.Ceil(need/quantum) * quantum
+	for _, t := range q.active {
+		if t != own {
+			count += t.affordable(now, spend)
+		}
+	}
+	return count
+}
+
+// affordable counts the live items that the team can pop when it gets the given
+// quanta.
+func (t *teamQueue) affordable(now time.Time, quanta float64) int {
+	left, count := t.deficit+quanta, 0
+	for _, entry := range t.items {
+		if expired(entry.Item, now) {
+			continue
+		}
+		left -= entry.cost
+		if left < 0 {
+			break
+		}
+		count++
+	}
+	return count
+}
+
+func (q *Queue) insert(entry queued) {
+	t := q.teams[entry.Team]
+	if t == nil {
+		t = q.activate(entry.Team)
+	}
+	at := len(t.items)
+	for at > 0 && entry.Deadline.Before(t.items[at-1].Deadline) {
+		at--
+	}
+	t.items = append(t.items, queued{})
+	copy(t.items[at+1:], t.items[at:])
+	t.items[at] = entry
+	q.length++
+}
+
+// activate puts a team at the end of the round.
+func (q *Queue) activate(name string) *teamQueue {
+	t := &teamQueue{}
+	if n := len(q.spare); n > 0 {
+		t = q.spare[n-1]
+		q.spare = q.spare[:n-1]
+	}
+	t.name = name
+	q.teams[name] = t
+	q.active = append(q.active, t)
+	return t
+}
+
+// evict removes one item from a queue that is one item too long.
+func (q *Queue) evict(now time.Time) Refusal {
+	for _, t := range q.active {
+		if expired(t.items[0].Item, now) {
+			return Refusal{Item: q.remove(t, 0), Reason: DeadlinePassed}
+		}
+	}
+	victim := q.active[0]
+	for _, t := range q.active[1:] {
+		if t.longerThan(victim) {
+			victim = t
+		}
+	}
+	return Refusal{Item: q.remove(victim, victim.newest()), Reason: Full}
+}
+
+// longerThan compares by length, then by the newest item, so that among equals
+// the pushing team yields.
+func (t *teamQueue) longerThan(other *teamQueue) bool {
+	if len(t.items) != len(other.items) {
+		return len(t.items) > len(other.items)
+	}
+	return t.items[t.newest()].seq > other.items[other.newest()].seq
+}
+
+func (t *teamQueue) newest() int {
+	newest := 0
+	for i := range t.items {
+		if t.items[i].seq > t.items[newest].seq {
+			newest = i
+		}
+	}
+	return newest
+}
