--- /dev/null
+++ b/decide/ejection/settings.go
@@ -0,0 +1,50 @@
+package ejection
+
+import "time"
+
+// Settings are the parameters of a service that the exit and the keeper must
+// share.
+type Settings struct {
+	// ReportInterval is the time between two reports of a server that has
+	// something notable to tell.
+	ReportInterval time.Duration
+	// MaxQuiet is the longest time between two reports of a server whose calls
+	// look as before. Quiet servers are most of a fleet, so this sets the cost
+	// of reporting.
+	MaxQuiet time.Duration
+	// Lately is the age of the last report above which a server no longer
+	// counts as healthy. It leaves room for one lost quiet report.
+	Lately time.Duration
+}
+
+// Today returns the settings for a few dozen backend servers, where frequent
+// reports cost little.
+func Today() Settings {
+	return Settings{ReportInterval: 200 * time.Millisecond, MaxQuiet: time.Second, Lately: 3 * time.Second}
+}
+
+// AtScale returns the settings for about 11 backend servers on a node with
+// 2 KB/s for all control messages.
+func AtScale() Settings {
+	return Settings{ReportInterval: time.Second, MaxQuiet: 5 * time.Second, Lately: 12 * time.Second}
+}
+
+const (
+	// EjectionTerm is how long an ejection holds without renewal, counted by
+	// the exit from the moment it sent the report that the verdict answers.
+	EjectionTerm = 3 * time.Second
+	// WarmUp is how long a started server is compared leniently on latency,
+	// unless it has met its siblings earlier.
+	WarmUp = 30 * time.Second
+	// MinEjection is the ejection time of a server without relapses.
+	MinEjection = 5 * time.Second
+	// MaxEjection bounds the doubling of the ejection time.
+	MaxEjection = 5 * time.Minute
+	// SlowFactor is the ratio to the siblings' median latency from which a
+	// server is gray. Below it, slowness without failures is taken for the
+	// load of others on a shared server.
+	SlowFactor = 4.0
+	// MassFailure is the share of servers that look bad above which the cause
+	// is taken to lie outside of the servers.
+	MassFailure = 1.0 / 3
+)
