--- /dev/null
+++ b/filters/classify/classify.go
@@ -0,0 +1,63 @@
+// Package classify matches a request to its route, service and class of work.
+package classify
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Filter finds the route of a request in the configuration in force.
+type Filter struct {
+	Snapshot func() *control.Snapshot
+}
+
+// Name returns "classify".
+func (f *Filter) Name() string { return "classify" }
+
+// Handle sets the route, the service, the class and, when the caller stated
+// none, the deadline of the class.
+func (f *Filter) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
+	cfg := f.Snapshot().Config
+	if cfg == nil {
+		return pipeline.Refuse(pipeline.CodeNotReady, "")
+	}
+	route, match := cfg.Route(req.Method, req.Path)
+	switch match {
+	case config.UnknownPath:
+		return pipeline.Refuse(pipeline.CodeUnknownRoute, "")
+	case config.MethodNotServed:
+		return refuseMethod(cfg, req.Path)
+	}
+	class, ok := cfg.Class(route.Class)
+	if !ok {
+		return pipeline.Refuse(pipeline.CodeUnknownRoute, "the route has no class")
+	}
+	req.Route = route.Name
+	req.Service = route.Service
+	req.Class = class.Pipeline()
+	if req.Deadline.IsZero() {
+		req.Deadline = req.Received.Add(class.Deadline)
+	}
+	return checkLimits(req)
+}
+
+func refuseMethod(cfg *config.Config, path string) *pipeline.Result {
+	result := pipeline.Refuse(pipeline.CodeMethodNotServed, "")
+	result.Header = pipeline.Header{"Allow": {strings.Join(cfg.Methods(path), ", ")}}
+	return result
+}
+
+func checkLimits(req *pipeline.Request) *pipeline.Result {
+	if req.Class.MaxBody > 0 && req.ContentLength > req.Class.MaxBody {
+		return pipeline.Refuse(pipeline.CodeBodyTooLarge, "")
+	}
+	if !time.Now().Before(req.Deadline) {
+		return pipeline.Refuse(pipeline.CodeDeadlinePassed, "")
+	}
+	return nil
+}
--- /dev/null
+++ b/filters/forward/run.go
@@ -0,0 +1,237 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/retry"
+	"github.com/ragwortyard/ragwortyard/fleet"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// maxBuffered is the largest body in bytes that is read before sending, so that
+// a request refused by one exit can be sent to another. Larger bodies stream
+// and are sent once.
+const maxBuffered = 64 << 10
+
+// bufferBody reads a small body. It returns nil bytes for a body that streams.
+func bufferBody(req *pipeline.Request) ([]byte, *pipeline.Result) {
+	if req.Body == nil || req.ContentLength <= 0 || req.ContentLength > maxBuffered || len(req.TrailerNames) > 0 {
+		return nil, nil
+	}
+	body := make([]byte, req.ContentLength)
+	if _, err := io.ReadFull(req.Body, body); err != nil {
+		return nil, pipeline.Refuse(pipeline.CodeMalformed, "the body ended before its declared length")
+	}
+	return body, nil
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	target pipeline.Target
+	sent   time.Time
+	cancel context.CancelFunc
+	answer fleet.HopAnswer
+	result retry.Result
+}
+
+// run is the state of one request while its attempts are sent. The goroutine of
+// the request owns it; the goroutine of an attempt only writes its own attempt.
+type run struct {
+	filter  *Filter
+	ctx     context.Context
+	req     *pipeline.Request
+	body    []byte
+	policy  *retry.Policy
+	results chan *attempt
+	pending []*attempt
+	started int
+	best    *attempt // the most telling answer so far
+}
+
+// settle starts attempts until the policy gives up or one is answered.
+func (r *run) settle() *pipeline.Result {
+	if !r.start() {
+		return pipeline.Refuse(pipeline.CodeNoBackend, "")
+	}
+	for {
+		ended := r.wait()
+		r.keep(ended)
+		switch r.policy.Next(time.Now(), r.describe(ended)) {
+		case retry.RetryElsewhere:
+			if r.start() {
+				continue
+			}
+		case retry.Wait:
+			if len(r.pending) > 0 {
+				continue
+			}
+		}
+		return r.finish()
+	}
+}
+
+// start sends one more attempt; false when no target is left.
+func (r *run) start() bool {
+	target, ok := r.req.Targets.Next()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithCancel(r.ctx)
+	a := &attempt{target: target, sent: time.Now(), cancel: cancel}
+	sent := r.copyRequest()
+	r.started++
+	r.pending = append(r.pending, a)
+	go func() {
+		a.answer = r.filter.Sender.Do(ctx, sent, target.Addr, target.Backend)
+		a.result = classify(a)
+		a.record(time.Now())
+		r.results <- a
+	}()
+	return true
+}
+
+// copyRequest returns the request of one attempt with its own identifier and
+// body.
+func (r *run) copyRequest() *pipeline.Request {
+	sent := *r.req
+	sent.ID = r.filter.NewID()
+	if r.body != nil {
+		sent.Body = bytes.NewReader(r.body)
+	}
+	return &sent
+}
+
+// wait returns the next attempt that ends; meanwhile it may start a hedge.
+func (r *run) wait() *attempt {
+	timer, stop := r.hedgeTimer()
+	defer stop()
+	for {
+		select {
+		case a := <-r.results:
+			r.forget(a)
+			r.observe(a)
+			return a
+		case <-timer:
+			timer = nil
+			r.hedge()
+		}
+	}
+}
+
+// hedgeTimer fires when a hedge may be considered. Only requests that may run
+// twice get one.
+func (r *run) hedgeTimer() (<-chan time.Time, func()) {
+	after, ok := r.policy.HedgeAfter()
+	if !ok || !r.req.Class.Idempotent || !r.replayable() || len(r.pending) != 1 {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(r.pending[0].sent.Add(after)))
+	return timer.C, func() { timer.Stop() }
+}
+
+func (r *run) hedge() {
+	first := r.pending[0]
+	if r.policy.Next(time.Now(), r.describe(first)) == retry.Hedge {
+		r.start()
+	}
+}
+
+func (r *run) describe(a *attempt) retry.Attempt {
+	return retry.Attempt{
+		Result:     a.result,
+		Started:    r.started,
+		Running:    len(r.pending),
+		Idempotent: r.req.Class.Idempotent,
+		Replayable: r.replayable(),
+		Untried:    r.req.Targets.Untried(),
+		Sent:       a.sent,
+		Deadline:   r.req.Deadline,
+	}
+}
+
+func (r *run) replayable() bool {
+	return r.body != nil || r.req.Replayable()
+}
+
+func (r *run) forget(a *attempt) {
+	for i, p := range r.pending {
+		if p == a {
+			r.pending = append(r.pending[:i], r.pending[i+1:]...)
+			return
+		}
+	}
+}
+
+func (r *run) observe(a *attempt) {
+	if o, ok := a.observation(); ok {
+		r.filter.ObservePath(o)
+	}
+}
+
+// keep remembers the more telling of two answers: one that was answered, then
+// one that failed in the backend server, then an unknown outcome. A refusal is
+// returned only when every attempt was refused, since otherwise "not run" would
+// not be true.
+func (r *run) keep(a *attempt) {
+	if r.best == nil || rank(a.result) > rank(r.best.result) || (a.result.NotRun() && r.best.result.NotRun()) {
+		r.discard(r.best)
+		r.best = a
+		return
+	}
+	r.discard(a)
+}
+
+func rank(result retry.Result) int {
+	switch result {
+	case retry.Answered:
+		return 3
+	case retry.Failed:
+		return 2
+	case retry.OutcomeUnknown:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (r *run) discard(a *attempt) {
+	if a == nil {
+		return
+	}
+	if a.answer.Result.Body != nil {
+		_ = a.answer.Result.Body.Close()
+	}
+	a.cancel()
+}
+
+// finish cancels what still runs and returns the best answer.
+func (r *run) finish() *pipeline.Result {
+	for _, a := range r.pending {
+		a.cancel()
+	}
+	if len(r.pending) > 0 {
+		go r.drain(len(r.pending))
+	}
+	best := r.best
+	r.req.OnComplete(func(pipeline.Completion) { best.cancel() })
+	r.learn(best)
+	return best.answer.Result
+}
+
+// drain closes the answers of canceled attempts.
+func (r *run) drain(n int) {
+	for range n {
+		r.discard(<-r.results)
+	}
+}
+
+// learn takes the latency of an answered first attempt into the estimate that
+// hedging waits for.
+func (r *run) learn(best *attempt) {
+	if best.result == retry.Answered && r.started == 1 {
+		r.policy.Latency.Observe(time.Since(best.sent))
+	}
+}
--- /dev/null
+++ b/filters/send/send.go
@@ -0,0 +1,157 @@
+// Package send carries a request to the local backend server and classifies how
+// that ended.
+package send
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/internal/httpsend"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Headers that a backend server receives from the system.
+const (
+	// HeaderTimeout is the time left in milliseconds.
+	HeaderTimeout = "Ragwort-Timeout-Ms"
+	// HeaderTeam is the verified team; absent on requests without a key.
+	HeaderTeam = "Ragwort-Team"
+)
+
+// Ending tells how a call to the backend server ended, for those that judge
+// its health.
+type Ending uint8
+
+// The endings.
+const (
+	Served       Ending = iota // a whole answer below 500
+	ServerFailed               // an answer of 500 or above, a cut answer, or a timeout
+	Shed                       // 503 with Retry-After: the backend server sheds load
+	CallerLeft                 // the caller gave up early, which says nothing
+	Crashed                    // the connection broke while the request ran, or none could be opened
+)
+
+// Observation is one call to the backend server.
+type Observation struct {
+	Request *pipeline.Request
+	Ending  Ending
+	Latency time.Duration // until the header of the answer
+}
+
+// Filter is the last filter of the exit chain.
+type Filter struct {
+	Addr      string // "ip:port" of the backend server
+	Transport http.RoundTripper
+	// Observe takes each ended call. It must not block.
+	Observe func(Observation)
+}
+
+// Name returns "send".
+func (f *Filter) Name() string { return "send" }
+
+// Handle sends the request once.
+func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	out := httpsend.NewRequest(httptrace.WithClientTrace(ctx, trace), req, f.Addr)
+	setHeaders(out.Header, req)
+	started := time.Now()
+	resp, err := f.Transport.RoundTrip(out)
+	latency := time.Since(started)
+	if err != nil {
+		defer cancel()
+		return f.failed(ctx, req, connected, latency)
+	}
+	result := &pipeline.Result{
+		Outcome:       pipeline.Answered,
+		Status:        resp.StatusCode,
+		Header:        answerHeader(resp.Header),
+		ContentLength: resp.ContentLength,
+	}
+	httpsend.AttachBody(result, resp)
+	req.OnComplete(func(c pipeline.Completion) {
+		cancel()
+		f.Observe(Observation{Request: req, Ending: ending(c, resp.Header), Latency: latency})
+	})
+	if unframed(resp) {
+		_ = resp.Body.Close()
+		return pipeline.Refuse(pipeline.CodeAnswerCut, "the answer has no length, so its end cannot be verified")
+	}
+	return result
+}
+
+func setHeaders(h http.Header, req *pipeline.Request) {
+	left := max(time.Until(req.Deadline).Milliseconds(), 1)
+	h[HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	if req.Principal.Team != "" {
+		h[HeaderTeam] = []string{req.Principal.Team}
+	}
+}
+
+// unframed tells whether the answer ends only with its connection, so that a
+// cut answer would look whole.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && !resp.Uncompressed
+}
+
+// answerHeader drops the fields that concern the connection to the backend
+// server and those reserved for the fleet.
+func answerHeader(h http.Header) pipeline.Header {
+	out := make(pipeline.Header, len(h))
+	for name, values := range h {
+		if !httpsend.Reserved(name) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// failed classifies a call without an answer. Without a connection, nothing was
+// sent; after that, the backend server may have run the request.
+func (f *Filter) failed(ctx context.Context, req *pipeline.Request, connected bool, latency time.Duration) *pipeline.Result {
+	code, end := failure(ctx, req, connected, latency)
+	f.Observe(Observation{Request: req, Ending: end, Latency: latency})
+	return pipeline.Refuse(code, "")
+}
+
+// patience is the multiple of a class's target latency from which a call that
+// the deadline ended counts against the backend server. Callers with a shorter
+// deadline ended it too early to blame anyone.
+const patience = 4
+
+func failure(ctx context.Context, req *pipeline.Request, connected bool, latency time.Duration) (pipeline.Code, Ending) {
+	patient := latency >= patience*req.Class.Target
+	switch {
+	case !connected && ctx.Err() != nil:
+		return pipeline.CodeDeadlinePassed, CallerLeft
+	case !connected:
+		return pipeline.CodeConnectFailed, Crashed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && patient:
+		return pipeline.CodeDeadlineInRun, ServerFailed
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return pipeline.CodeDeadlineInRun, CallerLeft
+	case ctx.Err() != nil:
+		return pipeline.CodeCanceled, CallerLeft
+	}
+	return pipeline.CodeConnectionLost, Crashed
+}
+
+// ending maps a completed answer to what it says of the backend server.
+func ending(c pipeline.Completion, h http.Header) Ending {
+	switch {
+	case c.Code == pipeline.CodeCanceled:
+		return CallerLeft
+	case c.Outcome != pipeline.Answered:
+		return ServerFailed
+	case c.Status == http.StatusServiceUnavailable && h.Get("Retry-After") != "":
+		return Shed
+	case c.Status >= http.StatusInternalServerError:
+		return ServerFailed
+	}
+	return Served
+}
--- /dev/null
+++ b/filters/validate/validate.go
@@ -0,0 +1,73 @@
+// Package validate checks at the exit what an entry found earlier, against the
+// configuration that the exit has in force. It stands before and behind the
+// queue, so that a key that is withdrawn while its request waits has no effect.
+package validate
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Filter checks the principal, the class and the deadline.
+type Filter struct {
+	Snapshot func() *control.Snapshot
+	Backend  string // the local backend server that the chain serves
+}
+
+// Name returns "validate".
+func (f *Filter) Name() string { return "validate" }
+
+// Handle refuses what the entry should not have sent or what has changed since.
+func (f *Filter) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
+	snap := f.Snapshot()
+	now := time.Now()
+	if snap.Config == nil {
+		return pipeline.Refuse(pipeline.CodeNotReady, "")
+	}
+	if !now.Before(req.Deadline) {
+		return pipeline.Refuse(pipeline.CodeDeadlinePassed, "")
+	}
+	if refusal := f.checkBackend(snap, req); refusal != nil {
+		return refusal
+	}
+	class, ok := snap.Config.Class(req.Class.Name)
+	if !ok {
+		return pipeline.Refuse(pipeline.CodeBadHop, "unknown class")
+	}
+	req.Class = class.Pipeline()
+	return checkPrincipal(snap, req, now)
+}
+
+func (f *Filter) checkBackend(snap *control.Snapshot, req *pipeline.Request) *pipeline.Result {
+	local, ok := snap.Locals[f.Backend]
+	if !ok || local.Service != req.Service {
+		return pipeline.Refuse(pipeline.CodeWrongExit, "")
+	}
+	if local.Leaving {
+		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
+	}
+	return nil
+}
+
+func checkPrincipal(snap *control.Snapshot, req *pipeline.Request, now time.Time) *pipeline.Result {
+	route, ok := snap.Config.RouteByName(req.Route)
+	if !ok {
+		return pipeline.Refuse(pipeline.CodeUnknownRoute, "")
+	}
+	if route.Open {
+		return nil
+	}
+	if !now.Before(snap.KeysUntil) {
+		return pipeline.Refuse(pipeline.CodeKeysUnsure, "")
+	}
+	if !snap.Config.KeyValid(req.Principal.Team, req.Principal.KeyID) {
+		return pipeline.Refuse(pipeline.CodeKeyWithdrawn, "")
+	}
+	if !route.Allows(req.Principal.Team) {
+		return pipeline.Refuse(pipeline.CodeKeyNotAllowed, "")
+	}
+	return nil
+}
--- a/internal/httpsend/response.go
+++ b/internal/httpsend/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -21,3 +22,19 @@
 	}
 	result.Trailer = func() pipeline.Header { return pipeline.Header(resp.Trailer) }
 }
+
+// reserved lists the answer fields that concern one connection only.
+var reserved = map[string]bool{
+	"Connection":        true,
+	"Keep-Alive":        true,
+	"Proxy-Connection":  true,
+	"Trailer":           true,
+	"Transfer-Encoding": true,
+	"Upgrade":           true,
+}
+
+// Reserved tells whether a field of a backend server's answer must not be
+// passed on: connection fields and the names that the fleet sets itself.
+func Reserved(name string) bool {
+	return reserved[name] || strings.HasPrefix(name, "Ragwort-")
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -61,8 +61,9 @@
 	Service        string
 	Class          Class
 	IdempotencyKey string
-	FirstSend      bool   // the caller states that it never sent this idempotency key before
-	Fingerprint    uint64 // identifies requests with the same effect on a backend server
+	FirstSend      bool    // the caller states that it never sent this idempotency key before
+	Targets        Targets // set by the route filter
+	Fingerprint    uint64  // identifies requests with the same effect on a backend server
 
 	hooks []func(Completion)
 }
