--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -17,13 +17,70 @@
 // Service is the sender name of replies of the configuration service.
 const Service = ""
 
-// Document is a whole configuration document. Its maps belong to the Spreader
-// until the next document is accepted and must not be changed.
+// Intervals and bounds.
+const (
+	// CurrentFor is how long a confirmation lasts. A withdrawn key has to stop
+	// within 2 s, of which 0.5 s are left for connections that are being checked.
+	CurrentFor = 1500 * time.Millisecond
+	// AskInterval is the time between asks to random peers. Seven asks then fit
+	// into CurrentFor.
+	AskInterval = 200 * time.Millisecond
+	// ReadInterval is the time between a reader's reads of the service. With 1 s a
+	// confirmation would have only 0.5 s to reach every process before it lapses.
+	ReadInterval = 500 * time.Millisecond
+	// DirectAfter is the age of its confirmation from which a process asks a reader
+	// instead of a random peer; in a large fleet a few processes are reached late.
+	DirectAfter = 900 * time.Millisecond
+	// DirectUntil ends these asks: confirmations so old mean that the service is
+	// away, and the readers know no more than others.
+	DirectUntil = 2 * time.Second
+	// FallbackAfter is the age of its confirmation from which a process reads the
+	// service itself, for the case that all readers are lost.
+	FallbackAfter = 1200 * time.Millisecond
+	// FallbackReads bounds these reads of the whole fleet, in reads per second. It
+	// is a quarter of what the service bears.
+	FallbackReads = 500
+	// FetchTimeout is how long a source may go without sending a wanted part.
+	FetchTimeout = 400 * time.Millisecond
+	// StartTimeout is how long a starting process waits for the service and peers.
+	StartTimeout = time.Second
+
+	// AgreeAsks and AgreeNeeded are the rule for a service that is away: so many of
+	// the last asks were answered with the document in force.
+	AgreeAsks   = 7
+	AgreeNeeded = 4
+	// MinReaders and ProcessesPerReader give the number of readers. A confirmation
+	// spreads by one doubling for each ask, too slowly from 3 readers to 2,700.
+	MinReaders         = 3
+	ProcessesPerReader = 16
+	// Fanout is the number of peers to which an accepted document is announced;
+	// e^-4 of the fleet, 2 in 100, are left to the periodic asks.
+	Fanout = 4
+	// StartPeers is the number of peers that a starting process asks.
+	StartPeers = 3
+	// MaxRefusals bounds the refusals that are kept.
+	MaxRefusals = 16
+	// MaxHistory bounds the versions from which a manifest can be sent as changes;
+	// at 4,300 changes a day it covers ten minutes.
+	MaxHistory = 32
+	// MaxReplyBytes bounds the bytes of parts in one reply, below the 4 MB bound of
+	// a control message after base64.
+	MaxReplyBytes = 2 << 20
+	// MaxWants bounds the parts asked for in one message.
+	MaxWants = 128
+	// maxPending bounds the asks and the reads that wait for an answer.
+	maxPending = 32
+)
+
+const readersKey = "configuration-readers"
+
+// Document is a whole configuration document. Its maps and bytes are shared with
+// the Spreader and must not be changed.
 type Document struct {
 	Stamp   Stamp
 	Parts   map[string][]byte // by part name
 	Changed []string          // parts that are new or differ from the document before, sorted
-	Removed []string          // parts that the document before had, sorted
+	Removed []string          // parts that only the document before had, sorted
 }
 
 // Options configure a Spreader.
@@ -43,56 +100,191 @@
 type Freshness struct {
 	Stamp     Stamp
 	Confirmed time.Time // latest time at which the service is known to have had nothing newer; zero if never
-	Agreeing  int       // of the last AgreeAsks asks, those that a peer with the same document answered in time
+	Agreeing  int       // of the last AgreeAsks asks, those that a peer answered in time with the same document
 	Current   bool
 }
 
 // Spreader holds the document in force at one process.
-type Spreader struct{}
+type Spreader struct {
+	opt     Options
+	peers   []string // members without self, in the order in which they are asked
+	turn    int      // index of the next peer to ask
+	readers []string // readers without self
+	reader  bool     // this process is a reader
+
+	started  bool
+	ready    bool
+	start    time.Time
+	nextAsk  time.Time
+	nextRead time.Time
+
+	seq    uint64
+	asks   map[uint64]ask       // waiting for an answer
+	reads  map[uint64]time.Time // waiting for the service, with the time of sending
+	recent []sample             // the last AgreeAsks periodic asks, oldest first
+
+	confirmed time.Time
+	newerAt   time.Time // when a newer document was last heard of
+
+	doc      Document
+	refs     []Ref // of doc, sorted
+	digests  map[string]string
+	history  []change
+	previous map[string]part // the copy before the last change, for changed-bytes replies
+	fetch    *fetch
+	got      map[string][]byte // parts fetched for the next document, by digest
+	refusals []Refusal
+}
+
+// ask is a ManifestAsk that waits for its answer.
+type ask struct {
+	peer  string
+	sent  time.Time
+	start bool // one of the asks of a starting process
+}
+
+// sample is the outcome of one periodic ask.
+type sample struct {
+	seq    uint64
+	peer   string
+	sent   time.Time
+	agreed bool
+}
+
+type part struct {
+	digest string
+	bytes  []byte
+}
 
 // New returns a Spreader without a document.
-func New(o Options) *Spreader { return nil }
+func New(o Options) *Spreader {
+	return &Spreader{
+		opt: o,
+		// A random start keeps answers to an earlier life of the process from
+		// matching asks of this one.
+		seq:      uint64(o.Rand.Uint32()) << 16,
+		asks:     make(map[uint64]ask),
+		reads:    make(map[uint64]time.Time),
+		digests:  make(map[string]string),
+		previous: make(map[string]part),
+		got:      make(map[string][]byte),
+	}
+}
 
 // SetMembers sets the members of the fleet, with or without this process.
-func (s *Spreader) SetMembers(members []rendezvous.Member) {}
-
-// Tick returns what is due. The first call starts the Spreader.
-func (s *Spreader) Tick(now time.Time) []Action { return nil }
+func (s *Spreader) SetMembers(members []rendezvous.Member) {
+	s.peers = s.peers[:0]
+	for _, m := range members {
+		if m.ID != s.opt.Self {
+			s.peers = append(s.peers, m.ID)
+		}
+	}
+	s.shuffle()
+	s.readers, s.reader = nil, false
+	for _, m := range rendezvous.Rank(rendezvous.Hash(readersKey), members, readerCount(len(members))) {
+		if m.ID == s.opt.Self {
+			s.reader = true
+			continue
+		}
+		s.readers = append(s.readers, m.ID)
+	}
+}
 
-// Next returns the time at which Tick is to be called next.
-func (s *Spreader) Next() time.Time { return time.Time{} }
+func readerCount(members int) int {
+	return max(MinReaders, (members+ProcessesPerReader-1)/ProcessesPerReader)
+}
 
-// OnAsk answers a peer's ManifestAsk.
-func (s *Spreader) OnAsk(now time.Time, ask ManifestAsk) Manifest { return Manifest{} }
+// shuffle orders the peers anew, so that AgreeAsks asks in a row go to different
+// peers.
+func (s *Spreader) shuffle() {
+	s.opt.Rand.Shuffle(len(s.peers), func(i, j int) { s.peers[i], s.peers[j] = s.peers[j], s.peers[i] })
+	s.turn = 0
+}
 
-// OnManifest takes a peer's answer to an AskManifest.
-func (s *Spreader) OnManifest(now time.Time, from string, m Manifest) []Action { return nil }
+// Tick returns what is due. The first call starts the Spreader.
+func (s *Spreader) Tick(now time.Time) []Action {
+	if !s.started {
+		return s.begin(now)
+	}
+	s.dropStalled(now)
+	var actions []Action
+	if !now.Before(s.nextAsk) {
+		actions = append(actions, s.askNext(now)...)
+		s.nextAsk = after(s.nextAsk, AskInterval, now)
+	}
+	if !now.Before(s.nextRead) && s.mayRead(now) {
+		actions = append(actions, s.read(now))
+		s.nextRead = now.Add(s.readGap())
+	}
+	return actions
+}
 
-// OnAnnounce takes a peer's announcement.
-func (s *Spreader) OnAnnounce(now time.Time, from string, a Announcement) []Action { return nil }
+// after returns the next time of a periodic event. A process that resumes late
+// does not catch up on what it missed.
+func after(last time.Time, every time.Duration, now time.Time) time.Time {
+	next := last.Add(every)
+	if next.Before(now) {
+		return now.Add(every)
+	}
+	return next
+}
 
-// OnPartsAsk answers a peer's PartsAsk.
-func (s *Spreader) OnPartsAsk(ask PartsAsk) Parts { return Parts{} }
+// Next returns the time at which Tick is to be called next.
+func (s *Spreader) Next() time.Time {
+	next := s.nextAsk
+	if s.reader && s.nextRead.Before(next) {
+		next = s.nextRead
+	}
+	return next
+}
 
-// OnParts takes the answer to an AskParts or, from Service, to a ReadServiceParts.
-func (s *Spreader) OnParts(now time.Time, from string, p Parts) []Action { return nil }
+func (s *Spreader) begin(now time.Time) []Action {
+	s.started, s.start = true, now
+	s.nextAsk = now.Add(s.jitter(AskInterval))
+	s.nextRead = now.Add(s.jitter(ReadInterval))
+	actions := []Action{s.read(now)}
+	for range min(StartPeers, len(s.peers)) {
+		peer := s.nextPeer()
+		seq, a := s.newAsk(now, peer, s.doc.Stamp)
+		s.asks[seq] = ask{peer: peer, sent: now, start: true}
+		actions = append(actions, a)
+	}
+	return actions
+}
 
-// OnService takes the result of a ReadService.
-func (s *Spreader) OnService(now time.Time, r ServiceRead) []Action { return nil }
+func (s *Spreader) jitter(d time.Duration) time.Duration {
+	return time.Duration(s.opt.Rand.Int64N(int64(d)))
+}
 
-// Current reports whether requests that need a key may be served: no withdrawal
-// older than CurrentFor can be missing from the document in force.
-func (s *Spreader) Current(now time.Time) bool { return false }
+// mayRead reports whether this process reads the service by itself: readers
+// always, others only when no confirmation reaches them.
+func (s *Spreader) mayRead(now time.Time) bool {
+	return s.reader || s.age(now) > FallbackAfter
+}
 
-// Freshness describes how far the document in force can be relied on.
-func (s *Spreader) Freshness(now time.Time) Freshness { return Freshness{} }
+func (s *Spreader) readGap() time.Duration {
+	if s.reader {
+		return ReadInterval
+	}
+	share := time.Duration(len(s.peers)+1) * time.Second / FallbackReads
+	return max(2*ReadInterval, share)
+}
 
-// Ready reports whether a starting process has taken the highest version that the
-// service and its first peers hold.
-func (s *Spreader) Ready(now time.Time) bool { return false }
+func (s *Spreader) read(now time.Time) Action {
+	s.seq++
+	s.reads[s.seq] = now
+	for seq := range s.reads {
+		if seq+maxPending < s.seq {
+			delete(s.reads, seq)
+		}
+	}
+	return ReadService{Seq: s.seq, Have: s.doc.Stamp}
+}
 
 // Document returns the document in force; its stamp is zero if there is none.
-func (s *Spreader) Document() Document { return Document{} }
+func (s *Spreader) Document() Document { return s.doc }
 
 // Refusals returns the latest refused documents, oldest first.
-func (s *Spreader) Refusals() []Refusal { return nil }
+func (s *Spreader) Refusals() []Refusal {
+	return append([]Refusal(nil), s.refusals...)
+}
