--- /dev/null
+++ b/control/assemble.go
@@ -0,0 +1,35 @@
+package control
+
+import (
+	"math/rand/v2"
+
+	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/path"
+	"github.com/ragwortyard/ragwortyard/decide/spread"
+)
+
+// Options configure the control loop of a process.
+type Options struct {
+	Self Self
+	Seed uint64 // of the random choices of peers
+}
+
+// New returns the control loop of a process with all its stages in order.
+func New(o Options, outbound Outbound) *Loop {
+	state := NewState(o.Self)
+	source := rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation))
+	table := membership.New(membership.Options{Self: o.Self.ID, Incarnation: o.Self.Incarnation, Rand: source})
+	makeSpreader := func(validate func(spread.Document) error) *spread.Spreader {
+		return spread.New(spread.Options{Self: o.Self.ID, Rand: source, Validate: validate})
+	}
+	stages := []Stage{
+		newHostsStage(state, table),
+		&localsStage{state: state},
+		newConfigStage(state, makeSpreader),
+		&pathsStage{state: state, table: path.NewTable()},
+		&stopStage{state: state},
+		&statusStage{state: state},
+	}
+	publish := &publisher{state: state}
+	return NewLoop(stages, publish.build, outbound)
+}
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -86,6 +86,8 @@
 		s.answer(now, e, out)
 	case PeerReplied:
 		s.takeReply(now, e, out)
+	case statusAsked:
+		s.report(e.status)
 	case Tick:
 		s.apply(s.spreader.Tick(now), out)
 	}
@@ -102,12 +104,14 @@
 func (s *configStage) answer(now time.Time, e PeerAsked, out *Output) {
 	switch m := e.Message.(type) {
 	case spread.ManifestAsk:
-		e.Answer(s.spreader.Manifest(now, m))
+		manifest, actions := s.spreader.OnAsk(now, e.From, m)
+		e.Answer(manifest)
+		s.apply(actions, out)
 	case spread.PartsAsk:
-		e.Answer(s.spreader.Parts(m))
+		e.Answer(s.spreader.OnPartsAsk(m))
 	case spread.Announcement:
 		e.Answer(Ack{})
-		s.apply(s.spreader.OnAnnouncement(now, e.From, m), out)
+		s.apply(s.spreader.OnAnnounce(now, e.From, m), out)
 	}
 }
 
@@ -175,3 +179,9 @@
 		out.Publish()
 	}
 }
+
+func (s *configStage) report(status *Status) {
+	for _, r := range s.spreader.Refusals() {
+		status.Refusals = append(status.Refusals, ConfigRefusal{Version: r.Stamp.Version, At: r.At, Reason: r.Reason})
+	}
+}
--- a/control/hosts.go
+++ b/control/hosts.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/balance"
@@ -43,11 +45,22 @@
 		s.takeReply(now, e, out)
 	case Stop:
 		s.apply(s.table.Leave(now), out)
+	case statusAsked:
+		s.report(e.status)
 	case Tick:
 		s.apply(s.table.Tick(now), out)
 	}
 }
 
+func (s *hostsStage) report(status *Status) {
+	for _, id := range slices.Sorted(maps.Keys(s.state.Hosts)) {
+		suspect, leaving := s.state.View.Suspect[id], s.state.View.Leaving[id]
+		if suspect || leaving {
+			status.Peers = append(status.Peers, PeerStatus{ID: id, Suspect: suspect, Leaving: leaving})
+		}
+	}
+}
+
 // takeList ignores lists older than the one in force: the platform's list lags
 // and may be served by a replica that lags more.
 func (s *hostsStage) takeList(now time.Time, e HostsRead, out *Output) {
--- /dev/null
+++ b/control/publish.go
@@ -0,0 +1,79 @@
+package control
+
+import (
+	"sync"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/balance"
+)
+
+// publisher builds snapshots from the state. It keeps what depends on the host
+// list only, so that a change of the configuration copies little.
+type publisher struct {
+	state    *State
+	version  uint64
+	services map[string]*Service
+}
+
+// build returns the snapshot for traffic.
+func (p *publisher) build(time.Time) *Snapshot {
+	if p.services == nil || p.version != p.state.HostVersion {
+		p.version = p.state.HostVersion
+		p.services = p.buildServices()
+	}
+	return &Snapshot{
+		Config:    p.state.Config,
+		Hosts:     p.state.HostVersion,
+		KeysUntil: p.state.KeysUntil,
+		Stopping:  p.state.Stopping,
+		Services:  p.services,
+		Locals:    p.buildLocals(),
+	}
+}
+
+func (p *publisher) buildServices() map[string]*Service {
+	services := make(map[string]*Service)
+	for _, h := range p.state.Hosts {
+		for _, b := range h.Backends {
+			service, ok := services[b.Service]
+			if !ok {
+				service = p.newService(b.Service)
+				services[b.Service] = service
+			}
+			service.Members = append(service.Members, p.state.Targets[b.ID])
+			service.Addrs[h.ID] = h.TrafficAddr
+		}
+	}
+	return services
+}
+
+func (p *publisher) newService(name string) *Service {
+	return &Service{
+		Name:    name,
+		Zone:    p.state.Self.Zone,
+		Members: []*balance.Member{},
+		Addrs:   make(map[string]string),
+		subsets: &sync.Map{},
+	}
+}
+
+func (p *publisher) buildLocals() map[string]*Local {
+	leaving := p.leavingBackends()
+	locals := make(map[string]*Local)
+	for _, local := range p.state.locals() {
+		local.Leaving = leaving[local.ID]
+		locals[local.ID] = &local
+	}
+	return locals
+}
+
+// leavingBackends returns the local backend servers that the host list marks as
+// leaving.
+func (p *publisher) leavingBackends() map[string]bool {
+	self := p.state.Hosts[p.state.Self.ID]
+	leaving := make(map[string]bool)
+	for _, b := range self.Backends {
+		leaving[b.ID] = b.Leaving || self.Leaving
+	}
+	return leaving
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"context"
+	"time"
+)
+
+// Status is what a process reports to operators.
+type Status struct {
+	Host          string          `json:"host"`
+	Zone          string          `json:"zone"`
+	ConfigVersion uint64          `json:"configVersion"`
+	KeysTrusted   bool            `json:"keysTrusted"`
+	HostVersion   uint64          `json:"hostVersion"`
+	Members       int             `json:"members"`
+	Stopping      bool            `json:"stopping"`
+	Refusals      []ConfigRefusal `json:"configRefusals,omitempty"`
+	Peers         []PeerStatus    `json:"peers,omitempty"`
+}
+
+// ConfigRefusal is a refused configuration.
+type ConfigRefusal struct {
+	Version uint64    `json:"version"`
+	At      time.Time `json:"at"`
+	Reason  string    `json:"reason"`
+}
+
+// PeerStatus is a peer that is not in order.
+type PeerStatus struct {
+	ID      string `json:"id"`
+	Suspect bool   `json:"suspect,omitempty"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Path    string `json:"path,omitempty"`
+}
+
+// statusAsked collects the status from all stages. The last stage sends it.
+type statusAsked struct {
+	status *Status
+	reply  chan *Status
+}
+
+// ControlEvent marks statusAsked as an event.
+func (statusAsked) ControlEvent() {}
+
+// Status asks the stages for their state.
+func (l *Loop) Status(ctx context.Context) (*Status, error) {
+	asked := statusAsked{status: &Status{}, reply: make(chan *Status, 1)}
+	if err := l.Submit(ctx, asked); err != nil {
+		return nil, err
+	}
+	select {
+	case s := <-asked.reply:
+		return s, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// statusStage is the last stage; it answers status requests.
+type statusStage struct {
+	state *State
+}
+
+// Name returns "status".
+func (s *statusStage) Name() string { return "status" }
+
+// Deadline returns the zero time.
+func (s *statusStage) Deadline() time.Time { return time.Time{} }
+
+// Handle adds the shared state and replies.
+func (s *statusStage) Handle(now time.Time, ev Event, _ *Output) {
+	asked, ok := ev.(statusAsked)
+	if !ok {
+		return
+	}
+	st := asked.status
+	st.Host = s.state.Self.ID
+	st.Zone = s.state.Self.Zone
+	if s.state.Config != nil {
+		st.ConfigVersion = s.state.Config.Version()
+	}
+	st.KeysTrusted = now.Before(s.state.KeysUntil)
+	st.HostVersion = s.state.HostVersion
+	st.Members = len(s.state.Members)
+	st.Stopping = s.state.Stopping
+	asked.reply <- st
+}
--- /dev/null
+++ b/control/stop.go
@@ -0,0 +1,29 @@
+package control
+
+import "time"
+
+// Stop begins a planned stop: the process announces that it leaves and hands
+// over what it keeps.
+type Stop struct{}
+
+// ControlEvent marks Stop as an event.
+func (Stop) ControlEvent() {}
+
+// stopStage marks the snapshot as stopping.
+type stopStage struct {
+	state *State
+}
+
+// Name returns "stop".
+func (s *stopStage) Name() string { return "stop" }
+
+// Deadline returns the zero time.
+func (s *stopStage) Deadline() time.Time { return time.Time{} }
+
+// Handle reacts to Stop only.
+func (s *stopStage) Handle(_ time.Time, ev Event, out *Output) {
+	if _, ok := ev.(Stop); ok {
+		s.state.Stopping = true
+		out.Publish()
+	}
+}
--- a/fleet/headers.go
+++ b/fleet/headers.go
@@ -14,6 +14,7 @@
 const (
 	headerPrefix     = "Ragwort-"
 	headerHop        = "Ragwort-Hop" // protocol version
+	headerProbe      = "Ragwort-Probe"
 	headerAttemptID  = "Ragwort-Attempt-Id"
 	headerTeam       = "Ragwort-Team"
 	headerKeyID      = "Ragwort-Key-Id"
--- a/fleet/hop_client.go
+++ b/fleet/hop_client.go
@@ -122,3 +122,19 @@
 	}
 	return pipeline.Refuse(pipeline.CodeCanceled, "")
 }
+
+// Probe asks for a sign of life over a fresh connection.
+func (c *HopClient) Probe(ctx context.Context, addr string) error {
+	fresh := c.transport.Clone()
+	defer fresh.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+"://"+addr+"/", nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(headerProbe, "1")
+	resp, err := fresh.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- a/fleet/hop_server.go
+++ b/fleet/hop_server.go
@@ -19,6 +19,10 @@
 
 // ServeHTTP decodes the request, runs the exit chain and writes the result.
 func (h *HopHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerProbe) != "" {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	hop, refusal := decodeRequest(r, time.Now())
 	if refusal != nil {
 		h.refuse(w, refusal, r.Header.Get(headerAttemptID), Load{})
@@ -73,3 +77,28 @@
 		Bytes:    n,
 	}
 }
+
+// NewHopServer returns the HTTP/2 server for requests of other processes.
+func NewHopServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           handler,
+		Protocols:         protocols,
+		MaxHeaderBytes:    maxHopHeader,
+		ReadHeaderTimeout: hopHeaderTimeout,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams,
+			SendPingTimeout:      time.Second,
+			PingTimeout:          time.Second,
+		},
+	}
+}
+
+// Limits of the traffic listener.
+const (
+	maxHopHeader     = 64 << 10 // the callers' 32 KiB and the fleet's own fields
+	hopHeaderTimeout = 2 * time.Second
+	maxStreams       = 1000 // open requests of one peer; slots and queues refuse far below
+)
--- /dev/null
+++ b/node/messages.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/spread"
+	"github.com/ragwortyard/ragwortyard/fleet"
+)
+
+// newRegistry binds the control messages to their JSON-RPC methods.
+func newRegistry() *fleet.Registry {
+	r := fleet.NewRegistry()
+	fleet.Register[spread.ManifestAsk, spread.Manifest](r, "config.manifest")
+	fleet.Register[spread.PartsAsk, spread.Parts](r, "config.parts")
+	fleet.Register[spread.Announcement, control.Ack](r, "config.announce")
+	fleet.Register[membership.Ping, membership.Ack](r, "member.ping")
+	fleet.Register[membership.PingVia, control.Ack](r, "member.pingVia")
+	fleet.Register[membership.Ack, control.Ack](r, "member.ack")
+	fleet.Register[membership.Leaving, control.Ack](r, "member.leaving")
+	return r
+}
+
+// peerHandler hands the messages of peers to the control loop and waits for the
+// reply of the stage that is concerned.
+type peerHandler struct {
+	loop *control.Loop
+}
+
+// HandlePeer returns the reply to a message.
+func (h *peerHandler) HandlePeer(ctx context.Context, from string, message any) (any, error) {
+	reply := make(chan any, 1)
+	if err := h.loop.Submit(ctx, control.PeerAsked{From: from, Message: message, Reply: reply}); err != nil {
+		return nil, err
+	}
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("no answer from the control loop: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/node/outbound.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/path"
+	"github.com/ragwortyard/ragwortyard/decide/spread"
+)
+
+// maxCommands bounds the commands of the control loop that are carried out at
+// the same time. Each takes at most half a second, so that the bound is reached
+// only when hundreds of peers are silent at once.
+const maxCommands = 512
+
+// platformTimeout bounds a read of the platform, which answers in milliseconds.
+const platformTimeout = time.Second
+
+// outbound carries out the commands of the control loop, each in a goroutine of
+// its own, so that a silent peer delays no other.
+type outbound struct {
+	node  *Node
+	slots chan struct{}
+	ctx   context.Context
+}
+
+func newOutbound(n *Node) *outbound {
+	return &outbound{node: n, slots: make(chan struct{}, maxCommands), ctx: context.Background()}
+}
+
+// Send starts a command; false when too many are running.
+func (o *outbound) Send(cmd control.Command) bool {
+	if locals, ok := cmd.(control.SyncBackends); ok {
+		return o.syncBackends(locals)
+	}
+	select {
+	case o.slots <- struct{}{}:
+	default:
+		return false
+	}
+	go func() {
+		defer func() { <-o.slots }()
+		o.carryOut(cmd)
+	}()
+	return true
+}
+
+func (o *outbound) syncBackends(cmd control.SyncBackends) bool {
+	select {
+	case o.node.exits.wanted <- cmd.Locals:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *outbound) carryOut(cmd control.Command) {
+	switch c := cmd.(type) {
+	case control.Call:
+		o.call(c)
+	case control.ReadService:
+		o.readService(c)
+	case control.ReadServiceParts:
+		o.readParts(c)
+	case control.ProbePath:
+		o.probe(c)
+	case control.ConfigLog:
+		o.logConfig(c)
+	}
+}
+
+func (o *outbound) call(c control.Call) {
+	sent := time.Now()
+	reply, err := o.node.client.Call(o.ctx, c.Addr, c.Message)
+	o.node.loop.Post(control.PeerReplied{Peer: c.Peer, Message: c.Message, Reply: reply, Err: err, Sent: sent})
+}
+
+func (o *outbound) readService(c control.ReadService) {
+	ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
+	defer cancel()
+	manifest, err := o.node.source.read(ctx, c.Action.Have)
+	if err != nil {
+		o.node.log.Debug("configuration service not readable", zap.Error(err))
+		return
+	}
+	o.node.loop.Post(control.ServiceAnswered{Read: spread.ServiceRead{Seq: c.Action.Seq, Manifest: manifest}})
+}
+
+func (o *outbound) readParts(c control.ReadServiceParts) {
+	o.node.loop.Post(control.ServicePartsRead{Parts: o.node.source.parts(c.Names)})
+}
+
+func (o *outbound) probe(c control.ProbePath) {
+	ctx, cancel := context.WithTimeout(o.ctx, path.ProbeTimeout)
+	defer cancel()
+	event := path.ProbeOK
+	if err := o.node.hop.Probe(ctx, c.Addr); err != nil {
+		event = path.ProbeFailed
+		o.node.log.Warn("path to peer failed a probe on a fresh connection", zap.String("peer", c.Peer), zap.Error(err))
+	}
+	o.node.loop.Post(control.PathObserved{Observation: path.Observation{Peer: c.Peer, Event: event}})
+}
+
+func (o *outbound) logConfig(c control.ConfigLog) {
+	from := c.From
+	if from == spread.Service {
+		from = "configuration service"
+	}
+	if c.Refusal != nil {
+		o.node.log.Error("configuration refused; the last accepted one stays in force",
+			zap.Uint64("version", c.Refusal.Stamp.Version), zap.String("from", from), zap.String("reason", c.Refusal.Reason))
+		return
+	}
+	o.node.log.Info("configuration accepted", zap.Uint64("version", c.Accepted.Version()), zap.String("from", from))
+}
