--- a/decide/ejection/collector.go
+++ b/decide/ejection/collector.go
@@ -24,27 +24,75 @@
 )
 
 const (
-	// classesKept bounds the classes that one server reports on.
+	// classesKept bounds the classes that one server reports on; further ones
+	// share one summary under otherClass.
 	classesKept = 16
-	// notableFactor is the ratio to the server's own earlier median from which
-	// a call is notable. It is half of SlowFactor, so that a keeper hears of a
+	otherClass  = "*"
+	// ownFactor is the ratio to the server's own earlier median from which a
+	// call is notable. It is half of SlowFactor, so that a keeper hears of a
 	// change well before it matters.
-	notableFactor = 2
-	// loudFor is how long a server reports at every interval after something
-	// notable: longer than any ejection test takes.
-	loudFor = 10 * time.Second
-	// ownMemory is the time over which a server's own median adapts.
+	ownFactor = 2
+	// ownMemory is the time over which a server's own median adapts. It is
+	// long beside the time that a detection takes.
 	ownMemory = 30 * time.Second
+	// ownSamples is the number of timed calls that make a first own median.
+	ownSamples = 8
 )
 
-// Window holds the calls of one class since the last report.
+// Window holds the calls of one class between two reports.
 type Window struct {
 	count    uint32
 	failures uint32
-	latency  [Buckets]uint32
 	timed    uint32 // calls in latency
-	notable  uint32 // calls in latency above notableFactor times the own median
-	own      float64
+	notable  uint32 // calls in latency of ownFactor times the own median or more
+	latency  [Buckets]uint32
+}
+
+func (w *Window) addLatency(latency, own time.Duration) {
+	w.latency[bucketOf(latency)]++
+	w.timed++
+	if own > 0 && latency >= ownFactor*own {
+		w.notable++
+	}
+}
+
+// isNotable tells whether the keeper should hear of these calls at once: one
+// failed, or over a third (and not a single one) were slow for this server.
+func (w *Window) isNotable() bool {
+	return w.failures > 0 || (w.notable > 1 && w.notable*3 > w.timed)
+}
+
+// moveTo adds the calls to another window and empties this one.
+func (w *Window) moveTo(to *Window) {
+	to.count += w.count
+	to.failures += w.failures
+	to.timed += w.timed
+	for i, n := range w.latency {
+		to.latency[i] += n
+	}
+	*w = Window{}
+}
+
+func (w *Window) report(class string) ClassReport {
+	return ClassReport{Class: class, Count: w.count, Failures: w.failures, Latency: makeSketch(&w.latency)}
+}
+
+// classWindows are the calls of one class: those of quiet intervals that are
+// not reported yet, and those of the present interval.
+type classWindows struct {
+	class   string
+	quiet   Window
+	present Window
+	own     time.Duration // the server's own median, 0 if not known
+}
+
+// State is what the exit knows of a backend server beside its calls.
+type State struct {
+	Started time.Time // when the server was last seen to start; zero if it was never seen
+	Suspect bool      // the health check or the load report is bad
+	Leaving bool      // the host has announced that it stops
+	Ejected bool      // a lease is in force
+	Keeper  uint64    // epoch of the keeper; a new keeper gets a report at once
 }
 
 // Collector turns the calls of one local backend server into reports. The
@@ -53,10 +101,9 @@
 	settings Settings
 	service  string
 	server   string
-	names    []string
-	windows  []*Window
+	classes  []*classWindows
 	last     time.Time // of the last report
-	loud     time.Time // report at every interval until then
+	flags    Report    // the flags of the last report
 	keeper   uint64
 }
 
@@ -65,25 +112,124 @@
 	return &Collector{settings: s, service: service, server: server}
 }
 
-var _ = math.Log
-
-// Observe takes in one call. Calls without an answer count with the time until
-// they failed.
+// Observe takes in one call. The latency runs from the moment the exit passed
+// the request to the server, without the time in the exit's queue.
 func (c *Collector) Observe(class string, outcome Outcome, latency time.Duration) {
+	if outcome == Excused {
+		return
+	}
+	w := c.window(class)
+	switch {
+	case outcome == Success:
+		w.present.count++
+		w.present.addLatency(latency, w.own)
+	case outcome == Failure:
+		w.present.count++
+		w.present.failures++
+	case outcome == Abandoned && w.own > 0 && latency > w.own:
+		// Callers give up slow calls first. Without these, a slow server
+		// would look like its fastest answers.
+		w.present.addLatency(latency, w.own)
+	}
 }
 
-// State is what the exit knows of a backend server beside its calls.
-type State struct {
-	Started time.Time // when the server was last seen to start; zero if it was never seen
-	Suspect bool      // the health check or the load report is bad
-	Leaving bool      // the host has announced that it stops
-	Ejected bool      // a lease is in force
-	Keeper  uint64    // epoch of the keeper; a new keeper gets a report at once
+func (c *Collector) window(class string) *classWindows {
+	for _, w := range c.classes {
+		if w.class == class {
+			return w
+		}
+	}
+	if len(c.classes) == classesKept-1 {
+		class = otherClass
+	}
+	if len(c.classes) >= classesKept {
+		return c.classes[classesKept-1]
+	}
+	w := &classWindows{class: class}
+	c.classes = append(c.classes, w)
+	return w
 }
 
 // Report returns the report that is due now, without the fields that
 // Guard.Stamp sets. It returns false when there is nothing that the keeper
 // needs now. Call it once in every ReportInterval.
 func (c *Collector) Report(now time.Time, s State) (Report, bool) {
-	return Report{}, false
+	r := Report{Service: c.service, Server: c.server, Suspect: s.Suspect, Leaving: s.Leaving}
+	r.Cold = !s.Started.IsZero() && now.Sub(s.Started) < WarmUp
+	notable := c.anyNotable()
+	due := notable || s.Ejected || s.Keeper != c.keeper || c.last.IsZero() ||
+		r.Cold != c.flags.Cold || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving ||
+		now.Sub(c.last) >= c.settings.MaxQuiet
+	if !due {
+		c.keepQuiet()
+		return Report{}, false
+	}
+	c.flags = r
+	r.Classes = c.flush(now, notable)
+	c.last, c.keeper = now, s.Keeper
+	return r, true
+}
+
+func (c *Collector) anyNotable() bool {
+	for _, w := range c.classes {
+		if w.present.isNotable() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Collector) keepQuiet() {
+	for _, w := range c.classes {
+		if w.present.count > 0 || w.present.timed > 0 {
+			w.present.moveTo(&w.quiet)
+		}
+	}
+}
+
+// flush empties the windows. After something notable, the quiet intervals
+// before it are reported apart, so that they do not dilute the evidence.
+func (c *Collector) flush(now time.Time, notable bool) []ClassReport {
+	if !notable {
+		c.keepQuiet()
+	}
+	var reports []ClassReport
+	for _, w := range c.classes {
+		for _, part := range []*Window{&w.quiet, &w.present} {
+			if part.count > 0 || part.timed > 0 {
+				reports = append(reports, part.report(w.class))
+			}
+		}
+		w.adapt(now.Sub(c.last))
+		w.quiet, w.present = Window{}, Window{}
+	}
+	return reports
+}
+
+// adapt moves the own median toward the median of what is reported, in steps
+// that grow with the time since the last report.
+func (w *classWindows) adapt(since time.Duration) {
+	w.present.moveTo(&w.quiet)
+	if w.quiet.timed == 0 || (w.own == 0 && w.quiet.timed < ownSamples) {
+		return
+	}
+	median := quantile(&w.quiet.latency, w.quiet.timed, 0.5)
+	if w.own == 0 {
+		w.own = median
+		return
+	}
+	weight := min(1, since.Seconds()/ownMemory.Seconds())
+	ratio := float64(median) / float64(w.own)
+	w.own = time.Duration(float64(w.own) * math.Pow(ratio, weight))
+}
+
+func quantile(counts *[Buckets]uint32, total uint32, q float64) time.Duration {
+	below := uint32(q * float64(total))
+	for i, n := range counts {
+		if below < n {
+			return lowerBound(i)
+		}
+		below -= n
+	}
+	return lowerBound(Buckets - 1)
 }
--- a/decide/ejection/guard.go
+++ b/decide/ejection/guard.go
@@ -43,6 +43,13 @@
 	lease Lease
 }
 
+// NewGuard returns a guard whose first report has a number above start. A
+// restarted process passes a start above the numbers of its earlier life, such
+// as the wall clock in milliseconds, so that no verdict of that life matches.
+func NewGuard(start uint64) *Guard {
+	return &Guard{seq: start}
+}
+
 // Lease returns the lease to publish to traffic.
 func (g *Guard) Lease() Lease {
 	return g.lease
@@ -52,9 +59,7 @@
 // From then on, verdicts of earlier epochs are refused: the keeper counts on
 // what this report says. Epochs must grow from keeper to keeper.
 func (g *Guard) Stamp(now time.Time, epoch uint64, r *Report) {
-	if epoch > g.epoch {
-		g.epoch, g.ack = epoch, 0
-	}
+	g.epoch = max(g.epoch, epoch)
 	g.seq++
 	g.sent[g.seq%sentKept] = sent{seq: g.seq, at: now}
 	r.Epoch, r.Seq, r.Ack = g.epoch, g.seq, g.ack
@@ -99,6 +104,9 @@
 		return Malformed
 	}
 	g.ack = v.Seq
-	g.lease = Lease{Until: until, State: v.Ejected, Given: now}
+	g.lease = Lease{}
+	if v.Share < 1 {
+		g.lease = Lease{Until: until, State: v.Ejected, Given: now}
+	}
 	return Accepted
 }
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -1,48 +1,321 @@
 package ejection
 
-import "time"
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// classesJudged bounds the classes that a judge distinguishes in one service.
+// Classes beyond are not judged.
+const classesJudged = 64
 
 // Judge decides on the ejections of one service. The keeper of the service
 // owns it and calls Decide only while it holds its lease.
+//
+// The floor is kept because a server counts as healthy only when it has
+// reported lately to this keeper that it takes its full share, which rules out
+// later verdicts of earlier keepers (see Guard.Stamp), and counts as not
+// healthy from the verdict on until its exit confirms its return or every
+// lease that the exit can have has ended.
 type Judge struct {
 	settings Settings
 	epoch    uint64
 	floor    Floor
+	servers  []*server // sorted by identifier
+	byID     map[string]*server
+	classes  map[string]int
+	refs     []reference // by class
+	dirty    bool        // reports came since refs were made
+	scratch  []*track
 }
 
 // NewJudge returns a judge for a keeper that took over in the given epoch. It
 // knows nothing of its predecessor but what the reports tell.
 func NewJudge(s Settings, epoch uint64) *Judge {
-	return &Judge{settings: s, epoch: epoch}
+	return &Judge{
+		settings: s,
+		epoch:    epoch,
+		byID:     make(map[string]*server),
+		classes:  make(map[string]int),
+	}
 }
 
-// SetFleet sets the servers of the service and the floor. It takes effect
-// before the next verdict.
-func (j *Judge) SetFleet(now time.Time, servers []ServerState, floor Floor) {
+// SetFleet sets the servers of the service and the floor. What is known of
+// servers that stay is kept.
+func (j *Judge) SetFleet(_ time.Time, servers []ServerState, floor Floor) {
 	j.floor = floor
+	byID := make(map[string]*server, len(servers))
+	j.servers = j.servers[:0]
+	for _, state := range servers {
+		if byID[state.ID] != nil {
+			continue
+		}
+		s := j.byID[state.ID]
+		if s == nil {
+			s = &server{}
+		}
+		s.state = state
+		byID[state.ID] = s
+		j.servers = append(j.servers, s)
+	}
+	j.byID = byID
+	sort.Slice(j.servers, func(a, b int) bool { return j.servers[a].state.ID < j.servers[b].state.ID })
+	j.dirty = true
 }
 
-// Observe takes in a report.
+// Observe takes in a report. It ignores reports to other keepers, of unknown
+// servers, and such that were overtaken.
 func (j *Judge) Observe(now time.Time, r Report) {
+	s := j.byID[r.Server]
+	if s == nil || r.Epoch != j.epoch || r.Seq <= s.seq {
+		return
+	}
+	s.lapse(now)
+	s.seen, s.seq = now, r.Seq
+	s.suspect, s.leaving = r.Suspect, r.Leaving
+	s.learn(now, r)
+	s.start(r.Cold)
+	for _, c := range r.Classes {
+		j.observeClass(now, s, c)
+	}
+	s.cold = s.cold && !s.metSiblings(j.refs)
+	j.dirty = true
+}
+
+func (j *Judge) observeClass(now time.Time, s *server, c ClassReport) {
+	class, ok := j.class(c.Class)
+	if !ok {
+		return
+	}
+	for len(s.tracks) <= class {
+		s.tracks = append(s.tracks, nil)
+	}
+	if s.tracks[class] == nil {
+		s.tracks[class] = &track{decayed: now}
+	}
+	s.tracks[class].add(now, c, j.refs[class].limits(s.cold))
+}
+
+func (j *Judge) class(name string) (int, bool) {
+	class, ok := j.classes[name]
+	if !ok && len(j.refs) < classesJudged {
+		class, ok = len(j.refs), true
+		j.classes[name] = class
+		j.refs = append(j.refs, reference{})
+	}
+	return class, ok
 }
 
-// Decide returns the verdicts to send, at most one for each report.
+// Decide returns the verdicts to send, at most one for each report and at most
+// one new ejection, so that the next is decided without the server just taken
+// out.
 func (j *Judge) Decide(now time.Time) []Verdict {
-	return nil
+	for _, s := range j.servers {
+		s.lapse(now)
+	}
+	j.refreshReferences(now)
+	j.restoreCapacity(now)
+	verdicts := j.renew(now)
+	if v, ok := j.ejectWorst(now); ok {
+		verdicts = append(verdicts, v)
+	}
+	return verdicts
+}
+
+func (j *Judge) refreshReferences(now time.Time) {
+	if !j.dirty {
+		return
+	}
+	j.dirty = false
+	for class := range j.refs {
+		j.scratch = j.scratch[:0]
+		for _, s := range j.servers {
+			if t := s.trackOf(class); t != nil && j.isReference(now, s, t) {
+				j.scratch = append(j.scratch, t)
+			}
+		}
+		j.refs[class] = makeReference(j.scratch)
+	}
+}
+
+func (j *Judge) isReference(now time.Time, s *server, t *track) bool {
+	return !s.cold && s.phase != ejected && t.timed >= referenceCalls &&
+		s.reportedLately(now, j.settings.Lately)
+}
+
+// minimum returns the number of healthy servers that ejections must leave.
+func (j *Judge) minimum() int {
+	staying := 0
+	for _, s := range j.servers {
+		if !s.isLeaving() {
+			staying++
+		}
+	}
+	return max(j.floor.Servers, int(math.Ceil(j.floor.Share*float64(staying))))
+}
+
+func (j *Judge) countHealthy(now time.Time) int {
+	n := 0
+	for _, s := range j.servers {
+		if s.healthy(now, j.settings.Lately) {
+			n++
+		}
+	}
+	return n
+}
+
+// restoreCapacity gives servers back when others have left or failed since
+// they were ejected, those that are furthest in their return first.
+func (j *Judge) restoreCapacity(now time.Time) {
+	missing := j.minimum() - j.countHealthy(now)
+	var candidates []*server
+	for _, s := range j.servers {
+		switch {
+		case s.isLeaving() || !s.reportedLately(now, j.settings.Lately):
+		case s.phase == restoring:
+			missing--
+		case s.phase != serving:
+			candidates = append(candidates, s)
+		}
+	}
+	sort.SliceStable(candidates, func(a, b int) bool { return candidates[a].closerThan(candidates[b]) })
+	for i := 0; i < missing && i < len(candidates); i++ {
+		candidates[i].restore(now, Capacity)
+	}
+}
+
+// closerThan orders by how far the return has come.
+func (s *server) closerThan(o *server) bool {
+	if s.phase != o.phase {
+		return s.phase > o.phase
+	}
+	if s.phase == returning {
+		return s.step > o.step
+	}
+	return s.end.Before(o.end)
+}
+
+// renew answers the reports of servers that do not take their full share.
+func (j *Judge) renew(now time.Time) []Verdict {
+	var verdicts []Verdict
+	for _, s := range j.servers {
+		if s.phase == serving || !s.fresh() {
+			continue
+		}
+		changed := j.progress(now, s)
+		verdicts = append(verdicts, s.verdict(now, j.epoch, !changed))
+	}
+	return verdicts
+}
+
+// progress moves an ejection on. It returns whether something changed.
+func (j *Judge) progress(now time.Time, s *server) bool {
+	switch s.phase {
+	case restoring:
+		return s.restored == 0
+	case ejected:
+		if now.Before(s.end) {
+			return false
+		}
+		s.advance(now)
+		return true
+	}
+	if found := j.examine(s); found.ejects {
+		s.eject(now, found.reason)
+		return true
+	}
+	if s.clean(now) {
+		s.advance(now)
+		return true
+	}
+	return false
+}
+
+// examine returns the strongest finding over all classes: a server that fails
+// one class only is gray as well.
+func (j *Judge) examine(s *server) finding {
+	d := demand{nats: needed, calls: badCalls}
+	if s.suspect || s.phase == returning {
+		d.nats = needed / 2
+	}
+	if s.phase == returning {
+		d.calls = probationCalls
+	}
+	var found finding
+	for class, t := range s.tracks {
+		if t != nil {
+			found = stronger(found, t.examine(j.refs[class], d))
+		}
+	}
+	return found
+}
+
+// ejectWorst ejects the server with the strongest evidence, unless so many
+// look bad that the cause lies elsewhere or the floor forbids it.
+func (j *Judge) ejectWorst(now time.Time) (Verdict, bool) {
+	var worst *server
+	var most finding
+	bad, reporting := 0, 0
+	for _, s := range j.servers {
+		if !s.reportedLately(now, j.settings.Lately) {
+			continue
+		}
+		reporting++
+		if s.phase != serving {
+			bad += boolToInt(s.phase == ejected)
+			continue
+		}
+		found := j.examine(s)
+		bad += boolToInt(found.nats >= looksBad)
+		if found.ejects && s.fresh() && (worst == nil || found.nats > most.nats) {
+			worst, most = s, found
+		}
+	}
+	if worst == nil || float64(bad) > MassFailure*float64(reporting) || !j.floorAllows(now, worst) {
+		return Verdict{}, false
+	}
+	worst.eject(now, most.reason)
+	return worst.verdict(now, j.epoch, false), true
+}
+
+func (j *Judge) floorAllows(now time.Time, s *server) bool {
+	left := j.countHealthy(now) - boolToInt(s.healthy(now, j.settings.Lately))
+	return left >= j.minimum()
+}
+
+func boolToInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // Status is the judge's view of one server, for operators.
 type Status struct {
 	Server  string
-	Healthy bool
-	Share   float64
-	Level   int
-	// Evidence is the strongest evidence against the server, in nats. 0 is
-	// none.
+	Healthy bool    // counts for the floor
+	Share   float64 // granted share of its traffic
+	Level   int     // ejections that have not decayed
+	Reason  Reason  // of the present ejection or return, "" when serving
+	// Evidence is the strongest evidence against the server, in nats.
 	Evidence float64
 }
 
 // Status returns the view of all servers, sorted by identifier.
 func (j *Judge) Status(now time.Time) []Status {
-	return nil
+	all := make([]Status, len(j.servers))
+	for i, s := range j.servers {
+		all[i] = Status{
+			Server:   s.state.ID,
+			Healthy:  s.healthy(now, j.settings.Lately),
+			Share:    s.share(),
+			Level:    s.currentLevel(now),
+			Evidence: j.examine(s).nats,
+		}
+		if s.phase != serving {
+			all[i].Reason = s.reason
+		}
+	}
+	return all
 }
--- a/decide/ejection/message.go
+++ b/decide/ejection/message.go
@@ -12,7 +12,7 @@
 	Epoch uint64 `json:"e"`
 	// Seq numbers the reports of one server, from 1.
 	Seq uint64 `json:"q"`
-	// Ack is the Seq of the last verdict that the exit accepted in this epoch.
+	// Ack is the Seq of the last verdict that the exit accepted, of any epoch.
 	Ack uint64 `json:"a,omitempty"`
 	// Cold is true while the server started less than WarmUp ago.
 	Cold bool `json:"w,omitempty"`
