--- a/config/config.go
+++ b/config/config.go
@@ -26,6 +26,8 @@
 	services map[string]*Service
 	classes  map[string]*Class
 	routes   *routeNode
+
+	routesByName map[string]*Route
 }
 
 // teamPart is one team value, decoded and indexed.
@@ -73,6 +75,12 @@
 	return c.fleet.routes.find(method, path)
 }
 
+// RouteByName returns the route with a name.
+func (c *Config) RouteByName(name string) (*Route, bool) {
+	route, ok := c.fleet.routesByName[name]
+	return route, ok
+}
+
 // Methods returns the methods served at a path, sorted, for the header Allow. It
 // allocates.
 func (c *Config) Methods(path string) []string {
--- a/config/link.go
+++ b/config/link.go
@@ -16,9 +16,9 @@
 	}
 	d.indexClasses(fleet)
 	d.indexServices(fleet)
-	names := make(map[string]bool)
+	fleet.routesByName = make(map[string]*Route, len(fleet.document.Routes))
 	for i := range fleet.document.Routes {
-		d.linkRoute(i, &fleet.document.Routes[i], fleet, names)
+		d.linkRoute(i, &fleet.document.Routes[i], fleet)
 	}
 }
 
@@ -49,11 +49,11 @@
 	}
 }
 
-func (d *draft) linkRoute(i int, route *Route, fleet *fleetPart, names map[string]bool) {
-	if names[route.Name] {
+func (d *draft) linkRoute(i int, route *Route, fleet *fleetPart) {
+	if fleet.routesByName[route.Name] != nil {
 		d.fleetField("routes[%d].name", i).duplicate(route.Name)
 	}
-	names[route.Name] = true
+	fleet.routesByName[route.Name] = route
 	service := fleet.services[route.Service]
 	if service == nil {
 		d.fleetField("routes[%d].service", i).unknown("service", route.Service)
--- a/config/parse.go
+++ b/config/parse.go
@@ -78,6 +78,14 @@
 	return d.listed.Version, names, nil
 }
 
+// ReadManifest reads a manifest by itself.
+func ReadManifest(manifest []byte) (Manifest, Problems) {
+	d := newDraft(nil, manifest, nil)
+	readManifest(d)
+	checkManifest(d)
+	return d.listed, d.problems
+}
+
 func parse(previous *Config, manifest []byte, parts map[string][]byte) (*Config, Problems) {
 	d := newDraft(previous, manifest, parts)
 	for _, run := range stages {
--- a/filters/classify/classify.go
+++ b/filters/classify/classify.go
@@ -30,6 +30,8 @@
 	switch match {
 	case config.UnknownPath:
 		return pipeline.Refuse(pipeline.CodeUnknownRoute, "")
+	case config.PathNotNormal:
+		return pipeline.Refuse(pipeline.CodeMalformed, "the path has more than one reading")
 	case config.MethodNotServed:
 		return refuseMethod(cfg, req.Path)
 	}
