--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -78,3 +78,14 @@
 	}
 	return Case{}, false
 }
+
+// Missed counts the rows whose target was not met.
+func Missed(rows []Row) int {
+	missed := 0
+	for _, r := range rows {
+		if r.Target != "" && !r.Pass {
+			missed++
+		}
+	}
+	return missed
+}
