--- /dev/null
+++ b/decide/quota/messages.go
@@ -0,0 +1,164 @@
+// Package quota keeps each team within one rate and burst for the whole fleet.
+// The rate is divided into parts. The keeper of a part (package lease) grants
+// tokens of a token bucket for a short time; holders spend them. Over any window
+// of length w the fleet admits at most rate * w + burst requests of a team;
+// docs/quota.md has the argument.
+package quota
+
+import (
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+)
+
+const (
+	// GrantTTL is the longest life of a grant, from the moment that the holder
+	// sent the ask. A successor of a lost keeper holds back half of the burst for
+	// this long.
+	GrantTTL = time.Second
+
+	// MaxParts is the number of parts of a team's rate, unless its burst is too
+	// small to be divided.
+	MaxParts = 4
+
+	// MinDividedBurst is the smallest burst that is divided: each part then holds
+	// 4 tokens and grants 2 at a time.
+	MinDividedBurst = 16
+
+	// ConfigSpread is the time within which an accepted configuration is in force
+	// at all keepers.
+	ConfigSpread = 2 * time.Second
+)
+
+// Limit is the rate and burst of a team, counted over the whole fleet.
+type Limit struct {
+	Rate    float64 `json:"rate"`    // tokens per second
+	Burst   float64 `json:"burst"`   // tokens
+	Version uint64  `json:"version"` // configuration version that stated it
+}
+
+// Parts returns into how many parts a limit is divided.
+func Parts(rate, burst float64) int {
+	if burst < MinDividedBurst {
+		return 1
+	}
+	return MaxParts
+}
+
+// Part returns the limit of one part; it is zero for a part that does not exist.
+func (l Limit) Part(part int) Limit {
+	n := Parts(l.Rate, l.Burst)
+	if part >= n {
+		return Limit{Version: l.Version}
+	}
+	return Limit{Rate: l.Rate / float64(n), Burst: l.Burst / float64(n), Version: l.Version}
+}
+
+// Key names one part of a team's rate.
+type Key struct {
+	Team string `json:"team"`
+	Part int    `json:"part"`
+}
+
+// Shard returns the shard whose keeper has the part. The parts of a team always
+// fall on different shards.
+func (k Key) Shard() uint32 {
+	const step = rendezvous.ShardCount / MaxParts
+	return (rendezvous.Shard(k.Team) + uint32(k.Part)*step) % rendezvous.ShardCount
+}
+
+// HolderID names one run of a process that spends tokens.
+type HolderID struct {
+	Host        string `json:"host"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Ask requests tokens of one part.
+type Ask struct {
+	Key    Key      `json:"key"`
+	Holder HolderID `json:"holder"`
+	Seq    uint64   `json:"seq"` // rises with each ask of a holder for a team
+
+	Need  int           `json:"need,omitempty"`  // tokens for requests that wait
+	Extra int           `json:"extra,omitempty"` // tokens ahead of demand
+	TTL   time.Duration `json:"ttl"`             // life of the grant, from sending
+
+	// Held lists what is left of earlier grants of this part. An earlier grant
+	// that is not listed is spent or will never be used.
+	Held []Left `json:"held,omitempty"`
+	// Void is an earlier ask whose grant was not and will not be used, 0 if none.
+	Void uint64 `json:"void,omitempty"`
+}
+
+// Left is the unspent rest of a grant.
+type Left struct {
+	Seq    uint64 `json:"seq"`
+	Tokens int    `json:"tokens"`
+}
+
+// Status tells why a keeper granted less than needed.
+type Status uint8
+
+// The statuses of a Grant.
+const (
+	Granted   Status = iota // all needed tokens were granted
+	Empty                   // the bucket is empty
+	Busy                    // too many tokens are outstanding at other holders
+	NotKeeper               // the process does not keep the part
+	NoLimit                 // the keeper knows no limit of the team
+)
+
+// Grant answers an Ask.
+type Grant struct {
+	Key        Key           `json:"key"`
+	Holder     HolderID      `json:"holder"`
+	Seq        uint64        `json:"seq"` // copied from the ask
+	Tokens     int           `json:"tokens,omitempty"`
+	Status     Status        `json:"status,omitempty"`
+	Version    uint64        `json:"version"`               // of the limit that the keeper applied
+	RetryAfter time.Duration `json:"retry_after,omitempty"` // for Empty and Busy
+	Hint       string        `json:"hint,omitempty"`        // for NotKeeper: host of the keeper, if known
+}
+
+// Return gives back the unspent rest of a grant.
+type Return struct {
+	Key    Key      `json:"key"`
+	Holder HolderID `json:"holder"`
+	Left   Left     `json:"left"`
+}
+
+// HandoverOffer announces a planned handover of a shard to its successor.
+type HandoverOffer struct {
+	Shard uint32 `json:"shard"`
+	From  string `json:"from"`
+}
+
+// HandoverAccept answers an offer.
+type HandoverAccept struct {
+	Shard       uint32        `json:"shard"`
+	Incarnation uint64        `json:"incarnation"` // of the successor
+	Stamp       time.Duration `json:"stamp"`       // successor's clock when it accepted
+}
+
+// Handover carries all buckets of a shard to the successor that accepted.
+type Handover struct {
+	Shard       uint32        `json:"shard"`
+	Incarnation uint64        `json:"incarnation"` // copied from the accept
+	Stamp       time.Duration `json:"stamp"`       // copied from the accept
+	Buckets     []BucketState `json:"buckets"`
+}
+
+// BucketState is one bucket in a planned handover.
+type BucketState struct {
+	Key         Key           `json:"key"`
+	Level       float64       `json:"level"`
+	Outstanding []Outstanding `json:"outstanding,omitempty"`
+}
+
+// Outstanding is a grant that may still be spent.
+type Outstanding struct {
+	Holder    HolderID      `json:"holder"`
+	Seq       uint64        `json:"seq"`
+	Tokens    int           `json:"tokens"`
+	Remaining time.Duration `json:"remaining"` // until the keeper counts it as expired
+}
