--- a/control/assemble.go
+++ b/control/assemble.go
@@ -12,6 +12,8 @@
 type Options struct {
 	Self Self
 	Seed uint64 // of the random choices of peers
+	// Shares is the table through which traffic spends tokens.
+	Shares *ShareTable
 }
 
 // New returns the control loop of a process with all its stages in order.
@@ -22,11 +24,14 @@
 	makeSpreader := func(validate func(spread.Document) error) *spread.Spreader {
 		return spread.New(spread.Options{Self: o.Self.ID, Rand: source, Validate: validate})
 	}
+	leases := newLeasesStage(state)
 	stages := []Stage{
 		newHostsStage(state, table),
 		&localsStage{state: state},
 		newConfigStage(state, makeSpreader),
 		&pathsStage{state: state, table: path.NewTable()},
+		leases,
+		newQuotaStage(state, o.Shares),
 		&stopStage{state: state},
 		&statusStage{state: state},
 	}
--- a/control/state.go
+++ b/control/state.go
@@ -52,6 +52,9 @@
 	Config    *config.Config
 	KeysUntil time.Time
 
+	// Set up by the leases stage.
+	Leases Leases
+
 	// Written by the stop stage.
 	Stopping bool
 }
--- /dev/null
+++ b/filters/admit/admit.go
@@ -0,0 +1,63 @@
+// Package admit spends a token of the team for each request, so that the team
+// stays within its rate and burst counted over the whole fleet.
+package admit
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Filter takes tokens at hand without the control loop and asks it for more
+// when there are none.
+type Filter struct {
+	Shares *control.ShareTable
+	// Submit hands an event to the control loop.
+	Submit func(ctx context.Context, ev control.Event) error
+	// Post hands an event to the control loop without waiting.
+	Post func(ev control.Event) bool
+}
+
+// Name returns "admit".
+func (f *Filter) Name() string { return "admit" }
+
+// Handle refuses a request of a team that has used its rate and burst. Requests
+// without a team are on routes open to all and are not counted.
+func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
+	team := req.Principal.Team
+	if team == "" {
+		return nil
+	}
+	decision := quota.AskFirst
+	if share := f.Shares.Lookup(team); share != nil {
+		decision = share.TakeChecked(time.Now)
+	}
+	switch decision {
+	case quota.Admit:
+		f.Post(control.TokenTaken{Team: team})
+		return nil
+	case quota.Refuse:
+		return pipeline.Refuse(pipeline.CodeRateExceeded, "")
+	}
+	return f.ask(ctx, req)
+}
+
+func (f *Filter) ask(ctx context.Context, req *pipeline.Request) *pipeline.Result {
+	reply := make(chan quota.Decision, 1)
+	wanted := control.TokenWanted{Team: req.Principal.Team, Deadline: req.Deadline, Reply: reply}
+	if err := f.Submit(ctx, wanted); err != nil {
+		return pipeline.Refuse(pipeline.CodeQuotaUnavailable, "")
+	}
+	select {
+	case decision := <-reply:
+		if decision == quota.Admit {
+			return nil
+		}
+		return pipeline.Refuse(pipeline.CodeRateExceeded, "")
+	case <-ctx.Done():
+		return pipeline.Refuse(pipeline.CodeDeadlinePassed, "")
+	}
+}
--- a/node/messages.go
+++ b/node/messages.go
@@ -5,7 +5,9 @@
 	"fmt"
 
 	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/lease"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
 	"github.com/ragwortyard/ragwortyard/fleet"
 )
@@ -20,6 +22,10 @@
 	fleet.Register[membership.PingVia, control.Ack](r, "member.pingVia")
 	fleet.Register[membership.Ack, control.Ack](r, "member.ack")
 	fleet.Register[membership.Leaving, control.Ack](r, "member.leaving")
+	fleet.Register[lease.PromiseRequest, lease.PromiseReply](r, "lease.promise")
+	fleet.Register[lease.Release, control.Ack](r, "lease.release")
+	fleet.Register[quota.Ask, quota.Grant](r, "quota.ask")
+	fleet.Register[quota.Return, control.Ack](r, "quota.return")
 	return r
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 	exits    *exits
 	entry    pipeline.Chain
 	policies *control.Policies
+	shares   *control.ShareTable
 	ids      idSource
 	refusing atomic.Bool // exits refuse new work: the last part of a planned stop
 	leaving  atomic.Bool // callers are asked to connect elsewhere
@@ -82,6 +83,7 @@
 		platform: platform,
 		metrics:  metrics.NewSet(),
 		policies: &control.Policies{},
+		shares:   &control.ShareTable{},
 		source:   newConfigSource(platform.Config),
 	}
 	n.ids.prefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
@@ -89,18 +91,24 @@
 	n.client = fleet.NewClient(settings.ID, registry, &n.traffic, fleetTLS.client())
 	n.hop = fleet.NewHopClient(fleetTLS.client())
 	n.exits = newExits(n)
-	n.loop = control.New(controlOptions(settings), newOutbound(n))
+	n.loop = control.New(n.controlOptions(), newOutbound(n))
 	n.entry = n.entryChain()
 	n.servers = n.newServers(registry, fleetTLS.server(), callersTLS)
 	n.registerMetrics()
 	return n, nil
 }
 
-func controlOptions(s Settings) control.Options {
+func (n *Node) controlOptions() control.Options {
 	now := time.Now()
 	return control.Options{
-		Self: control.Self{ID: s.ID, Zone: s.Zone, Incarnation: uint64(now.UnixMilli()), Started: now},
-		Seed: rand.Uint64(),
+		Self: control.Self{
+			ID:          n.settings.ID,
+			Zone:        n.settings.Zone,
+			Incarnation: uint64(now.UnixMilli()),
+			Started:     now,
+		},
+		Seed:   rand.Uint64(),
+		Shares: n.shares,
 	}
 }
 
