--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/platform"
+)
+
+// HTTPPlatform reads the platform's services at their base URLs.
+func HTTPPlatform(configURL, hostsURL string) Platform {
+	client := platform.NewClient()
+	return Platform{
+		Config: platform.NewConfigReader(configURL, client),
+		Hosts:  &hostReader{reader: platform.NewHostListReader(hostsURL, client)},
+	}
+}
+
+// hostReader converts the platform's host list to an event of the control loop.
+type hostReader struct {
+	reader *platform.HostListReader
+}
+
+// Hosts returns the newest list.
+func (r *hostReader) Hosts(ctx context.Context) (control.HostsRead, error) {
+	list, _, err := r.reader.Read(ctx)
+	if err != nil {
+		return control.HostsRead{}, err
+	}
+	if list == nil {
+		return control.HostsRead{}, nil
+	}
+	read := control.HostsRead{Version: list.Version, Hosts: make([]control.Host, 0, len(list.Hosts))}
+	for _, h := range list.Hosts {
+		read.Hosts = append(read.Hosts, convertHost(h))
+	}
+	return read, nil
+}
+
+func convertHost(h platform.Host) control.Host {
+	host := control.Host{
+		ID:          h.ID,
+		Zone:        h.Zone,
+		Leaving:     h.State == platform.HostLeaving,
+		TrafficAddr: h.Traffic,
+		ControlAddr: h.Control,
+	}
+	for _, b := range h.Backends {
+		host.Backends = append(host.Backends, control.Backend{
+			ID: b.ID, Service: b.Service, Addr: b.Address, Slots: b.Slots,
+		})
+	}
+	return host
+}
