--- /dev/null
+++ b/internal/fakes/backend_test.go
@@ -0,0 +1,174 @@
+package fakes
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func startBackend(t *testing.T, options BackendOptions) *Backend {
+	t.Helper()
+	b, err := NewBackend(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// call sends a POST with one request identifier; each client has its own
+// connections.
+func call(ctx context.Context, client *http.Client, b *Backend, id, body string) (status int, answer string, err error) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Address()+"/work?x=1", strings.NewReader(body))
+	req.Header.Set(headerRequestID, id)
+	req.Header.Set(headerIdempotency, "key-"+id)
+	response, err := client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+func newClient(t *testing.T) *http.Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func eventually(t *testing.T, done func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for limit := time.After(10 * time.Second); !done(); {
+		select {
+		case <-tick.C:
+		case <-limit:
+			t.Fatal("the condition did not come true")
+		}
+	}
+}
+
+// Guards against a stand-in that loses evidence: received headers, executions,
+// or the link between a request and its answer.
+func TestBackendRecordsAndAnswers(t *testing.T) {
+	b := startBackend(t, BackendOptions{ID: "b1"})
+	status, answer, err := call(t.Context(), newClient(t), b, "r1", "two vans")
+	if err != nil || status != http.StatusOK || answer != "b1 r1 POST /work?x=1\ntwo vans" {
+		t.Fatalf("got %d %q, %v", status, answer, err)
+	}
+	log := b.Log()
+	if len(log) != 1 || log[0].Header.Get(headerIdempotency) != "key-r1" || string(log[0].Body) != "two vans" || !log[0].Executed {
+		t.Errorf("log %+v", log)
+	}
+	if b.Executions("r1") != 1 || b.KeyExecutions("key-r1") != 1 || b.Executions("r2") != 0 {
+		t.Error("executions are miscounted")
+	}
+}
+
+// Guards against failure shares that depend on the run rather than on the seed.
+func TestBackendSharesFollowTheSeed(t *testing.T) {
+	outcomes := func() (trace string) {
+		b := startBackend(t, BackendOptions{Seed: 7})
+		b.Change(func(v *Behavior) { v.FailShare, v.ShedShare, v.CutShare = 0.4, 0.2, 0.3 })
+		client := newClient(t)
+		for range 40 {
+			status, _, err := call(t.Context(), client, b, "r", "")
+			switch {
+			case err != nil:
+				trace += "c"
+			case status == http.StatusServiceUnavailable:
+				trace += "s"
+			case status == http.StatusInternalServerError:
+				trace += "f"
+			default:
+				trace += "."
+			}
+		}
+		if executed := 40 - strings.Count(trace, "s"); b.Executions("r") != executed {
+			t.Errorf("%d executions, want %d: shed requests are not run", b.Executions("r"), executed)
+		}
+		return trace
+	}
+	first, second := outcomes(), outcomes()
+	if first != second || !strings.Contains(first, "s") || !strings.Contains(first, "f") || !strings.Contains(first, "c") {
+		t.Errorf("two runs with one seed:\n%s\n%s", first, second)
+	}
+}
+
+// Guards against work beyond the slots, and against a slot that a canceled
+// request keeps.
+func TestBackendSlots(t *testing.T) {
+	b := startBackend(t, BackendOptions{Slots: 2, Time: FixedTime(time.Hour)})
+	client := newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 5 {
+		go func() { _, _, _ = call(ctx, client, b, "r", "") }()
+	}
+	eventually(t, func() bool { used, queued := b.InUse(); return used == 2 && queued == 3 })
+	if b.Executions("r") != 2 {
+		t.Errorf("%d requests run on 2 slots", b.Executions("r"))
+	}
+	cancel()
+	eventually(t, func() bool { used, queued := b.InUse(); return used == 0 && queued == 0 })
+	b.Change(func(v *Behavior) { v.SisterSlots = 2 })
+	ctx, cancel = context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _, _ = call(ctx, client, b, "r", "") }()
+	eventually(t, func() bool { _, queued := b.InUse(); return queued == 1 })
+}
+
+// Guards against a crash that spares requests in flight, and against a server
+// that does not come back at its address.
+func TestBackendCrash(t *testing.T) {
+	b := startBackend(t, BackendOptions{Time: FixedTime(time.Hour)})
+	b.Change(func(v *Behavior) { v.CrashMark = "capsule-13" })
+	innocent := make(chan error, 1)
+	go func() {
+		_, _, err := call(t.Context(), newClient(t), b, "innocent", "")
+		innocent <- err
+	}()
+	eventually(t, func() bool { return b.Executions("innocent") == 1 })
+	if _, _, err := call(t.Context(), newClient(t), b, "guilty", "capsule-13"); err == nil {
+		t.Error("the crashing request was answered")
+	}
+	if err := <-innocent; err == nil {
+		t.Error("a request in flight survived the crash")
+	}
+	if b.Crashes() != 1 || b.Executions("guilty") != 1 {
+		t.Errorf("%d crashes, %d executions", b.Crashes(), b.Executions("guilty"))
+	}
+	eventually(t, func() bool {
+		response, err := newClient(t).Get("http://" + b.Address() + "/health")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		return err == nil
+	})
+}
+
+// Guards against silent connections that answer, fail, or take new ones along.
+func TestBackendSilentConnections(t *testing.T) {
+	b := startBackend(t, BackendOptions{})
+	old := newClient(t)
+	if _, _, err := call(t.Context(), old, b, "before", ""); err != nil {
+		t.Fatal(err)
+	}
+	b.SilenceConnections()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if _, _, err := call(ctx, old, b, "lost", ""); ctx.Err() == nil {
+		t.Errorf("the silent connection ended with %v", err)
+	}
+	if _, _, err := call(t.Context(), newClient(t), b, "after", ""); err != nil {
+		t.Errorf("a new connection: %v", err)
+	}
+	if b.Executions("lost") != 0 || b.Executions("after") != 1 {
+		t.Error("the silent connection let a request through")
+	}
+}
