--- a/decide/spread/fresh.go
+++ b/decide/spread/fresh.go
@@ -2,30 +2,36 @@
 
 import "time"
 
-// askNext asks the peer whose turn it is, or a reader if the confirmation grows
-// old.
+// askNext asks a random peer, and a reader as well if the confirmation grows old.
 func (s *Spreader) askNext(now time.Time) []Action {
 	if len(s.peers) == 0 {
 		return nil
 	}
 	peer := s.nextPeer()
-	if age := s.age(now); len(s.readers) > 0 && age > DirectAfter && age < DirectUntil {
-		peer = s.readers[s.opt.Rand.IntN(len(s.readers))]
-	}
 	seq, action := s.newAsk(now, peer, s.doc.Stamp)
 	s.recent = append(s.recent, sample{seq: seq, peer: peer, sent: now})
 	if len(s.recent) > AgreeAsks {
 		s.recent = s.recent[1:]
 	}
-	return []Action{action}
+	actions := []Action{action}
+	if age := s.age(now); len(s.readers) > 0 && age > DirectAfter && age < DirectUntil {
+		_, direct := s.newAsk(now, s.readers[s.opt.Rand.IntN(len(s.readers))], s.doc.Stamp)
+		actions = append(actions, direct)
+	}
+	return actions
 }
 
+// nextPeer returns a random peer other than the last AgreeAsks-1, so that
+// AgreeAsks asks in a row go to different peers and a small group that is cut off
+// cannot confirm itself. In a small fleet it goes round.
 func (s *Spreader) nextPeer() string {
-	if s.turn >= len(s.peers) {
-		s.shuffle()
+	i := 0
+	if choice := len(s.peers) - (AgreeAsks - 1); choice > 1 {
+		i = s.opt.Rand.IntN(choice)
 	}
-	peer := s.peers[s.turn]
-	s.turn++
+	peer := s.peers[i]
+	copy(s.peers[i:], s.peers[i+1:])
+	s.peers[len(s.peers)-1] = peer
 	return peer
 }
 
@@ -87,18 +93,14 @@
 	return false
 }
 
-// OnManifest takes a peer's answer to an AskManifest. An answer to an ask that is
-// older than CurrentFor is dropped, so that a process that was paused learns
-// nothing from what waited for it.
+// OnManifest takes a peer's answer to an AskManifest. Answers to asks that are no
+// longer known, such as those of an earlier life, are dropped.
 func (s *Spreader) OnManifest(now time.Time, from string, m Manifest) []Action {
 	a, known := s.asks[m.Seq]
 	if !known || a.peer != from {
 		return nil
 	}
 	delete(s.asks, m.Seq)
-	if now.Sub(a.sent) > CurrentFor {
-		return nil
-	}
 	confirmed := confirmedBy(a.sent, m.AgeMS)
 	if s.doc.Stamp == m.Stamp || s.refused(m.Stamp) {
 		s.confirm(confirmed)
@@ -113,8 +115,9 @@
 	return s.take(now, from, m, confirmed)
 }
 
-// confirmedBy returns the time of a peer's confirmation on the own clock. Counting
-// the age from the sending of the ask errs to the old side by the round trip.
+// confirmedBy returns the time of a peer's confirmation on the own clock. The age
+// counts from the sending of the ask, so that an answer that waited for a paused
+// process is not taken for a fresh one.
 func confirmedBy(sent time.Time, ageMS int64) time.Time {
 	if ageMS < 0 {
 		return time.Time{}
@@ -184,32 +187,17 @@
 	return now.Sub(s.newerAt) > CurrentFor && s.agreeing(now) >= AgreeNeeded
 }
 
-// agreeing counts the asks that were answered with the document in force. In a
-// fleet that is large enough each peer counts once, so that a small group that is
-// cut off does not confirm itself.
+// agreeing counts the asks that were answered in time with the document in force.
 func (s *Spreader) agreeing(now time.Time) int {
 	count := 0
-	for i, a := range s.recent {
-		if !a.agreed || now.Sub(a.sent) > CurrentFor {
-			continue
+	for _, a := range s.recent {
+		if a.agreed && now.Sub(a.sent) <= CurrentFor {
+			count++
 		}
-		if len(s.peers) >= AgreeAsks && agreedBefore(s.recent[:i], a.peer) {
-			continue
-		}
-		count++
 	}
 	return count
 }
 
-func agreedBefore(samples []sample, peer string) bool {
-	for _, a := range samples {
-		if a.agreed && a.peer == peer {
-			return true
-		}
-	}
-	return false
-}
-
 // Freshness describes how far the document in force can be relied on.
 func (s *Spreader) Freshness(now time.Time) Freshness {
 	return Freshness{
--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -29,7 +29,7 @@
 	// confirmation would have only 0.5 s to reach every process before it lapses.
 	ReadInterval = 500 * time.Millisecond
 	// DirectAfter is the age of its confirmation from which a process asks a reader
-	// instead of a random peer; in a large fleet a few processes are reached late.
+	// besides a random peer; in a large fleet a few processes are reached late.
 	DirectAfter = 900 * time.Millisecond
 	// DirectUntil ends these asks: confirmations so old mean that the service is
 	// away, and the readers know no more than others.
@@ -107,8 +107,7 @@
 // Spreader holds the document in force at one process.
 type Spreader struct {
 	opt     Options
-	peers   []string // members without self, in the order in which they are asked
-	turn    int      // index of the next peer to ask
+	peers   []string // members without self, those asked last at the end
 	readers []string // readers without self
 	reader  bool     // this process is a reader
 
@@ -179,7 +178,7 @@
 			s.peers = append(s.peers, m.ID)
 		}
 	}
-	s.shuffle()
+	s.opt.Rand.Shuffle(len(s.peers), func(i, j int) { s.peers[i], s.peers[j] = s.peers[j], s.peers[i] })
 	s.readers, s.reader = nil, false
 	for _, m := range rendezvous.Rank(rendezvous.Hash(readersKey), members, readerCount(len(members))) {
 		if m.ID == s.opt.Self {
@@ -194,13 +193,6 @@
 	return max(MinReaders, (members+ProcessesPerReader-1)/ProcessesPerReader)
 }
 
-// shuffle orders the peers anew, so that AgreeAsks asks in a row go to different
-// peers.
-func (s *Spreader) shuffle() {
-	s.opt.Rand.Shuffle(len(s.peers), func(i, j int) { s.peers[i], s.peers[j] = s.peers[j], s.peers[i] })
-	s.turn = 0
-}
-
 // Tick returns what is due. The first call starts the Spreader.
 func (s *Spreader) Tick(now time.Time) []Action {
 	if !s.started {
