Add a virtual-time fleet simulation and lease property tests

Fixed on the way: a candidate could start a second tenure of its own within MinTenure, and a claim that was deleted and made anew counted old promises.

--- a/decide/lease/candidate.go
+++ b/decide/lease/candidate.go
@@ -43,6 +43,7 @@
 	local     *Witness
 	claims    map[uint32]*claim
 	suspected map[string]bool
+	leaving   bool
 	lastSent  time.Duration
 	lastEpoch uint64
 }
@@ -73,7 +74,7 @@
 		}
 		cl.rank = rank
 		c.recount(now, shard, cl)
-		if !ranked && !cl.holds(now) {
+		if !ranked && !cl.holds(now) && !cl.young(now) {
 			delete(c.claims, shard)
 		}
 	}
@@ -85,6 +86,12 @@
 	c.suspected = hosts
 }
 
+// Leave stops asking for shards that are not held, for a planned stop. Shards
+// that are held are renewed until Release.
+func (c *Candidate) Leave() {
+	c.leaving = true
+}
+
 // Holds tells whether the candidate keeps the shard at this moment. Check it at
 // each use, with a time read after the event that is decided on.
 func (c *Candidate) Holds(now time.Time, shard uint32) bool {
@@ -171,7 +178,6 @@
 			continue
 		}
 		if cl.rank < 0 || cl.rank >= CandidateRanks {
-			delete(c.claims, shard)
 			continue
 		}
 		c.compete(now, shard, cl, out)
@@ -184,11 +190,23 @@
 		return
 	}
 	c.ask(now, shard, cl, out)
+	cl.nextAsk = c.nextRenewal(now)
+}
+
+// nextRenewal returns the next multiple of RenewInterval since the start, so
+// that the shards of a candidate are renewed together, in one message for each
+// witness.
+func (c *Candidate) nextRenewal(now time.Time) time.Time {
+	rounds := now.Sub(c.started)/RenewInterval + 1
+	return c.started.Add(rounds * RenewInterval)
 }
 
 // compete asks for a shard without a known keeper. A round that got no quorum
 // is given up, so that rival candidates do not block each other for good.
 func (c *Candidate) compete(now time.Time, shard uint32, cl *claim, out *outbox) {
+	if c.leaving && !cl.asking {
+		return
+	}
 	if cl.asking {
 		if now.Before(cl.nextAsk) {
 			return
@@ -308,7 +326,7 @@
 		cl.tenure.Until = until
 		return
 	}
-	if !ok || until.Sub(now) < MinTenure {
+	if !ok || until.Sub(now) < MinTenure || cl.young(now) {
 		return
 	}
 	cl.asking = false
@@ -340,7 +358,7 @@
 // held or the tenure is younger than MinTenure; wait and call again.
 func (c *Candidate) Release(now time.Time, shard uint32, to string) ([]Release, bool) {
 	cl := c.claims[shard]
-	if cl == nil || !cl.holds(now) || now.Sub(cl.tenure.Since) < MinTenure {
+	if cl == nil || !cl.holds(now) || cl.young(now) {
 		return nil, false
 	}
 	sent := c.nextSent(now)
@@ -360,6 +378,12 @@
 	return now.Before(cl.tenure.Until)
 }
 
+// young tells whether the latest tenure, ended or not, started less than
+// MinTenure ago. No other tenure starts meanwhile, not even of this candidate.
+func (cl *claim) young(now time.Time) bool {
+	return cl.tenure.Epoch > 0 && now.Sub(cl.tenure.Since) < MinTenure
+}
+
 func (c *Candidate) nextSent(now time.Time) time.Duration {
 	c.lastSent = max(now.Sub(c.started), c.lastSent+1)
 	return c.lastSent
--- /dev/null
+++ b/decide/lease/lease_test.go
@@ -0,0 +1,141 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/internal/fleetsim"
+)
+
+// driftLimit lets clock rates differ by just under 2%.
+const driftLimit = 0.0196
+
+func drawConfig(t *rapid.T) fleetsim.Config {
+	zones := []string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "zones")]
+	return fleetsim.Config{
+		Seed:        rapid.Uint64().Draw(t, "seed"),
+		Hosts:       fleetsim.Hosts(rapid.IntRange(1, 14).Draw(t, "hosts"), zones...),
+		SameZone:    200 * time.Microsecond,
+		OtherZone:   time.Millisecond,
+		Jitter:      rapid.SampledFrom([]time.Duration{1, 20, 150, 400, 1500}).Draw(t, "jitter ms") * time.Millisecond,
+		Loss:        rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss"),
+		ClockSpread: driftLimit,
+		ListDelay:   2 * time.Second,
+	}
+}
+
+func drawFaults(t *rapid.T, until time.Duration) []fleetsim.Fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fleetsim.Fault {
+		return fleetsim.Fault{
+			Kind: fleetsim.Kind(rapid.IntRange(0, fleetsim.Kinds-1).Draw(t, "kind")),
+			At:   time.Duration(rapid.Int64Range(int64(2*time.Second), int64(until)).Draw(t, "at")),
+			Host: rapid.IntRange(0, 13).Draw(t, "host"),
+			For:  time.Duration(rapid.Int64Range(int64(50*time.Millisecond), int64(4*time.Second)).Draw(t, "for")),
+		}
+	}), 0, 12).Draw(t, "faults")
+}
+
+// Guards against two keepers of a shard at a time, and against tenures that
+// follow each other faster than the grants of the first one lapse.
+func TestAtMostOneKeeper(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 15 * time.Second
+		f := fleetsim.New(drawConfig(t), nil)
+		f.Schedule(drawFaults(t, length))
+		f.Run(length)
+		last := make(map[uint32]fleetsim.TenureStart)
+		for _, s := range f.Tenures {
+			if s.Rival != "" {
+				t.Fatalf("at %v %s and %s hold shard %d", s.At, s.Host, s.Rival, s.Shard)
+			}
+			before, seen := last[s.Shard]
+			if seen && s.At-before.At < lease.MinTenure {
+				t.Fatalf("shard %d: %s started %v after %s", s.Shard, s.Host, s.At-before.At, before.Host)
+			}
+			last[s.Shard] = s
+		}
+	})
+}
+
+// Guards against quorums that miss each other, over all sizes and the stated
+// differences of host lists.
+func TestQuorumsIntersect(t *testing.T) {
+	tolerated := func(w int) int {
+		switch {
+		case w >= 5:
+			return 2
+		case w == 4:
+			return 1
+		}
+		return 0
+	}
+	want := map[int]int{1: 1, 3: 2, 4: 3, 5: 4, 7: 5, 9: 6}
+	for w := 1; w <= lease.MaxWitnesses; w++ {
+		if q, ok := want[w]; ok && lease.Quorum(w) != q {
+			t.Errorf("Quorum(%d) = %d, want %d", w, lease.Quorum(w), q)
+		}
+		if union := w + tolerated(w); 2*lease.Quorum(w) <= union {
+			t.Errorf("two quorums of %d among %d hosts can miss each other", lease.Quorum(w), union)
+		}
+	}
+}
+
+// Guards against a ranking that depends on how the member list came about:
+// processes that saw different changes would choose different witnesses.
+func TestPlacementEqualsFullRanking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleetsim.Hosts(rapid.IntRange(1, 40).Draw(t, "hosts"), "a", "b", "c")
+		p := lease.NewPlacement(members)
+		for step := range 4 {
+			i := rapid.IntRange(0, len(members)-1).Draw(t, "out")
+			members = append([]rendezvous.Member(nil), members...)
+			members[i] = rendezvous.Member{ID: string(rune('A' + step)), Zone: members[i].Zone}
+			if rapid.Bool().Draw(t, "grow") {
+				members = append(members, rendezvous.Member{ID: string(rune('a' + step)), Zone: "d"})
+			}
+			p.SetMembers(members)
+			full := lease.NewPlacement(members)
+			for shard := range uint32(rendezvous.ShardCount) {
+				for rank, m := range full.Witnesses(shard) {
+					if p.Rank(shard, m.ID) != rank {
+						t.Fatalf("shard %d: %s has rank %d, want %d", shard, m.ID, p.Rank(shard, m.ID), rank)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a shard that stays without a keeper after a crash or a planned
+// stop while all messages arrive.
+func TestTakeoverTime(t *testing.T) {
+	f := fleetsim.New(fleetsim.Config{
+		Seed: 7, Hosts: fleetsim.Hosts(12, "a", "b", "c"), OtherZone: time.Millisecond, ClockSpread: driftLimit,
+	}, nil)
+	f.Run(6 * time.Second)
+	f.Crash("host-00")
+	f.Run(12 * time.Second)
+	f.Stop("host-01", 3*time.Second)
+	f.Run(18 * time.Second)
+	var crash, stop time.Duration
+	for _, s := range f.Tenures {
+		switch {
+		case s.At > 12*time.Second:
+			stop = max(stop, s.At-12*time.Second)
+		case s.At > 6*time.Second:
+			crash = max(crash, s.At-6*time.Second)
+		}
+	}
+	// After a crash the promises run out within Term, then the ranks wait in
+	// turn; each wait is at most RenewInterval and one tick.
+	if limit := lease.Term + 3*lease.RenewInterval; crash == 0 || crash > limit {
+		t.Errorf("takeover after a crash took %v, want at most %v", crash, limit)
+	}
+	if limit := 100 * time.Millisecond; stop == 0 || stop > limit {
+		t.Errorf("planned handover took %v, want at most %v", stop, limit)
+	}
+}
--- a/decide/quota/holder.go
+++ b/decide/quota/holder.go
@@ -76,6 +76,7 @@
 // pendingAsk is the unanswered ask of a part; seq is 0 without one.
 type pendingAsk struct {
 	seq   uint64
+	to    string // host that was asked
 	sent  time.Duration
 	ttl   time.Duration
 	need  int
@@ -97,13 +98,13 @@
 	id         HolderID
 	first      uint64 // hash of the zone: chooses the part that is asked first
 	share      *Share
+	dir        Directory
 	limit      Limit
 	minVersion uint64 // grants of older versions are not used
 	seq        uint64
 	slots      [slotCount]grantInfo
 	parts      [MaxParts]partState
 	waiters    []waiter
-	missed     []Miss
 	attended   bool          // listed as busy in its table
 	aheadAfter time.Duration // when tokens may be asked for ahead of demand again
 
@@ -112,20 +113,23 @@
 	lastSeen uint64 // demand counter of the share at the last sample
 }
 
-// Miss is an ask that went unanswered or met a process that is not the keeper.
-type Miss struct {
-	Key  Key
-	Hint string // keeper that the process named, "" if none
+// Directory knows which process to ask about a shard. lease.Directory implements
+// it.
+type Directory interface {
+	Target(shard uint32) (host string, ok bool)
+	OnKeeper(shard uint32, host string)
+	OnMiss(shard uint32, host, hint string)
 }
 
 // NewHolder returns a holder without tokens.
-func NewHolder(id HolderID, zone, team string, l Limit, now time.Time) *Holder {
+func NewHolder(id HolderID, zone, team string, l Limit, now time.Time, d Directory) *Holder {
 	return &Holder{
 		team:  team,
 		id:    id,
 		first: rendezvous.Hash(zone),
 		share: &Share{base: now},
 		limit: l,
+		dir:   d,
 	}
 }
 
@@ -222,7 +226,12 @@
 	if need <= 0 && extra <= 0 {
 		return Ask{}, false
 	}
-	return h.ask(since, part, max(need, 0), extra), true
+	key := Key{Team: h.team, Part: part}
+	to, ok := h.dir.Target(key.Shard())
+	if !ok {
+		return Ask{}, false
+	}
+	return h.ask(since, key, to, max(need, 0), extra), true
 }
 
 // OnGrant takes in a grant. Only the answer to the pending ask of a part is
@@ -239,9 +248,10 @@
 	p.ask = pendingAsk{}
 	since := h.since(now)
 	if g.Status == NotKeeper || g.Status == NoLimit {
-		h.onMiss(since, g)
+		h.onMiss(since, g, asked.to)
 		return
 	}
+	h.dir.OnKeeper(g.Key.Shard(), asked.to)
 	p.redirects = 0
 	if g.Tokens > 0 {
 		h.put(since, g, asked)
@@ -271,9 +281,9 @@
 	h.share.refuseUntil.Store(0)
 }
 
-func (h *Holder) onMiss(since time.Duration, g Grant) {
+func (h *Holder) onMiss(since time.Duration, g Grant, host string) {
 	p := &h.parts[g.Key.Part]
-	h.missed = append(h.missed, Miss{Key: g.Key, Hint: g.Hint})
+	h.dir.OnMiss(g.Key.Shard(), host, g.Hint)
 	p.redirects++
 	if g.Hint == "" || p.redirects > maxRedirects {
 		p.redirects = 0
@@ -281,14 +291,6 @@
 	}
 }
 
-// Misses returns the asks that found no keeper since the last call, for the
-// directory of keepers.
-func (h *Holder) Misses() []Miss {
-	missed := h.missed
-	h.missed = nil
-	return missed
-}
-
 // NeedReturn returns the next grant whose rest is to be given back. Call it
 // until ok is false, when Wake has come.
 func (h *Holder) NeedReturn(now time.Time) (r Return, ok bool) {
@@ -386,7 +388,7 @@
 		if p.ask.seq == 0 || since < p.ask.sent+askTimeout {
 			continue
 		}
-		h.missed = append(h.missed, Miss{Key: Key{Team: h.team, Part: i}})
+		h.dir.OnMiss(Key{Team: h.team, Part: i}.Shard(), p.ask.to, "")
 		p.void = p.ask.seq
 		p.ask = pendingAsk{}
 		p.blocked = since + missBlock
@@ -447,22 +449,23 @@
 	return -1
 }
 
-func (h *Holder) ask(since time.Duration, part, need, extra int) Ask {
+func (h *Holder) ask(since time.Duration, key Key, to string, need, extra int) Ask {
 	ttl := urgentTTL
 	if extra > 0 {
 		ttl = GrantTTL
 	}
 	h.seq++
-	p := &h.parts[part]
-	p.ask = pendingAsk{seq: h.seq, sent: since, ttl: ttl, need: need, extra: extra}
+	p := &h.parts[key.Part]
+	p.ask = pendingAsk{seq: h.seq, to: to, sent: since, ttl: ttl, need: need, extra: extra}
 	ask := Ask{
-		Key:    Key{Team: h.team, Part: part},
+		To:     to,
+		Key:    key,
 		Holder: h.id,
 		Seq:    h.seq,
 		Need:   need,
 		Extra:  extra,
 		TTL:    ttl,
-		Held:   h.held(since, part),
+		Held:   h.held(since, key.Part),
 		Void:   p.void,
 	}
 	p.void = 0
--- a/decide/quota/holders.go
+++ b/decide/quota/holders.go
@@ -6,20 +6,21 @@
 type Holders struct {
 	id    HolderID
 	zone  string
+	dir   Directory
 	teams map[string]*Holder
 	busy  []*Holder // not idle
 }
 
 // NewHolders returns an empty table.
-func NewHolders(id HolderID, zone string) *Holders {
-	return &Holders{id: id, zone: zone, teams: make(map[string]*Holder)}
+func NewHolders(id HolderID, zone string, d Directory) *Holders {
+	return &Holders{id: id, zone: zone, dir: d, teams: make(map[string]*Holder)}
 }
 
 // SetLimit puts the limit of a team in force and creates its holder.
 func (t *Holders) SetLimit(now time.Time, team string, l Limit) *Holder {
 	h := t.teams[team]
 	if h == nil {
-		h = NewHolder(t.id, t.zone, team, l, now)
+		h = NewHolder(t.id, t.zone, team, l, now, t.dir)
 		t.teams[team] = h
 		return h
 	}
@@ -43,6 +44,15 @@
 	t.busy = append(t.busy, h)
 }
 
+// OnGrant passes a grant to the holder of its team, which is returned.
+func (t *Holders) OnGrant(now time.Time, g Grant) *Holder {
+	h := t.teams[g.Key.Team]
+	if h != nil {
+		h.OnGrant(now, g)
+	}
+	return h
+}
+
 // Due appends to buf the holders that need attention by now, in the order in
 // which they became busy, and forgets the idle ones.
 func (t *Holders) Due(now time.Time, buf []*Holder) []*Holder {
--- a/decide/quota/messages.go
+++ b/decide/quota/messages.go
@@ -75,6 +75,7 @@
 
 // Ask requests tokens of one part.
 type Ask struct {
+	To     string   `json:"-"` // host that the message goes to
 	Key    Key      `json:"key"`
 	Holder HolderID `json:"holder"`
 	Seq    uint64   `json:"seq"` // rises with each ask of a holder for a team
--- /dev/null
+++ b/internal/fleetsim/process.go
@@ -0,0 +1,276 @@
+package fleetsim
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+)
+
+const (
+	leaseTick = 100 * time.Millisecond
+	quotaTick = 10 * time.Millisecond
+)
+
+// process is the control loop of one process.
+type process struct {
+	f           *Fleet
+	member      rendezvous.Member
+	run         uint64
+	rate        float64 // of the clock against virtual time
+	dead        bool
+	pausedUntil time.Duration
+	stopBy      time.Duration // end of a planned stop, 0 without one
+
+	placement *lease.Placement
+	witness   *lease.Witness
+	candidate *lease.Candidate
+	directory *lease.Directory
+	keeper    *quota.Keeper
+	holders   *quota.Holders
+	teams     []string
+	epochs    map[uint32]uint64 // of the latest tenure seen for each shard
+	waiting   map[uint64]*Request
+	lastID    uint64
+}
+
+func (f *Fleet) start(m rendezvous.Member) {
+	f.runs++
+	p := &process{
+		f:       f,
+		member:  m,
+		run:     f.runs,
+		rate:    1 - f.rng.Float64()*f.cfg.ClockSpread,
+		epochs:  make(map[uint32]uint64),
+		waiting: make(map[uint64]*Request),
+	}
+	now := p.clock()
+	p.placement = lease.NewPlacement(f.members)
+	p.witness = lease.NewWitness(m.ID, now)
+	p.candidate = lease.NewCandidate(lease.CandidateID{Host: m.ID, Incarnation: p.run}, now, p.placement, p.witness)
+	p.directory = lease.NewDirectory(p.placement)
+	p.keeper = quota.NewKeeper(p.run, now, p.candidate)
+	p.holders = quota.NewHolders(quota.HolderID{Host: m.ID, Incarnation: p.run}, m.Zone, p.directory)
+	for team, l := range f.limits {
+		p.setLimit(team, l)
+	}
+	slices.Sort(p.teams)
+	f.processes[m.ID] = p
+	f.all = append(f.all, p)
+	f.After(f.delay(leaseTick), p, p.tickLease)
+	f.After(f.delay(quotaTick), p, p.tickQuota)
+}
+
+// clock returns the local time. Clocks of processes share no origin.
+func (p *process) clock() time.Time {
+	origin := time.Unix(int64(p.run)*1000, 0)
+	return origin.Add(time.Duration(float64(p.f.now) * p.rate))
+}
+
+func (p *process) setMembers(members []rendezvous.Member) {
+	p.placement.SetMembers(members)
+	p.candidate.MembersChanged(p.clock())
+}
+
+func (p *process) setLimit(team string, l quota.Limit) {
+	now := p.clock()
+	if p.holders.Get(team) == nil {
+		p.teams = append(p.teams, team)
+	}
+	p.keeper.SetLimit(now, team, l)
+	p.holders.SetLimit(now, team, l)
+}
+
+func (p *process) tickLease() {
+	p.sendPromiseRequests()
+	p.keeper.Tick(p.clock())
+	p.handOver()
+	p.f.After(leaseTick, p, p.tickLease)
+}
+
+func (p *process) sendPromiseRequests() {
+	for _, req := range p.candidate.Tick(p.clock()) {
+		p.f.Counters.Lease += 2
+		p.f.send(p, req.Witness, func(w *process) {
+			reply := w.witness.Promise(w.clock(), req)
+			w.f.send(w, p.member.ID, func(c *process) { c.onReply(reply) })
+		})
+	}
+}
+
+func (p *process) onReply(reply lease.PromiseReply) {
+	now := p.clock()
+	p.candidate.OnReply(now, reply)
+	for _, shard := range reply.Promised {
+		epoch := p.candidate.Epoch(now, shard)
+		if epoch == 0 || epoch == p.epochs[shard] {
+			continue
+		}
+		p.epochs[shard] = epoch
+		start := TenureStart{At: p.f.now, Shard: shard, Host: p.member.ID, Run: p.run, Rival: p.rival(shard)}
+		p.f.Tenures = append(p.f.Tenures, start)
+	}
+}
+
+// rival returns another process, paused or not, that holds a shard by its own
+// clock.
+func (p *process) rival(shard uint32) string {
+	for _, other := range p.f.all {
+		if other != p && !other.dead && other.candidate.Holds(other.clock(), shard) {
+			return other.member.ID
+		}
+	}
+	return ""
+}
+
+func (p *process) stop(by time.Duration) {
+	p.stopBy = by
+	p.candidate.Leave()
+	p.handOver()
+}
+
+// handOver offers what is kept to successors: everything in a planned stop, else
+// the shards that the process is no longer ranked for.
+func (p *process) handOver() {
+	now := p.clock()
+	shards := p.candidate.Displaced(now)
+	if p.stopBy > 0 {
+		shards = p.candidate.Held(now)
+		if len(shards) == 0 || p.f.now >= p.stopBy {
+			p.f.Crash(p.member.ID)
+			return
+		}
+	}
+	for _, shard := range shards {
+		to, ok := p.candidate.Successor(shard)
+		if !ok {
+			continue
+		}
+		p.f.send(p, to, func(next *process) {
+			accept := next.keeper.AcceptHandover(next.clock(), quota.HandoverOffer{Shard: shard, From: p.member.ID})
+			next.f.send(next, p.member.ID, func(old *process) { old.release(to, accept) })
+		})
+	}
+}
+
+func (p *process) release(to string, accept quota.HandoverAccept) {
+	now := p.clock()
+	state, ok := p.keeper.Export(now, accept)
+	if !ok {
+		return
+	}
+	releases, _ := p.candidate.Release(now, accept.Shard, to)
+	for _, r := range releases {
+		p.f.send(p, r.Witness, func(w *process) { w.witness.Release(w.clock(), r) })
+	}
+	p.f.send(p, to, func(next *process) {
+		next.keeper.Import(state)
+		next.candidate.Invite(state.Shard)
+		next.sendPromiseRequests()
+	})
+}
+
+func (p *process) tickQuota() {
+	for _, h := range p.holders.Due(p.clock(), nil) {
+		p.attend(h)
+	}
+	p.f.After(quotaTick, p, p.tickQuota)
+}
+
+func (p *process) request(r *Request) {
+	h := p.holders.Get(r.Team)
+	decision := h.Share().TakeChecked(p.clock)
+	if decision == quota.AskFirst {
+		p.lastID++
+		decision = h.Join(p.clock(), p.lastID, p.clock().Add(time.Second))
+		p.waiting[p.lastID] = r
+	}
+	if decision != quota.AskFirst {
+		delete(p.waiting, p.lastID)
+		p.settle(r, decision)
+	}
+	p.holders.Attend(r.Team)
+	p.attend(h)
+}
+
+// takeLate goes on with a reading of the clock from before a pause.
+func (p *process) takeLate(team string, share *quota.Share, stale time.Time) {
+	readings := 0
+	clock := func() time.Time {
+		readings++
+		if readings == 1 {
+			return stale
+		}
+		return p.clock()
+	}
+	if share.TakeChecked(clock) == quota.Admit {
+		p.admit(team)
+	}
+}
+
+func (p *process) attend(h *quota.Holder) {
+	now := p.clock()
+	for {
+		ask, ok := h.NeedAsk(now)
+		if !ok {
+			break
+		}
+		p.sendAsk(ask)
+	}
+	for _, s := range h.Settle(now) {
+		p.settle(p.waiting[s.ID], s.Decision)
+		delete(p.waiting, s.ID)
+	}
+	for {
+		r, ok := h.NeedReturn(now)
+		if !ok {
+			break
+		}
+		p.sendReturn(r)
+	}
+}
+
+func (p *process) sendAsk(ask quota.Ask) {
+	p.f.Counters.Quota += 2
+	p.f.send(p, ask.To, func(k *process) {
+		now := k.clock()
+		grant := k.keeper.Grant(now, ask)
+		if grant.Status == quota.NotKeeper {
+			grant.Hint, _ = k.witness.Keeper(now, ask.Key.Shard())
+		}
+		k.f.send(k, p.member.ID, func(holder *process) { holder.onGrant(grant) })
+	})
+}
+
+func (p *process) onGrant(g quota.Grant) {
+	if h := p.holders.OnGrant(p.clock(), g); h != nil {
+		p.attend(h)
+	}
+}
+
+func (p *process) sendReturn(r quota.Return) {
+	to, ok := p.directory.Target(r.Key.Shard())
+	if !ok {
+		return
+	}
+	p.f.Counters.Quota++
+	p.f.send(p, to, func(k *process) { k.keeper.Return(k.clock(), r) })
+}
+
+func (p *process) settle(r *Request, d quota.Decision) {
+	if r == nil {
+		return
+	}
+	r.Settled = true
+	r.Admitted = d == quota.Admit
+	r.Waited = p.f.now - r.At
+	if r.Admitted {
+		p.admit(r.Team)
+	}
+}
+
+func (p *process) admit(team string) {
+	p.f.Admissions = append(p.f.Admissions, Admission{At: p.f.now, Team: team, Host: p.member.ID})
+}
