--- a/decide/ejection/collector.go
+++ b/decide/ejection/collector.go
@@ -45,7 +45,9 @@
 	failures uint32
 	timed    uint32 // calls in latency
 	notable  uint32 // calls in latency of ownFactor times the own median or more
+	overdue  uint32 // calls in running
 	latency  [Buckets]uint32
+	running  [Buckets]uint32
 }
 
 func (w *Window) addLatency(latency, own time.Duration) {
@@ -59,7 +61,11 @@
 // isNotable tells whether the keeper should hear of these calls at once: one
 // failed, or over a third (and not a single one) were slow for this server.
 func (w *Window) isNotable() bool {
-	return w.failures > 0 || (w.notable > 1 && w.notable*3 > w.timed)
+	return w.failures > 0 || w.overdue > 1 || (w.notable > 1 && w.notable*3 > w.timed)
+}
+
+func (w *Window) isEmpty() bool {
+	return w.count == 0 && w.timed == 0 && w.overdue == 0
 }
 
 // moveTo adds the calls to another window and empties this one.
@@ -74,7 +80,7 @@
 }
 
 func (w *Window) report(class string) ClassReport {
-	return ClassReport{Class: class, Count: w.count, Failures: w.failures, Latency: makeSketch(&w.latency)}
+	return ClassReport{Class: class, Count: w.count, Failures: w.failures, Latency: makeSketch(&w.latency), Running: makeSketch(&w.running)}
 }
 
 // classWindows are the calls of one class: those of quiet intervals that are
@@ -93,6 +99,13 @@
 	Leaving bool      // the host has announced that it stops
 	Ejected bool      // a lease is in force
 	Keeper  uint64    // epoch of the keeper; a new keeper gets a report at once
+	Running []Running // calls in progress
+}
+
+// Running is a call in progress.
+type Running struct {
+	Class string
+	Since time.Time
 }
 
 // Collector turns the calls of one local backend server into reports. The
@@ -156,6 +169,7 @@
 func (c *Collector) Report(now time.Time, s State) (Report, bool) {
 	r := Report{Service: c.service, Server: c.server, Suspect: s.Suspect, Leaving: s.Leaving}
 	r.Cold = !s.Started.IsZero() && now.Sub(s.Started) < WarmUp
+	c.observeRunning(now, s.Running)
 	notable := c.anyNotable()
 	due := notable || s.Ejected || s.Keeper != c.keeper || c.last.IsZero() ||
 		r.Cold != c.flags.Cold || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving ||
@@ -165,7 +179,7 @@
 		return Report{}, false
 	}
 	c.flags = r
-	r.Classes = c.flush(now, notable)
+	r.Earlier, r.Classes = c.flush(now, notable)
 	c.last, c.keeper = now, s.Keeper
 	return r, true
 }
@@ -179,37 +193,51 @@
 	return false
 }
 
+// observeRunning counts the calls in progress that already took SlowFactor
+// times the own median.
+func (c *Collector) observeRunning(now time.Time, running []Running) {
+	for _, call := range running {
+		w := c.window(call.Class)
+		age := now.Sub(call.Since)
+		if w.own > 0 && age >= SlowFactor*w.own {
+			w.present.running[bucketOf(age)]++
+			w.present.overdue++
+		}
+	}
+}
+
+// keepQuiet holds the present interval back for a later report. Calls in
+// progress are dropped: they will be seen when they end.
 func (c *Collector) keepQuiet() {
 	for _, w := range c.classes {
-		if w.present.count > 0 || w.present.timed > 0 {
+		if !w.present.isEmpty() {
 			w.present.moveTo(&w.quiet)
 		}
 	}
 }
 
-// flush empties the windows. After something notable, the quiet intervals
-// before it are reported apart, so that they do not dilute the evidence.
-func (c *Collector) flush(now time.Time, notable bool) []ClassReport {
-	if !notable {
-		c.keepQuiet()
-	}
-	var reports []ClassReport
+// flush empties the windows.
+func (c *Collector) flush(now time.Time, notable bool) (earlier, present []ClassReport) {
 	for _, w := range c.classes {
-		for _, part := range []*Window{&w.quiet, &w.present} {
-			if part.count > 0 || part.timed > 0 {
-				reports = append(reports, part.report(w.class))
-			}
+		if !notable {
+			w.quiet.moveTo(&w.present)
+		}
+		if !w.quiet.isEmpty() {
+			earlier = append(earlier, w.quiet.report(w.class))
+		}
+		if !w.present.isEmpty() {
+			present = append(present, w.present.report(w.class))
 		}
+		w.present.moveTo(&w.quiet)
 		w.adapt(now.Sub(c.last))
-		w.quiet, w.present = Window{}, Window{}
+		w.quiet = Window{}
 	}
-	return reports
+	return earlier, present
 }
 
-// adapt moves the own median toward the median of what is reported, in steps
+// adapt moves the own median toward the median of the calls in quiet, in steps
 // that grow with the time since the last report.
 func (w *classWindows) adapt(since time.Duration) {
-	w.present.moveTo(&w.quiet)
 	if w.quiet.timed == 0 || (w.own == 0 && w.quiet.timed < ownSamples) {
 		return
 	}
--- a/decide/ejection/evidence.go
+++ b/decide/ejection/evidence.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// needed is the evidence that ejects, in nats. A service makes about 1e9
-	// tests in 1,000 hours; a healthy server passes one of them with a
-	// probability of at most e^-20 = 2e-9, and far less while its failures are
-	// rarer than failureBase.
-	needed = 20.0
+	// needed is the evidence that ejects, in nats. A server just inside the
+	// limits passes one test with a probability of at most e^-16 = 1e-7; the
+	// failures and latencies of healthy servers stay far inside. A server that
+	// fails half its calls gives 1.3 nats a call.
+	needed = 16.0
 	// looksBad is the evidence from which a server counts for MassFailure. It
 	// is low, so that a cause that hits the servers one after the other is
 	// recognized before the first one is ejected.
@@ -118,28 +118,39 @@
 	calls uint32
 }
 
+// failureBaseOf returns the failure ratio up to which a server is like its
+// siblings.
+func (r reference) failureBaseOf() float64 {
+	return min(max(failureBase, failureFactor*r.failures), 1)
+}
+
 // examine tests all sliding windows that end with the newest interval, the
 // shortest first, for failures and for slowness.
-func (t *track) examine(ref reference, d demand) finding {
-	if !ref.known || t.used == 0 {
+func (h *history) examine(base float64, d demand) finding {
+	if h.used == 0 {
 		return finding{}
 	}
-	base := min(max(failureBase, failureFactor*ref.failures), 1)
 	var found finding
-	if t.newest().failing() {
-		found = t.scan(Failures, base, d)
+	if h.back(0).failing() {
+		found = h.scan(Failures, base, d)
 	}
-	if t.newest().slowing() {
-		found = stronger(found, t.scan(Slow, farShare, d))
+	if h.back(0).slowing() {
+		found = stronger(found, h.scan(Slow, farShare, d))
 	}
 	return found
 }
 
-func (t *track) scan(reason Reason, base float64, d demand) finding {
+func (h *history) scan(reason Reason, base float64, d demand) finding {
 	found := finding{reason: reason}
-	var w sum
-	for k := range t.used {
-		w.add(t.back(k), reason)
+	w := window{reason: reason}
+	for k := range h.used {
+		in := h.back(k)
+		counted := in.ended
+		if k == 0 {
+			// Calls in progress earlier have ended since or are among these.
+			counted.add(in.running)
+		}
+		w.add(in, counted)
 		nats := w.evidence(base)
 		found.nats = max(found.nats, nats)
 		if nats >= d.nats && w.hits >= d.calls && w.sustained(base, d.nats) {
@@ -150,22 +161,21 @@
 	return found
 }
 
-// sum is one sliding window of the test for one reason.
-type sum struct {
+// window is one sliding window of the test for one reason.
+type window struct {
 	reason         Reason
 	calls, hits    uint32 // hits are failed or far calls
 	slow           uint32
-	heaviestHits   uint32
+	heaviestHits   uint32 // of the interval with the most hits
 	heaviestCalls  uint32
-	newest, oldest time.Time // of bad intervals
+	newest, oldest time.Time // receipt of bad intervals
 }
 
-func (w *sum) add(in interval, reason Reason) {
-	w.reason = reason
-	calls, hits, bad := in.count, in.failures, in.failing()
-	if reason == Slow {
-		calls, hits, bad = in.timed, in.far, in.slowing()
-		w.slow += in.slow
+func (w *window) add(in *interval, counted tally) {
+	calls, hits, bad := counted.count, counted.failures, in.failing()
+	if w.reason == Slow {
+		calls, hits, bad = counted.timed, counted.far, in.slowing()
+		w.slow += counted.slow
 	}
 	w.calls += calls
 	w.hits += hits
@@ -182,7 +192,7 @@
 }
 
 // evidence is the Chernoff bound on the binomial probability of as many hits.
-func (w *sum) evidence(base float64) float64 {
+func (w *window) evidence(base float64) float64 {
 	if w.reason == Slow && float64(w.slow) <= slowShare*float64(w.calls) {
 		return 0
 	}
@@ -194,7 +204,7 @@
 
 // sustained tells whether the evidence covers enough time and holds, at half
 // strength, without its heaviest interval. One burst is not a gray failure.
-func (w *sum) sustained(base, nats float64) bool {
+func (w *window) sustained(base, nats float64) bool {
 	rest := binomial(w.hits-w.heaviestHits, w.calls-w.heaviestCalls, base)
 	return rest >= nats/2 && w.newest.Sub(w.oldest) >= badSpan
 }
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -76,25 +76,29 @@
 	s.suspect, s.leaving = r.Suspect, r.Leaving
 	s.learn(now, r)
 	s.start(r.Cold)
-	for _, c := range r.Classes {
-		j.observeClass(now, s, c)
-	}
+	j.observeInterval(now, s, r.Earlier)
+	j.observeInterval(now, s, r.Classes)
 	s.cold = s.cold && !s.metSiblings(j.refs)
 	j.dirty = true
 }
 
-func (j *Judge) observeClass(now time.Time, s *server, c ClassReport) {
-	class, ok := j.class(c.Class)
-	if !ok {
+// observeInterval takes in the classes of one interval. Their sum is tested as
+// well: each class alone may have too few calls.
+func (j *Judge) observeInterval(now time.Time, s *server, classes []ClassReport) {
+	if len(classes) == 0 {
 		return
 	}
-	for len(s.tracks) <= class {
-		s.tracks = append(s.tracks, nil)
-	}
-	if s.tracks[class] == nil {
-		s.tracks[class] = &track{decayed: now}
+	all := interval{at: now}
+	for _, c := range classes {
+		class, ok := j.class(c.Class)
+		if !ok {
+			continue
+		}
+		in := s.makeTrack(now, class).add(now, c, j.refs[class].limits(s.cold))
+		all.ended.add(in.ended)
+		all.running.add(in.running)
 	}
-	s.tracks[class].add(now, c, j.refs[class].limits(s.cold))
+	s.all.push(all)
 }
 
 func (j *Judge) class(name string) (int, bool) {
@@ -243,12 +247,19 @@
 		d.calls = probationCalls
 	}
 	var found finding
+	var base float64
 	for class, t := range s.tracks {
-		if t != nil {
-			found = stronger(found, t.examine(j.refs[class], d))
+		if t == nil || !j.refs[class].known {
+			continue
 		}
+		classBase := j.refs[class].failureBaseOf()
+		found = stronger(found, t.examine(classBase, d))
+		base = max(base, classBase)
+	}
+	if base == 0 {
+		return finding{} // no siblings to compare with
 	}
-	return found
+	return stronger(found, s.all.examine(base, d))
 }
 
 // ejectWorst ejects the server with the strongest evidence, unless so many
--- a/decide/ejection/message.go
+++ b/decide/ejection/message.go
@@ -22,16 +22,23 @@
 	// Leaving is true once the host has announced that it stops.
 	Leaving bool `json:"d,omitempty"`
 	// Ejected is the lease in force, nil when the server takes its full share.
-	Ejected *Ejected      `json:"x,omitempty"`
+	Ejected *Ejected `json:"x,omitempty"`
+	// Earlier covers the quiet intervals since the last report and Classes the
+	// interval that ends now. They are apart only after something notable, so
+	// that quiet intervals do not dilute the evidence.
+	Earlier []ClassReport `json:"o,omitempty"`
 	Classes []ClassReport `json:"c,omitempty"`
 }
 
-// ClassReport summarizes the calls of one class since the last report.
+// ClassReport summarizes the calls of one class.
 type ClassReport struct {
 	Class    string `json:"c"`
 	Count    uint32 `json:"n"`           // calls that count, failures included
 	Failures uint32 `json:"f,omitempty"` // errors, cut answers, timeouts, refused connections
 	Latency  Sketch `json:"l,omitempty"` // of calls that did not fail
+	// Running holds the ages of calls in progress that are slow already. A
+	// slow server is known by them before its first answer.
+	Running Sketch `json:"r,omitempty"`
 }
 
 // Ejected is the state of an ejection, sent with verdicts and with reports so
--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -42,8 +42,9 @@
 	cold     bool      // compared leniently, and no part of the healthy capacity
 	wasCold  bool      // Cold of the last report
 	suspect  bool
-	leaving  bool // as told by its exit
-	tracks   []*track
+	leaving  bool     // as told by its exit
+	tracks   []*track // by class, nil if unknown
+	all      history  // all classes together
 
 	phase   phase
 	reason  Reason
@@ -97,6 +98,16 @@
 	return nil
 }
 
+func (s *server) makeTrack(now time.Time, class int) *track {
+	for len(s.tracks) <= class {
+		s.tracks = append(s.tracks, nil)
+	}
+	if s.tracks[class] == nil {
+		s.tracks[class] = &track{decayed: now}
+	}
+	return s.tracks[class]
+}
+
 // start notes whether the exit calls the server cold. A server that just
 // started loses what was known of its earlier life.
 func (s *server) start(cold bool) {
@@ -105,6 +116,7 @@
 	s.wasCold = cold
 	if started {
 		s.tracks = nil
+		s.all.forget()
 	}
 }
 
@@ -136,6 +148,7 @@
 }
 
 func (s *server) forget() {
+	s.all.forget()
 	for _, t := range s.tracks {
 		if t != nil {
 			t.forget()
@@ -226,19 +239,19 @@
 	if elapsed < stepTime {
 		return false
 	}
-	var all interval
 	for _, t := range s.tracks {
-		if t == nil {
-			continue
-		}
-		sum := t.total()
-		if float64(sum.failures) >= failureRatio*float64(sum.count) && sum.failures > 0 ||
-			float64(sum.slow) >= slowShare*float64(sum.timed) && sum.slow > 0 {
+		if t != nil && !t.total().clean() {
 			return false
 		}
-		all.count += sum.count
 	}
-	return all.count >= stepCalls || elapsed >= stepIdle
+	return s.all.total().count >= stepCalls || elapsed >= stepIdle
+}
+
+// clean tells whether neither failures nor slowness stand out.
+func (t tally) clean() bool {
+	failing := t.failures > 0 && float64(t.failures) >= failureRatio*float64(t.count)
+	slow := t.slow > 0 && float64(t.slow) >= slowShare*float64(t.timed)
+	return !failing && !slow
 }
 
 // verdict answers the last report with what is decided.
--- a/decide/ejection/track.go
+++ b/decide/ejection/track.go
@@ -7,7 +7,7 @@
 
 const (
 	// intervalsKept bounds the sliding windows: 13 s at an interval of 200 ms,
-	// 64 s at 1 s, which is about 600 calls at 9 calls/s either way or more.
+	// 64 s at 1 s, which is at least 400 calls at the loads of the design.
 	intervalsKept = 64
 	// memory is the time after which the weight of a call in the picture of
 	// the siblings has fallen to 1/e. It must outlast MaxQuiet.
@@ -17,9 +17,8 @@
 	referenceCalls = 10
 )
 
-// interval is what one report says about one class.
-type interval struct {
-	at       time.Time // receipt
+// tally counts calls.
+type tally struct {
 	count    uint32
 	failures uint32
 	timed    uint32
@@ -27,15 +26,76 @@
 	far      uint32 // at least SlowFactor times the siblings' upper quartile
 }
 
+func (t *tally) add(o tally) {
+	t.count += o.count
+	t.failures += o.failures
+	t.timed += o.timed
+	t.slow += o.slow
+	t.far += o.far
+}
+
+// addSketch counts the calls of a sketch.
+func (t *tally) addSketch(s Sketch, lim limits) {
+	s.each(func(bucket int, n uint32) {
+		t.timed += n
+		if bucket >= lim.slow {
+			t.slow += n
+		}
+		if bucket >= lim.far {
+			t.far += n
+		}
+	})
+}
+
+// interval is what one report says.
+type interval struct {
+	at      time.Time // receipt
+	ended   tally
+	running tally // calls in progress at the end of the interval
+}
+
 // failing and slowing tell whether the interval speaks against the server.
-func (i interval) failing() bool { return i.failures > 0 }
-func (i interval) slowing() bool { return i.slow > 0 && 2*i.slow >= i.timed }
+func (i *interval) failing() bool { return i.ended.failures > 0 }
 
-// track is what a judge knows about the calls of one class on one server.
-type track struct {
+func (i *interval) slowing() bool {
+	slow := i.ended.slow + i.running.slow
+	return slow > 0 && 2*slow >= i.ended.timed+i.running.timed
+}
+
+// history holds the last intervals of one class, or of all together.
+type history struct {
 	ring [intervalsKept]interval
 	next int
 	used int
+}
+
+func (h *history) push(in interval) {
+	h.ring[h.next] = in
+	h.next = (h.next + 1) % intervalsKept
+	h.used = min(h.used+1, intervalsKept)
+}
+
+// back returns the interval that was received k before the newest.
+func (h *history) back(k int) *interval {
+	return &h.ring[(h.next-1-k+2*intervalsKept)%intervalsKept]
+}
+
+func (h *history) forget() {
+	h.next, h.used = 0, 0
+}
+
+// total sums up the intervals since forget.
+func (h *history) total() tally {
+	var sum tally
+	for k := range h.used {
+		sum.add(h.back(k).ended)
+	}
+	return sum
+}
+
+// track is what a judge knows about the calls of one class on one server.
+type track struct {
+	history
 
 	// Decayed counts, the server's part of the reference of its siblings.
 	decayed  time.Time
@@ -47,28 +107,24 @@
 	quartile int // bucket of the upper quartile
 }
 
-// add takes in one summary. The limits are the buckets from which a call is
-// slow and far.
-func (t *track) add(now time.Time, c ClassReport, lim limits) {
-	in := interval{at: now, count: c.Count, failures: min(c.Failures, c.Count)}
+// add takes in one summary and returns its interval.
+func (t *track) add(now time.Time, c ClassReport, lim limits) interval {
+	in := interval{at: now}
+	in.ended.count, in.ended.failures = c.Count, min(c.Failures, c.Count)
+	in.ended.addSketch(c.Latency, lim)
+	in.running.addSketch(c.Running, lim)
+	t.push(in)
+	t.remember(now, in.ended, c.Latency)
+	return in
+}
+
+func (t *track) remember(now time.Time, ended tally, latency Sketch) {
 	t.decay(now)
-	c.Latency.each(func(bucket int, n uint32) {
-		in.timed += n
-		if bucket >= lim.slow {
-			in.slow += n
-		}
-		if bucket >= lim.far {
-			in.far += n
-		}
-		t.latency[bucket] += float64(n)
-	})
-	t.count += float64(in.count)
-	t.failures += float64(in.failures)
-	t.timed += float64(in.timed)
+	t.count += float64(ended.count)
+	t.failures += float64(ended.failures)
+	t.timed += float64(ended.timed)
+	latency.each(func(bucket int, n uint32) { t.latency[bucket] += float64(n) })
 	t.median, t.quartile = t.quantiles()
-	t.ring[t.next] = in
-	t.next = (t.next + 1) % intervalsKept
-	t.used = min(t.used+1, intervalsKept)
 }
 
 func (t *track) decay(now time.Time) {
@@ -96,31 +152,3 @@
 	}
 	return median, Buckets - 1
 }
-
-// newest returns the latest interval.
-func (t *track) newest() interval {
-	return t.back(0)
-}
-
-// back returns the interval that was received k before the newest.
-func (t *track) back(k int) interval {
-	return t.ring[(t.next-1-k+2*intervalsKept)%intervalsKept]
-}
-
-// forget drops the sliding windows but keeps the part of the reference.
-func (t *track) forget() {
-	t.next, t.used = 0, 0
-}
-
-// total sums up the intervals since forget.
-func (t *track) total() interval {
-	var sum interval
-	for k := range t.used {
-		in := t.back(k)
-		sum.count += in.count
-		sum.failures += in.failures
-		sum.timed += in.timed
-		sum.slow += in.slow
-	}
-	return sum
-}
--- /dev/null
+++ b/internal/measure/ejection_hour.go
@@ -0,0 +1,229 @@
+package measure
+
+import (
+	"math/rand/v2"
+)
+
+// hourLength is the length of a seeded hour in seconds.
+const hourLength = 3600.0
+
+// hourEvent is one kind of disturbance in a seeded hour.
+type hourEvent struct {
+	mean  float64 // seconds between two, for the whole service
+	begin func(h *ejectionHour, t float64)
+}
+
+// hourEvents are the disturbances that ejection must tell from gray failures,
+// and some gray failures among them.
+var hourEvents = []hourEvent{
+	{30, (*ejectionHour).lossBurst},
+	{15, (*ejectionHour).serverPause},
+	{120, (*ejectionHour).exitPause},
+	{300, (*ejectionHour).coldStart},
+	{300, (*ejectionHour).sisterLoad},
+	{90, (*ejectionHour).partition},
+	{600, (*ejectionHour).keeperLoss},
+	{300, (*ejectionHour).badHealthCheck},
+	{900, (*ejectionHour).grayFailure},
+	{1800, (*ejectionHour).sharedFailure},
+}
+
+// hourResult counts what an ejection policy did in seeded hours.
+type hourResult struct {
+	wrongful int // ejections of healthy servers
+	gray     int // gray failures brought about
+	caught   int // of them ejected while gray
+}
+
+func (r *hourResult) add(o hourResult) {
+	r.wrongful += o.wrongful
+	r.gray += o.gray
+	r.caught += o.caught
+}
+
+// ejectionHour is a service under disturbances for an hour.
+type ejectionHour struct {
+	world     *simWorld
+	policy    simPolicy
+	rng       *rand.Rand
+	next      []float64 // time of the next event, by kind
+	lastBurst []float64
+	rightful  []span // by server: while an ejection is right
+	caught    []bool // by server: this gray failure was ejected
+	newKeeper float64
+	result    hourResult
+}
+
+func newEjectionHour(rng *rand.Rand, spec serviceSpec, load ejectionLoad, p simPolicy) *ejectionHour {
+	h := &ejectionHour{
+		world: newSimWorld(rng, spec, load), policy: p, rng: rng,
+		next: make([]float64, len(hourEvents)), lastBurst: make([]float64, spec.servers),
+		rightful: make([]span, spec.servers), caught: make([]bool, spec.servers),
+	}
+	for i, e := range hourEvents {
+		h.next[i] = rng.ExpFloat64() * e.mean
+	}
+	return h
+}
+
+func (h *ejectionHour) run() hourResult {
+	for h.world.now() < hourLength {
+		t := h.world.now()
+		for i, e := range hourEvents {
+			if t >= h.next[i] {
+				e.begin(h, t)
+				h.next[i] = t + h.rng.ExpFloat64()*e.mean
+			}
+		}
+		h.takeOver(t)
+		for _, server := range h.world.run(h.policy) {
+			h.judge(server)
+		}
+	}
+	return h.result
+}
+
+func (h *ejectionHour) judge(server int) {
+	t := h.world.now()
+	switch {
+	case !h.rightful[server].holds(t):
+		h.result.wrongful++
+	case !h.caught[server] && h.world.servers[server].gray.holds(t):
+		h.caught[server] = true
+		h.result.caught++
+	}
+}
+
+// between returns a uniform value.
+func (h *ejectionHour) between(from, to float64) float64 {
+	return from + (to-from)*h.rng.Float64()
+}
+
+func (h *ejectionHour) pick() (int, *simServer) {
+	i := h.rng.IntN(len(h.world.servers))
+	return i, &h.world.servers[i]
+}
+
+// burstGap is the least time between two bursts of loss of one server. Two
+// within a second are not told from a gray failure, nor should they be.
+const burstGap = 10.0
+
+// lossBurst lets most calls of one server fail for up to 300 ms.
+func (h *ejectionHour) lossBurst(t float64) {
+	i, s := h.pick()
+	if t < h.lastBurst[i]+burstGap {
+		return
+	}
+	h.lastBurst[i] = t
+	from := t + h.world.interval*h.rng.Float64()
+	s.burst = span{from, from + h.between(0.1, 0.3)}
+	s.loss = h.between(0.5, 1)
+}
+
+// serverPause stops one server for up to 500 ms, as a garbage collector does.
+func (h *ejectionHour) serverPause(t float64) {
+	_, s := h.pick()
+	from := t + h.world.interval*h.rng.Float64()
+	s.pause = span{from, from + h.between(0.05, 0.5)}
+}
+
+// exitPause stops one exit process, which sees what happened meanwhile late.
+func (h *ejectionHour) exitPause(t float64) {
+	_, s := h.pick()
+	s.frozen = span{t, t + h.between(0.2, 10)}
+}
+
+// coldStart restarts one server after a planned stop.
+func (h *ejectionHour) coldStart(t float64) {
+	_, s := h.pick()
+	s.started, s.coldPeak, s.coldTau = t, h.between(2, 12), h.between(3, 10)
+}
+
+// sisterLoad slows some of the servers below 4x, differences between servers
+// included.
+func (h *ejectionHour) sisterLoad(t float64) {
+	end := t + h.between(30, 300)
+	factor := h.between(1.5, 3.6)
+	share := h.rng.Float64()
+	for i := range h.world.servers {
+		if s := &h.world.servers[i]; h.rng.Float64() < share {
+			s.sister, s.slowdown = span{t, end}, factor
+		}
+	}
+}
+
+// partition cuts reports, verdicts or part of the calls of some servers.
+func (h *ejectionHour) partition(t float64) {
+	cut := span{t, t + h.between(1, 20)}
+	kind, share := h.rng.IntN(3), h.rng.Float64()
+	for i := range h.world.servers {
+		s := &h.world.servers[i]
+		if h.rng.Float64() >= share {
+			continue
+		}
+		switch kind {
+		case 0:
+			s.mute = cut
+		case 1:
+			s.deaf = cut
+		default:
+			s.quiet = cut
+		}
+	}
+}
+
+// keeperLoss replaces the keeper after its lease has lapsed.
+func (h *ejectionHour) keeperLoss(t float64) {
+	h.newKeeper = t + h.between(2, 3)
+	for i := range h.world.servers {
+		h.world.servers[i].mute = span{t, h.newKeeper}
+	}
+}
+
+func (h *ejectionHour) takeOver(t float64) {
+	if h.newKeeper == 0 || t < h.newKeeper {
+		return
+	}
+	h.newKeeper = 0
+	if p, ok := h.policy.(*fleetPolicy); ok {
+		p.replaceKeeper()
+	}
+}
+
+// badHealthCheck lets the health check of a good server fail.
+func (h *ejectionHour) badHealthCheck(t float64) {
+	_, s := h.pick()
+	s.suspect = span{t, t + h.between(10, 60)}
+}
+
+// aftermath is how long after the end of a gray failure its evidence may still
+// eject: calls that began before its end are still being reported.
+const aftermath = 2.0
+
+// grayFailure makes one server gray.
+func (h *ejectionHour) grayFailure(t float64) {
+	i, s := h.pick()
+	if s.gray.holds(t) {
+		return
+	}
+	s.gray = span{t, t + h.between(20, 90)}
+	s.grayKind = grayKind(h.rng.IntN(3))
+	h.rightful[i] = span{t, s.gray.to + aftermath}
+	h.caught[i] = false
+	h.result.gray++
+}
+
+// sharedFailure makes all servers gray nearly at once; no ejection is right
+// then.
+func (h *ejectionHour) sharedFailure(t float64) {
+	length := h.between(10, 40)
+	kind := grayKind(h.rng.IntN(3))
+	for i := range h.world.servers {
+		s := &h.world.servers[i]
+		if s.gray.holds(t) {
+			continue
+		}
+		from := t + h.between(0, 0.5)
+		s.gray, s.grayKind = span{from, t + length}, kind
+	}
+}
