--- a/control/leases.go
+++ b/control/leases.go
@@ -36,7 +36,9 @@
 		Candidate: lease.NewCandidate(id, started, placement, witness),
 		Directory: lease.NewDirectory(placement),
 	}
-	return &leasesStage{state: state, witness: witness, next: started}
+	// Asking earlier would only meet the silence of witnesses that started at
+	// the same time, and each round without a quorum makes the next one later.
+	return &leasesStage{state: state, witness: witness, next: started.Add(lease.StartSilence)}
 }
 
 // Name returns "leases".
@@ -55,6 +57,8 @@
 		if reply, ok := e.Reply.(lease.PromiseReply); ok && e.Err == nil {
 			s.state.Leases.Candidate.OnReply(now, reply)
 		}
+	case statusAsked:
+		e.status.KeptShards = len(s.state.Leases.Candidate.Held(now))
 	case Tick:
 		s.tick(now, out)
 	}
--- a/control/publish.go
+++ b/control/publish.go
@@ -25,6 +25,7 @@
 		Config:    p.state.Config,
 		Hosts:     p.state.HostVersion,
 		KeysUntil: p.state.KeysUntil,
+		ReadyAt:   p.state.Self.Started.Add(startTime),
 		Stopping:  p.state.Stopping,
 		Services:  p.services,
 		Locals:    p.buildLocals(),
--- a/control/quota.go
+++ b/control/quota.go
@@ -50,7 +50,7 @@
 		state:   state,
 		shares:  shares,
 		keeper:  quota.NewKeeper(self.Incarnation, self.Started, state.Leases.Candidate),
-		holders: quota.NewHolders(id, self.Zone),
+		holders: quota.NewHolders(id, self.Zone, state.Leases.Directory),
 		waiting: make(map[uint64]chan quota.Decision),
 		next:    self.Started,
 	}
@@ -177,27 +177,17 @@
 		s.waiting[settled.ID] <- settled.Decision
 		delete(s.waiting, settled.ID)
 	}
-	for _, miss := range h.Misses() {
-		shard := miss.Key.Shard()
-		if target, ok := s.state.Leases.Directory.Target(shard); ok {
-			s.state.Leases.Directory.OnMiss(shard, target, miss.Hint)
-		}
-	}
 	if wake, ok := h.Wake(now); ok && wake.Before(s.next) {
 		s.next = wake
 	}
 }
 
 func (s *quotaStage) ask(now time.Time, h *quota.Holder, ask quota.Ask, out *Output) {
-	target, ok := s.state.Leases.Directory.Target(ask.Key.Shard())
-	if !ok {
-		return
-	}
-	if target == s.state.Self.ID {
+	if ask.To == s.state.Self.ID {
 		h.OnGrant(now, s.grant(now, ask))
 		return
 	}
-	s.state.call(out, target, ask)
+	s.state.call(out, ask.To, ask)
 }
 
 // grant answers an ask and names the keeper when this process is not it.
@@ -247,18 +237,11 @@
 		return
 	}
 	if grant, ok := e.Reply.(quota.Grant); ok && e.Err == nil {
-		s.takeGrant(now, h, e.Peer, grant)
+		h.OnGrant(now, grant)
 	}
 	s.pump(now, h, out)
 }
 
-func (s *quotaStage) takeGrant(now time.Time, h *quota.Holder, peer string, grant quota.Grant) {
-	if grant.Status != quota.NotKeeper {
-		s.state.Leases.Directory.OnKeeper(grant.Key.Shard(), peer)
-	}
-	h.OnGrant(now, grant)
-}
-
 func (s *quotaStage) tick(now time.Time, out *Output) {
 	if now.Before(s.next) {
 		return
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -18,9 +18,22 @@
 	// withdrawn, unless a later snapshot extends it. Traffic compares it with the
 	// clock at the moment of use, so that it also holds after a pause.
 	KeysUntil time.Time
-	Stopping  bool // a planned stop has begun
-	Services  map[string]*Service
-	Locals    map[string]*Local // backend servers of this host by identifier
+	// ReadyAt is when the shards of a fleet that starts together have keepers.
+	ReadyAt  time.Time
+	Stopping bool // a planned stop has begun
+	Services map[string]*Service
+	Locals   map[string]*Local // backend servers of this host by identifier
+}
+
+// startTime is how long a starting process waits before it calls itself ready:
+// witnesses promise nothing for the first 2.04 s, and the first round of
+// promises follows within half a second.
+const startTime = 3 * time.Second
+
+// Ready tells whether the process takes callers: it has a configuration that it
+// can trust and is not stopping.
+func (s *Snapshot) Ready(now time.Time) bool {
+	return s.Config != nil && now.Before(s.KeysUntil) && !now.Before(s.ReadyAt) && !s.Stopping
 }
 
 // Service is what an entry needs to route to a service.
--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -70,7 +70,7 @@
 	case pipeline.CodeEjected, pipeline.CodeBackendLeaving, pipeline.CodeStopping, pipeline.CodeWrongExit,
 		pipeline.CodeNotReady, pipeline.CodeKeysUnsure, pipeline.CodeConnectFailed, pipeline.CodeSuspectBusy:
 		return retry.RefusedHere
-	case pipeline.CodeQueueFull, pipeline.CodeDeadlineTooShort, pipeline.CodeQuotaUnavailable:
+	case pipeline.CodeQueueFull, pipeline.CodeDeadlineTooShort, pipeline.CodeQuotaUnavailable, pipeline.CodeShed:
 		return retry.RefusedLoad
 	}
 	return retry.RefusedFinal
--- a/filters/queue/queue.go
+++ b/filters/queue/queue.go
@@ -110,7 +110,7 @@
 // sampleOutcome maps the end of a request to what the limiter learns from it.
 func sampleOutcome(c pipeline.Completion) concurrency.Outcome {
 	switch {
-	case c.Outcome == pipeline.Answered && c.Status == 503:
+	case c.Code == pipeline.CodeShed:
 		return concurrency.Shed
 	case c.Outcome == pipeline.Answered && c.Status < 500:
 		return concurrency.Completed
--- a/filters/send/send.go
+++ b/filters/send/send.go
@@ -16,8 +16,11 @@
 
 // Headers that a backend server receives from the system.
 const (
-	// HeaderTimeout is the time left in milliseconds.
-	HeaderTimeout = "Ragwort-Timeout-Ms"
+	// HeaderDeadline is the time left in milliseconds.
+	HeaderDeadline = "X-Deadline-Ms"
+	// HeaderShed, on an answer of status 503, says that the backend server
+	// refused the request before running it.
+	HeaderShed = "X-Shed"
 	// HeaderTeam is the verified team; absent on requests without a key.
 	HeaderTeam = "Ragwort-Team"
 )
@@ -30,7 +33,7 @@
 const (
 	Served       Ending = iota // a whole answer below 500
 	ServerFailed               // an answer of 500 or above, a cut answer, or a timeout
-	Shed                       // 503 with Retry-After: the backend server sheds load
+	Shed                       // the backend server refused because of its load
 	CallerLeft                 // the caller gave up early, which says nothing
 	Crashed                    // the connection broke while the request ran, or none could be opened
 )
@@ -76,8 +79,12 @@
 	httpsend.AttachBody(result, resp)
 	req.OnComplete(func(c pipeline.Completion) {
 		cancel()
-		f.Observe(Observation{Request: req, Ending: ending(c, resp.Header), Latency: latency})
+		f.Observe(Observation{Request: req, Ending: ending(c), Latency: latency})
 	})
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) != "" {
+		_ = resp.Body.Close()
+		return pipeline.Refuse(pipeline.CodeShed, "")
+	}
 	if unframed(resp) {
 		_ = resp.Body.Close()
 		return pipeline.Refuse(pipeline.CodeAnswerCut, "the answer has no length, so its end cannot be verified")
@@ -87,7 +94,7 @@
 
 func setHeaders(h http.Header, req *pipeline.Request) {
 	left := max(time.Until(req.Deadline).Milliseconds(), 1)
-	h[HeaderTimeout] = []string{strconv.FormatInt(left, 10)}
+	h[HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
 	if req.Principal.Team != "" {
 		h[HeaderTeam] = []string{req.Principal.Team}
 	}
@@ -142,14 +149,14 @@
 }
 
 // ending maps a completed answer to what it says of the backend server.
-func ending(c pipeline.Completion, h http.Header) Ending {
+func ending(c pipeline.Completion) Ending {
 	switch {
 	case c.Code == pipeline.CodeCanceled:
 		return CallerLeft
+	case c.Code == pipeline.CodeShed:
+		return Shed
 	case c.Outcome != pipeline.Answered:
 		return ServerFailed
-	case c.Status == http.StatusServiceUnavailable && h.Get("Retry-After") != "":
-		return Shed
 	case c.Status >= http.StatusInternalServerError:
 		return ServerFailed
 	}
--- /dev/null
+++ b/internal/demo/fleet.go
@@ -0,0 +1,279 @@
+// Package demo runs a small fleet on loopback with stand-ins for the platform,
+// brings about failures and compares what callers saw with the targets.
+package demo
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/internal/fakes"
+	"github.com/ragwortyard/ragwortyard/node"
+)
+
+// Member is one process of the fleet with its backend server.
+type Member struct {
+	ID       string
+	Zone     string
+	Service  string
+	Backend  *fakes.Backend
+	Settings node.Settings
+	node     *node.Node
+	cancel   context.CancelFunc
+	done     chan error
+}
+
+// CallersURL returns the address at which the process takes callers.
+func (m *Member) CallersURL() string { return "http://" + m.Settings.CallersAddr }
+
+// Stop stops the process gracefully and waits for it.
+func (m *Member) Stop() error {
+	m.cancel()
+	return <-m.done
+}
+
+// ServiceSpec is a service of the fleet.
+type ServiceSpec struct {
+	Name       string
+	Servers    int
+	Time       fakes.ServiceTime
+	Idempotent bool
+	Worth      float64
+}
+
+// FleetSpec describes a fleet.
+type FleetSpec struct {
+	Zones    []string
+	Services []ServiceSpec
+	Teams    []config.Team
+	Floor    float64
+	Seed     uint64
+}
+
+// Fleet is a running fleet on loopback.
+type Fleet struct {
+	Config  *fakes.ConfigService
+	Hosts   *fakes.HostList
+	Members []*Member
+
+	spec    FleetSpec
+	log     *zap.Logger
+	mu      sync.Mutex // guards the version, which several scenarios may raise
+	version uint64
+}
+
+// StartFleet starts the stand-ins and all processes and waits until they are
+// ready.
+func StartFleet(ctx context.Context, spec FleetSpec, log *zap.Logger) (*Fleet, error) {
+	f := &Fleet{spec: spec, log: log}
+	var err error
+	if f.Config, err = fakes.NewConfigService(); err != nil {
+		return nil, err
+	}
+	if f.Hosts, err = fakes.NewHostList(); err != nil {
+		return nil, err
+	}
+	if err := f.Publish(spec.Teams); err != nil {
+		return nil, err
+	}
+	if err := f.addMembers(); err != nil {
+		return nil, err
+	}
+	f.Hosts.Set(f.hostEntries())
+	for _, m := range f.Members {
+		if err := f.start(ctx, m); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.waitReady(ctx)
+}
+
+// Publish publishes the configuration with these teams as the next version.
+func (f *Fleet) Publish(teams []config.Team) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version++
+	return f.Config.PublishDocuments(f.version, teamParts, f.documents(), teams)
+}
+
+// Version returns the version published last.
+func (f *Fleet) Version() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
+// teamParts is the number of team values that the demo publishes.
+const teamParts = 4
+
+// classDeadline is the deadline of requests that state none.
+const classDeadline = 2 * time.Second
+
+func (f *Fleet) documents() config.Fleet {
+	var doc config.Fleet
+	for _, s := range f.spec.Services {
+		doc.Classes = append(doc.Classes, config.Class{
+			Name:       s.Name,
+			Idempotent: s.Idempotent,
+			Target:     200 * time.Millisecond,
+			Worth:      s.Worth,
+			MaxBody:    1 << 20,
+			Deadline:   classDeadline,
+		})
+		doc.Services = append(doc.Services, config.Service{Name: s.Name, Floor: f.spec.Floor, Class: s.Name})
+		doc.Routes = append(doc.Routes, config.Route{
+			Name:    s.Name,
+			Methods: []string{http.MethodGet, http.MethodPost},
+			Prefix:  "/" + s.Name,
+			Service: s.Name,
+		})
+	}
+	return doc
+}
+
+func (f *Fleet) addMembers() error {
+	for _, s := range f.spec.Services {
+		for i := range s.Servers {
+			m, err := f.newMember(s, i)
+			if err != nil {
+				return err
+			}
+			f.Members = append(f.Members, m)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) newMember(s ServiceSpec, i int) (*Member, error) {
+	backend, err := fakes.NewBackend(fakes.BackendOptions{
+		ID:           fmt.Sprintf("%s-%d", s.Name, i),
+		Time:         s.Time,
+		Seed:         f.spec.Seed + uint64(len(f.Members)),
+		ProbeTime:    25 * time.Millisecond,
+		RestartAfter: time.Second,
+	})
+	if err != nil {
+		return nil, err
+	}
+	addrs, err := freeAddrs(4)
+	if err != nil {
+		return nil, err
+	}
+	m := &Member{
+		ID:      fmt.Sprintf("host-%s-%d", s.Name, i),
+		Zone:    f.spec.Zones[len(f.Members)%len(f.spec.Zones)],
+		Service: s.Name,
+		Backend: backend,
+	}
+	m.Settings = node.Settings{
+		ID: m.ID, Zone: m.Zone,
+		CallersAddr: addrs[0], TrafficAddr: addrs[1], ControlAddr: addrs[2], OperatorAddr: addrs[3],
+		ConfigURL: f.Config.URL(), HostsURL: f.Hosts.URL(),
+		HostsInterval: 500 * time.Millisecond,
+		DrainTime:     2 * time.Second,
+		StopTimeout:   20 * time.Second,
+		LedgerWindow:  5 * time.Minute,
+		FleetPlain:    true,
+		LogLevel:      "warn",
+	}
+	return m, nil
+}
+
+// freeAddrs returns loopback addresses with ports that are free now.
+func freeAddrs(n int) ([]string, error) {
+	var addrs []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, eris.Wrap(err, "no free port")
+		}
+		defer l.Close()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs, nil
+}
+
+func (f *Fleet) hostEntries() []fakes.Host {
+	var hosts []fakes.Host
+	for _, m := range f.Members {
+		hosts = append(hosts, fakes.Host{
+			ID: m.ID, Zone: m.Zone, State: "live",
+			Traffic: m.Settings.TrafficAddr,
+			Control: m.Settings.ControlAddr,
+			Backends: []fakes.HostBackend{{
+				ID: m.Backend.ID(), Service: m.Service, Slots: 7, Address: m.Backend.Address(),
+			}},
+		})
+	}
+	return hosts
+}
+
+func (f *Fleet) start(ctx context.Context, m *Member) error {
+	n, err := node.New(m.Settings, node.HTTPPlatform(m.Settings.ConfigURL, m.Settings.HostsURL), f.log)
+	if err != nil {
+		return err
+	}
+	ctx, m.cancel = context.WithCancel(ctx)
+	m.node = n
+	m.done = make(chan error, 1)
+	go func() { m.done <- n.Run(ctx) }()
+	return nil
+}
+
+// readyTimeout bounds the start: a shard gets a keeper after about 2 s.
+const readyTimeout = 30 * time.Second
+
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, m := range f.Members {
+		if err := waitUntil(ctx, m.node.Ready); err != nil {
+			return eris.Wrapf(err, "%s did not become ready", m.ID)
+		}
+	}
+	return nil
+}
+
+// pollInterval is the time between two looks at a condition.
+const pollInterval = 20 * time.Millisecond
+
+func waitUntil(ctx context.Context, condition func() bool) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Close ends everything, without waiting for running requests.
+func (f *Fleet) Close() {
+	for _, m := range f.Members {
+		if m.cancel != nil {
+			m.cancel()
+		}
+		m.Backend.Close()
+	}
+	f.Hosts.Close()
+	f.Config.Close()
+}
+
+// NewTeam returns a team with one key.
+func NewTeam(name, key string, rate, burst float64) config.Team {
+	return config.Team{
+		Name: name, Rate: rate, Burst: burst,
+		Keys: []config.Key{{ID: name + "-key", Digest: sha256.Sum256([]byte(key))}},
+	}
+}
--- a/node/operator.go
+++ b/node/operator.go
@@ -28,8 +28,7 @@
 // Ready tells whether the process has a configuration that it can trust and
 // takes new work.
 func (n *Node) Ready() bool {
-	snap := n.loop.Snapshot()
-	return snap.Config != nil && time.Now().Before(snap.KeysUntil) && !snap.Stopping
+	return n.loop.Snapshot().Ready(time.Now())
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/pipeline/code.go
+++ b/pipeline/code.go
@@ -38,6 +38,7 @@
 	CodeQueueFull        Code = 3002
 	CodeDeadlineTooShort Code = 3003
 	CodeQuotaUnavailable Code = 3004
+	CodeShed             Code = 3005
 )
 
 // Codes for routing.
@@ -131,6 +132,7 @@
 	{CodeQueueFull, "queue-full", NotRun, 503, "The queue of the backend server is full for this team."},
 	{CodeDeadlineTooShort, "deadline-too-short", NotRun, 503, "The deadline cannot be met at the present load."},
 	{CodeQuotaUnavailable, "quota-unavailable", NotRun, 503, "No keeper of the team's rate answered in time."},
+	{CodeShed, "shed", NotRun, 503, "The backend server refused the request before running it, because of its load."},
 	{CodeNoBackend, "no-backend", NotRun, 503, "No backend server of the service takes new work."},
 	{CodeStopping, "stopping", NotRun, 503, "The process is stopping and takes no new work."},
 	{CodeEjected, "ejected", NotRun, 503, "The backend server is ejected; used between processes."},
