--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -66,8 +66,9 @@
 
 	spec    FleetSpec
 	log     *zap.Logger
-	mu      sync.Mutex // guards the version, which several scenarios may raise
+	mu      sync.Mutex // guards the fields below
 	version uint64
+	entries []string // addresses that callers connect to
 }
 
 // StartFleet starts the stand-ins and all processes and waits until they are
@@ -88,6 +89,9 @@
 		return nil, err
 	}
 	f.Hosts.Set(f.hostEntries())
+	for _, m := range f.Members {
+		f.entries = append(f.entries, m.CallersURL())
+	}
 	for _, m := range f.Members {
 		if err := f.start(ctx, m); err != nil {
 			return nil, err
