Test the choice of an exit

The package had no tests. They cover the tiers and exclusion, return after an ejection, decay of an old latency, failures and load in the cost, the zone penalty, subsets, concurrent statistics and 0 allocations.

--- /dev/null
+++ b/decide/balance/balance_test.go
@@ -0,0 +1,286 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/path"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func fleet(n, zones int) []*Member {
+	members := make([]*Member, n)
+	for i := range members {
+		members[i] = NewMember(start, fmt.Sprint("backend-", i), fmt.Sprint("host-", i), fmt.Sprint("z", i%zones))
+	}
+	return members
+}
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// shares returns the part of 2,000 choices that each member gets.
+func shares(now time.Time, s *Subset) []float64 {
+	const choices = 2000
+	r, parts := source(), make([]float64, len(s.Members))
+	for range choices {
+		i, _ := Choose(now, r, s, 0)
+		parts[i]++
+	}
+	for i := range parts {
+		parts[i] /= choices
+	}
+	return parts
+}
+
+// Guards against work for members that were tried already, are ejected, leaving
+// or behind a broken path, while a better one is left.
+func TestChooseTakesTheBestMembersLeft(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewSubset("team", "service", fleet(rapid.IntRange(1, 20).Draw(t, "members"), 3), Options{Zone: "z0"})
+		var exclude Set
+		tiers := make([]int, len(s.Members))
+		best := tierCount
+		for i, m := range s.Members {
+			tiers[i] = rapid.IntRange(0, tierCount-1).Draw(t, "tier")
+			degrade(m, tiers[i])
+			if rapid.Bool().Draw(t, "excluded") {
+				exclude = exclude.With(i)
+			} else {
+				best = min(best, tiers[i])
+			}
+		}
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		i, ok := Choose(start, r, s, exclude)
+		if ok != (best < tierCount) {
+			t.Fatalf("ok = %v with best tier %d", ok, best)
+		}
+		if ok && (exclude.Has(i) || tiers[i] != best) {
+			t.Fatalf("chose %d: excluded %v, tier %d, best %d", i, exclude.Has(i), tiers[i], best)
+		}
+	})
+}
+
+func degrade(m *Member, tier int) {
+	switch tier {
+	case suspectPath:
+		m.SetPath(path.Suspect)
+	case ejectedMember:
+		m.SetEjected(start.Add(time.Second))
+	case leavingMember:
+		m.SetLeaving(true)
+		m.SetEjected(start.Add(time.Second))
+	case brokenPath:
+		m.SetPath(path.Broken)
+		m.SetLeaving(true)
+	}
+}
+
+// Guards against members that stay out after their ejection, departure or broken
+// path has ended.
+func TestMembersReturn(t *testing.T) {
+	s := NewSubset("team", "service", fleet(2, 1), Options{})
+	m := s.Members[0]
+	m.SetEjected(start.Add(3 * time.Second))
+	if share := shares(start, s)[0]; share != 0 {
+		t.Fatalf("ejected member got %.2f", share)
+	}
+	if share := shares(start.Add(3*time.Second), s)[0]; share == 0 {
+		t.Error("member got nothing after its ejection ended")
+	}
+	m.SetLeaving(true)
+	m.SetPath(path.Broken)
+	m.SetLeaving(false)
+	m.SetPath(path.Good)
+	if share := shares(start.Add(4*time.Second), s)[0]; share == 0 {
+		t.Error("member got nothing after its path recovered")
+	}
+}
+
+// Guards against a member that is shunned for good because of one high latency
+// that nothing replaces.
+func TestSlowMemberIsAvoidedAndTriedAgain(t *testing.T) {
+	s := NewSubset("team", "service", fleet(8, 1), Options{})
+	for i, m := range s.Members {
+		latency := 25 * time.Millisecond
+		if i == 0 {
+			latency = 250 * time.Millisecond
+		}
+		m.Begin()
+		m.Done(start, latency)
+	}
+	if share := shares(start, s)[0]; share > 0.01 {
+		t.Errorf("member 10x slower got %.3f of the requests", share)
+	}
+	now := start
+	for now.Before(start.Add(15 * time.Second)) {
+		now = now.Add(100 * time.Millisecond)
+		for _, m := range s.Members[1:] {
+			m.Begin()
+			m.Done(now, 25*time.Millisecond)
+		}
+	}
+	if share := shares(now, s)[0]; share == 0 {
+		t.Error("member is still shunned 15 s after one slow answer")
+	}
+}
+
+// Guards against a member that answers fast because it fails, and against load
+// that ignores requests in flight or the reports of exits.
+func TestCostFollowsFailuresAndLoad(t *testing.T) {
+	for name, burden := range map[string]func(*Member){
+		"failed":    func(m *Member) { m.Begin(); m.Failed(start, time.Millisecond) },
+		"in flight": func(m *Member) { m.Begin() },
+		"queue":     func(m *Member) { m.Report(start, 3, 0) },
+		"wait":      func(m *Member) { m.Report(start, 0, 80*time.Millisecond) },
+	} {
+		s := NewSubset("team", "service", fleet(2, 1), Options{})
+		for _, m := range s.Members {
+			m.Begin()
+			m.Done(start, 10*time.Millisecond)
+		}
+		burden(s.Members[0])
+		if share := shares(start, s)[0]; share != 0 {
+			t.Errorf("%s: the burdened member of two got %.2f", name, share)
+		}
+		m := s.Members[0]
+		if queue, wait := m.Load(start.Add(2 * ReportLife)); queue != 0 || wait != 0 {
+			t.Errorf("%s: an old report still counts: %d, %v", name, queue, wait)
+		}
+	}
+}
+
+// Guards against traffic that leaves the zone without need, and against a zone
+// that is overloaded while others are idle.
+func TestLocalZoneIsPreferredUntilLoaded(t *testing.T) {
+	s := NewSubset("team", "service", fleet(2, 2), Options{Zone: "z1"})
+	local := slices.IndexFunc(s.Members, func(m *Member) bool { return m.Zone == "z1" })
+	s.Members[local].Report(start, 0, 1400*time.Microsecond)
+	if share := shares(start, s)[local]; share != 1 {
+		t.Errorf("local member that is 1.4x slower got %.2f, want all", share)
+	}
+	for range defaultSlots {
+		s.Members[local].Begin()
+		s.Members[1-local].Begin()
+	}
+	if share := shares(start, s)[local]; share != 0 {
+		t.Errorf("loaded local member that is 1.4x slower got %.2f, want none", share)
+	}
+}
+
+// Guards against subsets that concentrate in one zone, grow with the service, or
+// change everywhere when one backend server is replaced.
+func TestSubsetIsBoundedSpreadAndStable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(12, 1200).Draw(t, "members")
+		members := fleet(n, 4)
+		team := rapid.StringN(0, 8, 20).Draw(t, "team")
+		before := NewSubset(team, "service", members, Options{Zone: "z0"})
+		limit := subsetSize
+		if n > largeService {
+			limit = largeSubsetSize
+		}
+		zones := make(map[string]int)
+		for _, m := range before.Members {
+			zones[m.Zone]++
+		}
+		if len(before.Members) != limit || len(zones) != 4 || zones["z0"] != limit/4 {
+			t.Fatalf("%d members, want %d, zones %v", len(before.Members), limit, zones)
+		}
+		if n == largeService+1 {
+			return // removing one makes the subset smaller
+		}
+		gone := rapid.IntRange(0, n-1).Draw(t, "gone")
+		after := NewSubset(team, "service", slices.Delete(slices.Clone(members), gone, gone+1), Options{})
+		lost := 0
+		for _, m := range before.Members {
+			if !slices.Contains(after.Members, m) {
+				lost++
+			}
+		}
+		// The removed pick, and one more where the zones' order changes.
+		if lost > 2 {
+			t.Fatalf("one removal changed %d picks", lost)
+		}
+	})
+}
+
+// Guards against torn or lost updates when many requests end at once; the race
+// detector checks the rest.
+func TestStatisticsUnderConcurrentUse(t *testing.T) {
+	s := NewSubset("team", "service", fleet(8, 2), Options{Zone: "z0"})
+	var wg sync.WaitGroup
+	for g := range 8 {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(uint64(g), 0))
+			for n := range 500 {
+				now := start.Add(time.Duration(n) * time.Millisecond)
+				i, _ := Choose(now, r, s, 0)
+				m := s.Members[i]
+				m.Begin()
+				m.Report(now, g, time.Duration(g)*time.Millisecond)
+				m.Done(now, time.Duration(10+g)*time.Millisecond)
+			}
+		})
+	}
+	wg.Wait()
+	now := start.Add(500 * time.Millisecond)
+	for _, m := range s.Members {
+		if m.InFlight() != 0 || m.Latency(now) > 17*time.Millisecond {
+			t.Errorf("%s: %d in flight, latency %v", m.ID, m.InFlight(), m.Latency(now))
+		}
+	}
+}
+
+// Guards against garbage for each request at every size of the service.
+func TestChooseAllocatesNothing(t *testing.T) {
+	for _, n := range []int{8, 1000, 31000} {
+		s, r := NewSubset("team", "service", fleet(n, 16), Options{Zone: "z0"}), source()
+		if got := testing.AllocsPerRun(100, func() { Choose(start, r, s, 0) }); got != 0 {
+			t.Errorf("%d members: %.1f allocations, want 0", n, got)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{8, 1000, 31000} {
+		b.Run(fmt.Sprint("members=", n), func(b *testing.B) {
+			s, r := NewSubset("team", "service", fleet(n, 16), Options{Zone: "z0"}), source()
+			for i, m := range s.Members {
+				m.Begin()
+				m.Done(start, time.Duration(i+1)*time.Millisecond)
+				m.Report(start, i, 0)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Choose(start, r, s, 0)
+			}
+		})
+	}
+}
+
+func ExampleChoose() {
+	now := time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+	members := []*Member{
+		NewMember(now, "bookings-1", "10.0.1.1:7000", "north"),
+		NewMember(now, "bookings-2", "10.0.2.1:7000", "south"),
+	}
+	s := NewSubset("roster", "bookings", members, Options{Zone: "north"})
+	r := rand.New(rand.NewPCG(1, 1))
+
+	first, _ := Choose(now, r, s, 0)
+	fmt.Println("first:", s.Members[first].ID)
+	second, _ := Choose(now, r, s, Set(0).With(first))
+	fmt.Println("second:", s.Members[second].ID)
+	_, ok := Choose(now, r, s, Set(0).With(first).With(second))
+	fmt.Println("third:", ok)
+	// Output:
+	// first: bookings-1
+	// second: bookings-2
+	// third: false
+}
