Test the fair queue and reuse emptied teams

Pushing 20 items of 8 teams allocated 8 times, since activating a team always made a new value; it now takes a spare one.

--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -102,17 +102,23 @@
 
 // activate puts a team at the end of the round.
 func (q *Queue) activate(name string) *teamQueue {
-	t := &teamQueue{}
-	if n := len(q.spare); n > 0 {
-		t = q.spare[n-1]
-		q.spare = q.spare[:n-1]
-	}
+	t := q.unused()
 	t.name = name
 	q.teams[name] = t
 	q.active = append(q.active, t)
 	return t
 }
 
+func (q *Queue) unused() *teamQueue {
+	last := len(q.spare) - 1
+	if last < 0 {
+		return &teamQueue{}
+	}
+	t := q.spare[last]
+	q.spare = q.spare[:last]
+	return t
+}
+
 // evict removes one item from a queue that is one item too long.
 func (q *Queue) evict(now time.Time) Refusal {
 	for _, t := range q.active {
--- /dev/null
+++ b/decide/fairqueue/queue_test.go
@@ -0,0 +1,301 @@
+package fairqueue
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// account follows each pushed item until it leaves the queue.
+type account struct {
+	waiting map[uint64]Item
+	next    uint64
+}
+
+func (a *account) leave(t *rapid.T, item Item, how string) {
+	if _, ok := a.waiting[item.ID]; !ok {
+		t.Fatalf("item %d left twice, now as %s", item.ID, how)
+	}
+	delete(a.waiting, item.ID)
+}
+
+// Guards against items that are lost or returned twice, expired items that run,
+// and a queue that grows beyond its bound.
+func TestEachItemLeavesExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q, now := New(slots), start
+		a := account{waiting: make(map[uint64]Item)}
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			a.step(t, q, now)
+			if q.Len() > LengthPerSlot*slots || q.Len() != len(a.waiting) {
+				t.Fatalf("length %d, %d items waiting, bound %d", q.Len(), len(a.waiting), LengthPerSlot*slots)
+			}
+		}
+		for _, item := range q.Expire(now.Add(time.Hour)) {
+			a.leave(t, item, "expired")
+		}
+		if len(a.waiting) > 0 || q.Len() > 0 {
+			t.Fatalf("%d items were lost, length %d", len(a.waiting), q.Len())
+		}
+	})
+}
+
+func (a *account) step(t *rapid.T, q *Queue, now time.Time) {
+	switch rapid.IntRange(0, 9).Draw(t, "op") {
+	case 0:
+		for _, item := range q.Expire(now) {
+			if item.Deadline.After(now) {
+				t.Fatalf("item %d expired early", item.ID)
+			}
+			a.leave(t, item, "expired")
+		}
+	case 1, 2, 3:
+		if item, ok := q.Pop(now); ok {
+			if !item.Deadline.After(now) {
+				t.Fatalf("expired item %d was popped", item.ID)
+			}
+			a.leave(t, item, "popped")
+		}
+	case 4:
+		id := uint64(rapid.IntRange(0, int(a.next)).Draw(t, "id"))
+		_, waits := a.waiting[id]
+		if item, ok := q.Remove(id); ok != waits {
+			t.Fatalf("remove = %v, waiting = %v", ok, waits)
+		} else if ok {
+			a.leave(t, item, "removed")
+		}
+	case 5:
+		ms := rapid.IntRange(0, 20).Draw(t, "pace")
+		q.SetPace(Pace{Interval: time.Duration(ms) * time.Millisecond, Service: 25 * time.Millisecond})
+	default:
+		a.push(t, q, now)
+	}
+}
+
+func (a *account) push(t *rapid.T, q *Queue, now time.Time) {
+	item := Item{
+		ID:       a.next,
+		Team:     fmt.Sprint("team-", rapid.IntRange(0, 4).Draw(t, "team")),
+		Worth:    rapid.SampledFrom([]float64{0, 0.001, 0.5, 1, 3, 1e6}).Draw(t, "worth"),
+		Deadline: now.Add(time.Duration(rapid.IntRange(-5, 300).Draw(t, "deadline")) * time.Millisecond),
+	}
+	a.next++
+	a.waiting[item.ID] = item
+	if refusal := q.Push(now, item); refusal.Reason != Accepted {
+		a.leave(t, refusal.Item, "refused")
+	}
+}
+
+// Guards against a team that gets more than the share its classes are worth
+// while others wait.
+func TestSharesFollowWorth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(7)
+		worths := rapid.SliceOfN(rapid.IntRange(1, 4), 2, 5).Draw(t, "worths")
+		total, id := 0, uint64(0)
+		push := func(team int) {
+			id++
+			q.Push(start, Item{ID: id, Team: fmt.Sprint(team), Worth: float64(worths[team]), Deadline: start.Add(time.Hour)})
+		}
+		for team, worth := range worths {
+			total += worth
+			for range 5 {
+				push(team)
+			}
+		}
+		got := make([]int, len(worths))
+		pops := 40*total + rapid.IntRange(0, total).Draw(t, "extra")
+		for range pops {
+			item, _ := q.Pop(start)
+			var team int
+			_, _ = fmt.Sscan(item.Team, &team)
+			got[team]++
+			push(team)
+		}
+		for team, worth := range worths {
+			want := float64(pops) * float64(worth) / float64(total)
+			// Deficit round robin is off by at most one turn of each side.
+			if math.Abs(float64(got[team])-want) > 2*float64(worth)+1 {
+				t.Fatalf("team %d of worth %d of %v got %d of %d, want %.0f", team, worth, worths, got[team], pops, want)
+			}
+		}
+	})
+}
+
+// Guards against a team that waits without end while others send more.
+func TestNoTeamStarves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, id := New(7), uint64(1)
+		noisy := rapid.IntRange(1, 6).Draw(t, "noisy teams")
+		worth := rapid.Float64Range(minWorth, 8).Draw(t, "worth of the noisy teams")
+		quiet := rapid.Float64Range(0.1, 1).Draw(t, "worth of the quiet team")
+		flood := func() {
+			for team := range noisy {
+				for range 8 {
+					id++
+					q.Push(start, Item{ID: id, Team: fmt.Sprint(team), Worth: worth, Deadline: start.Add(time.Hour)})
+				}
+			}
+		}
+		flood()
+		q.Push(start, Item{ID: 1, Team: "quiet", Worth: quiet, Deadline: start.Add(time.Hour)})
+		rounds := math.Ceil(1/quiet) + 1
+		limit := int(rounds*math.Ceil(worth)) * noisy
+		for pops := 0; ; pops++ {
+			item, _ := q.Pop(start)
+			if item.ID == 1 {
+				return
+			}
+			if pops > limit {
+				t.Fatalf("not served within %d pops", limit)
+			}
+			flood()
+		}
+	})
+}
+
+func pushAll(q *Queue, items ...Item) []Refusal {
+	var refused []Refusal
+	for _, item := range items {
+		if r := q.Push(start, item); r.Reason != Accepted {
+			refused = append(refused, r)
+		}
+	}
+	return refused
+}
+
+func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// Guards against serving a request with time left before one that is about to
+// miss its deadline.
+func TestEarliestDeadlineFirstWithinATeam(t *testing.T) {
+	q := New(2)
+	pushAll(
+		q,
+		Item{ID: 1, Team: "a", Deadline: after(300)},
+		Item{ID: 2, Team: "a", Deadline: after(100)},
+		Item{ID: 3, Team: "a", Deadline: after(200)},
+	)
+	for _, want := range []uint64{2, 3, 1} {
+		if item, _ := q.Pop(start); item.ID != want {
+			t.Fatalf("popped %d, want %d", item.ID, want)
+		}
+	}
+}
+
+// Guards against a full queue that refuses teams which send little.
+func TestFullQueueRefusesTheLongestTeam(t *testing.T) {
+	q := New(1)
+	refused := pushAll(
+		q,
+		Item{ID: 1, Team: "noisy", Deadline: after(900)},
+		Item{ID: 2, Team: "noisy", Deadline: after(100)},
+		Item{ID: 3, Team: "noisy", Deadline: after(800)},
+		Item{ID: 4, Team: "small", Deadline: after(900)},
+		Item{ID: 5, Team: "other", Deadline: after(900)},
+	)
+	if len(refused) != 1 || refused[0].Item.ID != 3 || refused[0].Reason != Full {
+		t.Fatalf("refused %+v, want item 3, the newest of the noisy team", refused)
+	}
+	if r := q.Push(after(150), Item{ID: 6, Team: "small", Deadline: after(900)}); r.Item.ID != 2 || r.Reason != DeadlinePassed {
+		t.Fatalf("refused %+v, want the expired item 2", r)
+	}
+}
+
+// Guards against work for answers that come too late, and against an outdated
+// pace that refuses everything.
+func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
+	q := New(7)
+	q.SetPace(Pace{Interval: 100 * time.Millisecond, Service: time.Second})
+	short, long := after(1150), after(1250)
+	refused := pushAll(
+		q,
+		Item{ID: 1, Team: "a", Deadline: after(1000)}, // alone: the pace may be outdated
+		Item{ID: 2, Team: "b", Deadline: short},
+		Item{ID: 3, Team: "b", Deadline: long},
+		Item{ID: 4, Team: "b", Deadline: long},
+	)
+	if len(refused) != 2 || refused[0].Item.ID != 2 || refused[1].Item.ID != 4 || refused[0].Reason != DeadlineTooShort {
+		t.Fatalf("refused %+v, want items 2 and 4", refused)
+	}
+	if r := q.Push(start, Item{ID: 5, Team: "a", Deadline: start}); r.Reason != DeadlinePassed {
+		t.Fatalf("reason %d for a deadline that has passed", r.Reason)
+	}
+}
+
+// Guards against a timer that wakes the dispatcher too late to answer expired
+// items.
+func TestNextExpiryIsTheEarliestDeadline(t *testing.T) {
+	q := New(2)
+	if _, ok := q.NextExpiry(); ok {
+		t.Error("an empty queue needs no timer")
+	}
+	pushAll(q, Item{ID: 1, Team: "a", Deadline: after(300)}, Item{ID: 2, Team: "b", Deadline: after(100)})
+	if next, ok := q.NextExpiry(); !ok || !next.Equal(after(100)) {
+		t.Errorf("next expiry %v, want 100 ms", next.Sub(start))
+	}
+}
+
+// Guards against garbage for each request on the dispatcher's path.
+func TestPushAndPopAllocateNothing(t *testing.T) {
+	q := New(7)
+	items := benchItems(20)
+	cycle(q, items)
+	if n := testing.AllocsPerRun(100, func() { cycle(q, items) }); n != 0 {
+		t.Errorf("%.1f allocations for 20 pushes and pops, want 0", n)
+	}
+}
+
+func benchItems(n int) []Item {
+	items := make([]Item, n)
+	for i := range items {
+		items[i] = Item{ID: uint64(i), Team: fmt.Sprint(i % 8), Worth: float64(i%3 + 1), Deadline: after(1000)}
+	}
+	return items
+}
+
+func cycle(q *Queue, items []Item) {
+	for _, item := range items {
+		q.Push(start, item)
+	}
+	for range items {
+		q.Pop(start)
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q, items := New(7), benchItems(20)
+	q.SetPace(Pace{Interval: 4 * time.Millisecond, Service: 25 * time.Millisecond})
+	b.ReportAllocs()
+	for range b.N {
+		cycle(q, items)
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(items)), "ns/item")
+}
+
+func ExampleQueue() {
+	q := New(1) // one slot: at most 4 items wait
+	deadline := start.Add(time.Second)
+	for id := uint64(1); id <= 3; id++ {
+		q.Push(start, Item{ID: id, Team: "large", Deadline: deadline})
+	}
+	q.Push(start, Item{ID: 4, Team: "small", Deadline: deadline})
+	refusal := q.Push(start, Item{ID: 5, Team: "small", Deadline: deadline})
+	fmt.Println("refused:", refusal.Item.ID, refusal.Item.Team)
+	for item, ok := q.Pop(start); ok; item, ok = q.Pop(start) {
+		fmt.Println("run:", item.ID, item.Team)
+	}
+	// Output:
+	// refused: 3 large
+	// run: 1 large
+	// run: 4 small
+	// run: 2 large
+	// run: 5 small
+}
