--- a/decide/retry/retry.go
+++ b/decide/retry/retry.go
@@ -20,14 +20,14 @@
 
 // The results of an attempt.
 const (
-	Pending       Result = iota // still running
-	Answered                    // the backend server answered; nothing to repair
-	Failed                      // the backend server answered with a failure (5xx)
-	NeverSent                   // no connection was opened: proven not run
-	RefusedHere                 // the exit refused before running and others may serve: ejected, leaving, stopping
-	RefusedLoad                 // the exit refused before running because of load: queue full, deadline too short
-	RefusedFinal                // refused before running, and every exit would refuse
-	OutcomeUnknown              // lost, cut or silent after sending: it may have run
+	Pending        Result = iota // still running
+	Answered                     // the backend server answered; nothing to repair
+	Failed                       // the backend server answered with a failure (5xx)
+	NeverSent                    // no connection was opened: proven not run
+	RefusedHere                  // the exit refused before running and others may serve: ejected, leaving, stopping
+	RefusedLoad                  // the exit refused before running because of load: queue full, deadline too short
+	RefusedFinal                 // refused before running, and every exit would refuse
+	OutcomeUnknown               // lost, cut or silent after sending: it may have run
 )
 
 // NotRun tells whether the result proves that the attempt did not run.
