control: hand kept shards over at a planned stop and when others are ranked first

Cause: a successor starts with an empty bucket only after the lease of 2 s has lapsed, which refuses requests within the rate at each restart. Change: the keeper offers each shard to its successor, exports the buckets when the offer is accepted and releases the lease at the same moment.

--- a/control/assemble.go
+++ b/control/assemble.go
@@ -25,14 +25,16 @@
 		return spread.New(spread.Options{Self: o.Self.ID, Rand: source, Validate: validate})
 	}
 	leases := newLeasesStage(state)
+	quotas := newQuotaStage(state, o.Shares)
 	stages := []Stage{
+		&stopStage{state: state},
 		newHostsStage(state, table),
 		&localsStage{state: state},
 		newConfigStage(state, makeSpreader),
 		&pathsStage{state: state, table: path.NewTable()},
 		leases,
-		newQuotaStage(state, o.Shares),
-		&stopStage{state: state},
+		quotas,
+		&handoverStage{state: state, leases: leases, keeper: quotas.keeper, next: o.Self.Started},
 		&statusStage{state: state},
 	}
 	publish := &publisher{state: state}
--- a/node/messages.go
+++ b/node/messages.go
@@ -26,6 +26,8 @@
 	fleet.Register[lease.Release, control.Ack](r, "lease.release")
 	fleet.Register[quota.Ask, quota.Grant](r, "quota.ask")
 	fleet.Register[quota.Return, control.Ack](r, "quota.return")
+	fleet.Register[quota.HandoverOffer, quota.HandoverAccept](r, "quota.offer")
+	fleet.Register[quota.Handover, control.Ack](r, "quota.handover")
 	return r
 }
 
