--- a/decide/concurrency/learn.go
+++ b/decide/concurrency/learn.go
@@ -13,7 +13,7 @@
 	// cutEffect is the least fall of the logarithm of the ratio (10%) by which
 	// cuts must lower latency to be kept.
 	cutEffect = 0.1
-	// smoothing is the number of samples that the current latency averages over.
+	// smoothing is the number of samples that averages of latency extend over.
 	smoothing = 32
 	// roundSamples is the number of samples between two changes of the limit. The
 	// mean of 64 latencies that vary by half of their value is known to 6%, which
@@ -54,6 +54,7 @@
 		l.classes[s.Class] = c
 	}
 	c.observe(now, s.Latency)
+	l.observeTypical(s.Latency)
 	l.lastGrow = now
 	l.pending++
 	l.excess += c.excess(s.Latency)
@@ -62,6 +63,14 @@
 	}
 }
 
+func (l *Limiter) observeTypical(latency time.Duration) {
+	if l.typical == 0 {
+		l.typical = latency
+		return
+	}
+	l.typical += (latency - l.typical) / smoothing
+}
+
 func (c *classLatency) observe(now time.Time, latency time.Duration) {
 	c.samples++
 	weight := 1 / float64(min(c.samples, smoothing))
--- a/decide/concurrency/limiter.go
+++ b/decide/concurrency/limiter.go
@@ -30,6 +30,7 @@
 	limit    float64 // between 1 and slots
 	inFlight int
 	classes  map[string]*classLatency
+	typical  time.Duration // average latency of all classes
 
 	// The running round, which ends with a decision about the limit.
 	pending int     // samples
@@ -59,6 +60,12 @@
 	return int(l.limit)
 }
 
+// Typical returns the average latency of recent requests, 0 while unknown. It
+// divided by Limit is the time between two free slots of a server in full use.
+func (l *Limiter) Typical() time.Duration {
+	return l.typical
+}
+
 // InFlight returns the requests that are running.
 func (l *Limiter) InFlight() int {
 	return l.inFlight
