Describe a configuration by its changes; extend the stand-ins

Config.ChangesSince and Config.Apply let peers exchange only the parts that changed. Stand-ins gain tests for each switch.

--- a/config/config.go
+++ b/config/config.go
@@ -5,7 +5,7 @@
 // Config is one accepted configuration. It is immutable and safe for use by
 // any number of goroutines. Lookups do not allocate.
 type Config struct {
-	manifest value
+	manifest value // encoded by this package, so that equal manifests have equal digests
 	version  uint64
 	fleet    *fleetPart
 	teams    []*teamPart
@@ -22,6 +22,7 @@
 // fleetPart is the fleet value, decoded and indexed.
 type fleetPart struct {
 	value
+	since    uint64 // version in which this process first saw the value
 	document Fleet
 	services map[string]*Service
 	classes  map[string]*Class
@@ -31,6 +32,7 @@
 // teamPart is one team value, decoded and indexed.
 type teamPart struct {
 	value
+	since  uint64 // version in which this process first saw the value
 	number int
 	teams  []Team
 	byName map[string]*Team
@@ -45,14 +47,16 @@
 // Version returns the version of the manifest.
 func (c *Config) Version() uint64 { return c.version }
 
-// ManifestDigest returns the SHA-256 digest of the manifest value.
+// ManifestDigest returns the SHA-256 digest of the manifest in the encoding of
+// Build, whatever spacing and order the operator used.
 func (c *Config) ManifestDigest() Digest { return c.manifest.digest }
 
 // TeamParts returns the number of team values.
 func (c *Config) TeamParts() int { return len(c.teams) }
 
-// Value returns the published bytes of a value, for passing on to a peer. The
-// caller must not change them. Unknown names return nil.
+// Value returns the bytes of a value for passing on to a peer: the manifest in
+// the encoding of Build, the others as published. The caller must not change
+// them. Unknown names return nil.
 func (c *Config) Value(name string) []byte {
 	if name == ManifestName {
 		return c.manifest.data
--- a/config/encode.go
+++ b/config/encode.go
@@ -67,10 +67,10 @@
 }
 
 // Build encodes documents as the manifest value and the values that it lists.
-// It does not check them; Parse does. The only errors are a part count below 1
-// and numbers that JSON cannot hold.
+// It does not check them; Parse does. The only errors are an impossible number of
+// parts and numbers that JSON cannot hold.
 func Build(version uint64, teamParts int, fleet Fleet, teams []Team) (manifest []byte, parts map[string][]byte, err error) {
-	if teamParts < 1 {
+	if teamParts < 1 || teamParts > MaxTeamParts {
 		return nil, nil, errTeamParts
 	}
 	parts = make(map[string][]byte, teamParts+1)
@@ -90,19 +90,28 @@
 			return nil, nil, err
 		}
 	}
-	manifest, err = json.Marshal(encodeManifest(version, teamParts, parts))
-	return manifest, parts, err
+	return marshalManifest(digestParts(version, teamParts, parts)), parts, nil
 }
 
-func encodeManifest(version uint64, teamParts int, parts map[string][]byte) manifestJSON {
-	m := manifestJSON{Version: version, TeamParts: teamParts}
+func digestParts(version uint64, teamParts int, parts map[string][]byte) Manifest {
+	m := Manifest{Version: version, TeamParts: teamParts}
 	for _, name := range partNames(teamParts) {
-		digest := sha256.Sum256(parts[name])
-		m.Parts = append(m.Parts, partJSON{name, hex.EncodeToString(digest[:])})
+		m.Parts = append(m.Parts, Part{name, sha256.Sum256(parts[name])})
 	}
 	return m
 }
 
+// marshalManifest encodes the parts in the given order. Its types hold nothing
+// that JSON could refuse.
+func marshalManifest(m Manifest) []byte {
+	out := manifestJSON{Version: m.Version, TeamParts: m.TeamParts}
+	for _, part := range m.Parts {
+		out.Parts = append(out.Parts, partJSON{part.Name, hex.EncodeToString(part.Digest[:])})
+	}
+	data, _ := json.Marshal(out)
+	return data
+}
+
 // partNames returns the names that a manifest must list.
 func partNames(teamParts int) []string {
 	names := []string{FleetName}
--- a/config/parse.go
+++ b/config/parse.go
@@ -90,7 +90,7 @@
 		return nil, d.problems
 	}
 	return &Config{
-		manifest: d.manifest,
+		manifest: canonicalManifest(d.listed),
 		version:  d.listed.Version,
 		fleet:    d.fleet,
 		teams:    d.teams,
@@ -208,7 +208,7 @@
 		return
 	}
 	document := newReader(FleetName, v.data, &d.report).fleet()
-	d.fleet = &fleetPart{value: v, document: document}
+	d.fleet = &fleetPart{value: v, since: d.listed.Version, document: document}
 }
 
 func selectTeams(d *draft) {
@@ -225,7 +225,7 @@
 		}
 		teams := newReader(name, v.data, &d.report).teams()
 		// Clone frees the room that appending left over, 1.6 MB at the goal's size.
-		d.teams[i] = &teamPart{value: v, number: i, teams: slices.Clone(teams)}
+		d.teams[i] = &teamPart{value: v, since: d.listed.Version, number: i, teams: slices.Clone(teams)}
 	}
 }
 
--- a/config/scale_test.go
+++ b/config/scale_test.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -22,15 +21,6 @@
 	eighth = 8
 )
 
-func mustEncode(t testing.TB, m manifestJSON) []byte {
-	t.Helper()
-	data, err := json.Marshal(m)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return data
-}
-
 func goalFleet(fraction int) Fleet {
 	f := Fleet{Classes: []Class{{Name: "read", Idempotent: true, Target: time.Second, Worth: 1, Deadline: time.Second}}}
 	for i := range goalServices {
--- a/config/update_test.go
+++ b/config/update_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"reflect"
@@ -31,6 +32,7 @@
 				continue
 			}
 			requireSameTeams(t, updated, fresh)
+			requireSameManifest(t, cfg, updated)
 			cfg = updated
 		}
 	})
@@ -54,6 +56,18 @@
 	return teams
 }
 
+// requireSameManifest follows the changes from one configuration to the next as a
+// peer does.
+func requireSameManifest(t *rapid.T, from, to *Config) {
+	if from == nil {
+		return
+	}
+	manifest, ok := from.Apply(to.ChangesSince(from.Version()))
+	if !ok || !bytes.Equal(manifest, to.Value(ManifestName)) {
+		t.Fatalf("applied changes give %s, %t, want %s", manifest, ok, to.Value(ManifestName))
+	}
+}
+
 func requireSameTeams(t *rapid.T, got, want *Config) {
 	for key := range 10 {
 		digest := keyDigest(fmt.Sprint(key))
@@ -108,6 +122,34 @@
 	}
 }
 
+// Guards against a manifest that is put together from changes of another fleet
+// state, and against changes that list every part: at the goal's size the whole
+// manifest for each of 4,300 changes a day would exceed the control traffic of
+// 2 KB/s.
+func TestApplyChanges(t *testing.T) {
+	cfg := mustParse(t, 1, smallFleet(), smallTeams())
+	next, problems := cfg.Update(mustBuild(t, 2, smallFleet(), smallTeams()[:2]))
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	changes := next.ChangesSince(1)
+	if len(changes.Parts) != 1 || changes.Parts[0].Name != TeamPartName(TeamPart("weka", testParts)) {
+		t.Errorf("one team changed, the changes list %d parts", len(changes.Parts))
+	}
+	other := smallFleet()
+	other.Services[0].Floor = 0.1
+	if _, ok := mustParse(t, 1, other, smallTeams()).Apply(changes); ok {
+		t.Error("the changes fit a different configuration of the same version")
+	}
+	changes.TeamParts++
+	if _, ok := cfg.Apply(changes); ok {
+		t.Error("the changes fit another number of parts")
+	}
+	if unchanged := next.ChangesSince(2); len(unchanged.Parts) != 0 {
+		t.Errorf("changes since the version in force: %v", unchanged.Parts)
+	}
+}
+
 // Guards against crashes and hangs on hostile values, and against an accepted
 // document that cannot be published again.
 func FuzzParse(f *testing.F) {
@@ -117,11 +159,8 @@
 	f.Add([]byte(`[[{"a":[1,{}],"b":null}]]`), []byte(`"x"`), []byte(` 1 `))
 	f.Fuzz(func(t *testing.T, fleet, teams, manifest []byte) {
 		Parse(manifest, map[string][]byte{FleetName: fleet, "teams-0": teams, "teams-1": manifest})
-		built, values, _ := Build(1, 1, Fleet{}, nil)
-		values[FleetName], values["teams-0"] = fleet, teams
-		listed := newReader(ManifestName, built, &report{}).manifest()
-		m := encodeManifest(listed.Version, listed.TeamParts, values)
-		cfg, problems := Parse(mustEncode(t, m), values)
+		values := map[string][]byte{FleetName: fleet, "teams-0": teams}
+		cfg, problems := Parse(marshalManifest(digestParts(1, 1, values)), values)
 		if (cfg == nil) == (len(problems) == 0) {
 			t.Fatalf("configuration %v with problems %v", cfg, problems)
 		}
--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -91,7 +91,7 @@
 	mu         sync.Mutex
 	behavior   Behavior
 	random     *rand.Rand
-	log        []Record
+	log        []*Record
 	executions map[string]int // by header name and value
 	started    time.Time
 	crashes    int
@@ -187,7 +187,18 @@
 func (b *Backend) Log() []Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return append([]Record(nil), b.log...)
+	log := make([]Record, len(b.log))
+	for i, record := range b.log {
+		log[i] = *record
+	}
+	return log
+}
+
+// ClearLog forgets the request log and keeps the counts of executions.
+func (b *Backend) ClearLog() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.log = nil
 }
 
 // Executions returns how often work began on a request with this X-Request-Id.
@@ -212,7 +223,7 @@
 
 func (b *Backend) serveWork(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	index := b.record(r, body)
+	record := b.record(r, body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -223,7 +234,7 @@
 		return
 	}
 	if b.marked(r, body) {
-		b.execute(index)
+		b.execute(record)
 		b.Crash()
 		panic(http.ErrAbortHandler)
 	}
@@ -233,7 +244,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer b.slots.give()
-	b.execute(index)
+	b.execute(record)
 	if !work(ctx, plan.time) {
 		panic(http.ErrAbortHandler)
 	}
@@ -273,10 +284,10 @@
 	return 1 + (b.options.ColdFactor-1)*left
 }
 
-func (b *Backend) record(r *http.Request, body []byte) (index int) {
+func (b *Backend) record(r *http.Request, body []byte) *Record {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.log = append(b.log, Record{
+	record := &Record{
 		At:         time.Now(),
 		Connection: connectionNumber(r.Context()),
 		Method:     r.Method,
@@ -284,14 +295,14 @@
 		Host:       r.Host,
 		Header:     r.Header.Clone(),
 		Body:       body,
-	})
-	return len(b.log) - 1
+	}
+	b.log = append(b.log, record)
+	return record
 }
 
-func (b *Backend) execute(index int) {
+func (b *Backend) execute(record *Record) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	record := &b.log[index]
 	record.Executed = true
 	for _, name := range []string{headerRequestID, headerIdempotency} {
 		if value := record.Header.Get(name); value != "" {
--- a/internal/fakes/backend_test.go
+++ b/internal/fakes/backend_test.go
@@ -172,3 +172,37 @@
 		t.Error("the silent connection let a request through")
 	}
 }
+
+// Guards against behavior switches that have no effect.
+func TestBackendPlans(t *testing.T) {
+	b := startBackend(t, BackendOptions{Time: FixedTime(time.Second), ColdStart: time.Hour, ColdFactor: 2})
+	if cold := b.plan().time; cold < 1900*time.Millisecond || cold > 2*time.Second {
+		t.Errorf("a cold start takes %v for 1 s of work, want about twice that", cold)
+	}
+	b.options.ColdStart = 0
+	b.Change(func(v *Behavior) { v.SlowFactor = 10 })
+	if slow := b.plan(); slow.time != 10*time.Second || slow.refuse {
+		t.Errorf("a tenfold slowness gives %+v", slow)
+	}
+	b.Change(func(v *Behavior) { v.Draining, v.LoadLag = true, time.Hour })
+	if !b.plan().refuse {
+		t.Error("a draining server takes work")
+	}
+	first := b.reportedLoad()
+	b.slots.used = 5
+	if b.reportedLoad() != first {
+		t.Error("the reported load does not lag")
+	}
+}
+
+// Guards against work that goes on after its deadline.
+func TestBackendStopsAtTheDeadline(t *testing.T) {
+	b := startBackend(t, BackendOptions{Time: FixedTime(time.Hour)})
+	req, _ := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+b.Address()+"/", nil)
+	req.Header.Set(headerDeadline, "5")
+	if response, err := newClient(t).Do(req); err == nil {
+		_ = response.Body.Close()
+		t.Error("the request was answered")
+	}
+	eventually(t, func() bool { used, _ := b.InUse(); return used == 0 })
+}
