Index keys by place and bound the list of problems

The index now holds places of 16 bytes, and at most 10,000 problems are listed. What an update reports depends on the documents alone.

--- a/config/config.go
+++ b/config/config.go
@@ -91,7 +91,7 @@
 
 // KeyByDigest finds the key with the given SHA-256 digest.
 func (c *Config) KeyByDigest(digest Digest) (KeyRef, bool) {
-	return c.keys.find(digest)
+	return c.keys.find(c.teams, &digest)
 }
 
 // KeyValid tells whether the team has a key with this identifier, that is,
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -218,5 +218,28 @@
 		if cfg != nil || len(problems) == 0 || problems[len(problems)-1].Code != c.code || problems[0].Part != "teams-2" {
 			t.Errorf("want %v, got %v", c.code, problems)
 		}
+		// An update that lacks the value finds the same.
+		previous := mustParse(t, 1, smallFleet(), smallTeams()[:2])
+		manifest, _ = mustBuild(t, 2, smallFleet(), smallTeams())
+		if _, problems := previous.Update(manifest, nil); len(problems) != 1 || problems[0].Code != pipeline.CodeConfigMissing {
+			t.Errorf("update without the changed value: %v", problems)
+		}
+	}
+}
+
+// Guards against places in the key index that wrap around: a malformed value of
+// allowed size can list more teams or keys than an entry counts. Guards also
+// against a list of problems without a bound, which would exhaust the memory of
+// every process that reads such a value.
+func TestParseRefusesMoreTeamsThanTheIndexCounts(t *testing.T) {
+	team := `{"name":"kea","rate":1,"burst":1,"keys":[` + strings.Repeat("{},", 70_000) + `{"id":"a","digest":"` + strings.Repeat("ab", 32) + `"}]}`
+	for _, value := range []string{
+		`{"teams":[` + strings.Repeat("{},", 70_000) + team + `]}`,
+		`{"teams":[` + team + `]}`,
+	} {
+		parts := map[string][]byte{FleetName: []byte(`{"services":[],"classes":[],"routes":[]}`), "teams-0": []byte(value)}
+		if cfg, problems := Parse(marshalManifest(digestParts(1, 1, parts)), parts); cfg != nil || problems[0].Code != pipeline.CodeConfigMissing || len(problems) != MaxProblems+1 {
+			t.Errorf("got %d problems, first %v", len(problems), problems[0])
+		}
 	}
 }
--- a/config/index.go
+++ b/config/index.go
@@ -27,73 +27,37 @@
 	}
 }
 
-// indexKeys brings the key index up to date. It follows the parts that changed;
-// if a digest is taken, it indexes all parts afresh, so that the report is the
-// same whatever the previous configuration was.
+// indexKeys brings the key index up to date with the parts that changed. What it
+// reports depends on the documents alone, not on the previous configuration.
 func indexKeys(d *draft) {
+	original := &keyIndex{}
+	if d.previous != nil && len(d.previous.teams) == len(d.teams) {
+		original = d.previous.keys
+	}
+	replaced := make([]bool, len(d.teams))
+	for i, part := range d.teams {
+		replaced[i] = part == nil
+	}
+	var entries []keyEntry
 	for _, part := range d.freshTeams() {
 		for i := range part.teams {
 			d.listKeyIDs(part, i)
 		}
+		replaced[part.number] = true
+		entries = append(entries, part.entries()...)
 	}
-	index, ok := d.followKeys()
-	if !ok {
-		index = d.indexAllKeys()
+	index, repeated := original.replaceParts(replaced, entries, d.teams)
+	for _, entry := range repeated {
+		d.reportRepeated(index, entry)
 	}
 	d.accepted = index
 }
 
-// followKeys starts from the previous index. All removals come before the
-// additions, since a key may move between parts.
-func (d *draft) followKeys() (*keyIndex, bool) {
-	if d.previous == nil || len(d.previous.teams) != len(d.teams) {
-		return nil, false
-	}
-	editor := editKeys(d.previous.keys)
-	fresh := d.freshTeams()
-	changes := make([]keyChange, len(fresh))
-	for i, part := range fresh {
-		changes[i] = compareKeys(d.previous.teams[part.number], part)
-		if changes[i].duplicate {
-			return nil, false
-		}
-		for _, digest := range changes[i].removed {
-			editor.remove(digest)
-		}
-	}
-	for _, change := range changes {
-		for digest, ref := range change.added {
-			if !editor.add(digest, ref) {
-				return nil, false
-			}
-		}
-	}
-	return editor.index, true
-}
-
-func (d *draft) indexAllKeys() *keyIndex {
-	editor := editKeys(nil)
-	for _, part := range d.teams {
-		if part == nil {
-			continue
-		}
-		for i := range part.teams {
-			d.addKeys(editor, part, i)
-		}
-	}
-	return editor.index
-}
-
-func (d *draft) addKeys(editor *keyEditor, part *teamPart, i int) {
-	team := &part.teams[i]
-	for j, key := range team.Keys {
-		if editor.add(key.Digest, KeyRef{team.Name, key.ID}) {
-			continue
-		}
-		at := field{d, part.name, fmt.Sprintf("teams[%d].keys[%d].digest", i, j)}
-		taken, _ := editor.index.find(key.Digest)
-		at.report(pipeline.CodeConfigDuplicate, "key %q of team %q has the same digest", taken.KeyID, taken.Team)
-	}
+func (d *draft) reportRepeated(index *keyIndex, entry keyEntry) {
+	_, key := entry.in(d.teams)
+	first, _ := index.find(d.teams, &key.Digest)
+	at := field{d, TeamPartName(int(entry.part)), fmt.Sprintf("teams[%d].keys[%d].digest", entry.team, entry.key)}
+	at.report(pipeline.CodeConfigDuplicate, "key %q of team %q has the same digest", first.KeyID, first.Team)
 }
 
 // listKeyIDs sorts the key identifiers of a team for lookups and reports those
--- a/config/json.go
+++ b/config/json.go
@@ -26,10 +26,10 @@
 	report *report
 }
 
-// step is one element of a path: a field name or an array index.
+// step is one element of a path: a field name, or an array index.
 type step struct {
 	name  string
-	index int
+	index int // -1 for a field
 }
 
 // fields describes one kind of object.
@@ -83,7 +83,7 @@
 func (r *reader) where() string {
 	var b strings.Builder
 	for _, s := range r.path {
-		if s.name == "" {
+		if s.index >= 0 {
 			fmt.Fprintf(&b, "[%d]", s.index)
 			continue
 		}
@@ -146,7 +146,7 @@
 }
 
 func (r *reader) field(name string, known *fields, seen *uint64, visit func(string)) {
-	r.push(step{name: name})
+	r.push(step{name, -1})
 	defer r.pop()
 	i := known.find(name)
 	switch {
@@ -167,7 +167,7 @@
 		if seen&(1<<i) != 0 {
 			continue
 		}
-		r.push(step{name: name})
+		r.push(step{name, -1})
 		r.add(pipeline.CodeConfigMissing, "the field is required")
 		r.pop()
 	}
--- a/config/parse.go
+++ b/config/parse.go
@@ -70,7 +70,7 @@
 	readManifest(d)
 	checkManifest(d)
 	if len(d.problems) > 0 {
-		return 0, nil, d.problems
+		return 0, nil, d.result()
 	}
 	for _, name := range partNames(d.listed.TeamParts) {
 		if !d.unchanged(name) {
@@ -86,8 +86,7 @@
 		run(d)
 	}
 	if len(d.problems) > 0 {
-		d.problems.sort()
-		return nil, d.problems
+		return nil, d.result()
 	}
 	return &Config{
 		manifest: canonicalManifest(d.listed),
--- a/config/problem.go
+++ b/config/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -55,16 +56,35 @@
 	}
 }
 
+// result returns the problems in order, with a note if some are not listed.
+func (r *report) result() Problems {
+	r.problems.sort()
+	if r.unlisted > 0 {
+		note := fmt.Sprintf("%d further problems are not listed", r.unlisted)
+		r.problems = append(r.problems, Problem{pipeline.CodeConfigTooLarge, ManifestName, "", note})
+	}
+	return r.problems
+}
+
 type place struct{ part, path string }
 
+// MaxProblems bounds the problems that are listed. A malformed value of 1 MB can
+// have a million of them, which would take more memory than a process may use.
+const MaxProblems = 10_000
+
 // report collects problems. It keeps the first one at each field, so that a
 // field of the wrong type is not also reported as out of range.
 type report struct {
 	problems Problems
 	seen     map[place]bool
+	unlisted int // problems beyond MaxProblems
 }
 
 func (r *report) add(code pipeline.Code, part, path, message string) {
+	if len(r.problems) >= MaxProblems {
+		r.unlisted++
+		return
+	}
 	at := place{part, path}
 	if path != "" && r.seen[at] {
 		return
