--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -36,7 +36,7 @@
 			Host: rapid.IntRange(0, 13).Draw(t, "host"),
 			For:  time.Duration(rapid.Int64Range(int64(50*time.Millisecond), int64(4*time.Second)).Draw(t, "for")),
 		}
-	}), 0, 12).Draw(t, "faults")
+	}), 0, 24).Draw(t, "faults")
 }
 
 // Guards against two keepers of a shard at a time, and against tenures that
--- a/decide/quota/handover.go
+++ b/decide/quota/handover.go
@@ -26,7 +26,11 @@
 	k.touchShard(now, t, a.Shard)
 	t.closed = true
 	for key, b := range t.buckets {
-		h.Buckets = append(h.Buckets, b.export(key))
+		state := b.export(key)
+		state.Version = k.limits[key.Team].Version
+		_, unsettled := k.changes[key.Team]
+		state.Settled = !unsettled
+		h.Buckets = append(h.Buckets, state)
 	}
 	sort.Slice(h.Buckets, func(i, j int) bool { return h.Buckets[i].Key.less(h.Buckets[j].Key) })
 	return h, true
--- a/decide/quota/keeper.go
+++ b/decide/quota/keeper.go
@@ -44,6 +44,7 @@
 type change struct {
 	ceiling [MaxParts]Limit
 	until   time.Duration
+	start   bool // the process started lately: the number may have changed
 }
 
 // table holds the buckets of one tenure.
@@ -79,6 +80,7 @@
 	}
 	k.limits[team] = l
 	if !known {
+		k.firstLimit(now, team, l)
 		return
 	}
 	if Parts(old.Rate, old.Burst) != Parts(l.Rate, l.Burst) {
@@ -103,6 +105,21 @@
 	return c
 }
 
+// firstLimit guards against a change of the number of parts that was accepted
+// just before this process started. Part 0 of a divided limit is no larger than
+// before such a change; any other part may not have existed.
+func (k *Keeper) firstLimit(now time.Time, team string, l Limit) {
+	since := now.Sub(k.base)
+	if since >= partsSettle {
+		return
+	}
+	c := change{until: since + partsSettle, start: true}
+	if Parts(l.Rate, l.Burst) > 1 {
+		c.ceiling[0] = l.Part(0)
+	}
+	k.changes[team] = c
+}
+
 // touch brings all buckets of a team up to date under the limits now in force.
 func (k *Keeper) touch(now time.Time, team string) {
 	for part := range MaxParts {
@@ -202,10 +219,20 @@
 	t.recoverUntil = since
 	for _, state := range h.Buckets {
 		t.buckets[state.Key] = importBucket(since, state)
+		k.trust(state)
 	}
 	return t
 }
 
+// trust ends the caution of a new process if the predecessor had the same
+// limit, settled.
+func (k *Keeper) trust(state BucketState) {
+	c, ok := k.changes[state.Key.Team]
+	if ok && c.start && state.Settled && state.Version == k.limits[state.Key.Team].Version {
+		delete(k.changes, state.Key.Team)
+	}
+}
+
 // bucket returns a bucket, brought up to date. A new one starts empty with the
 // tenure.
 func (k *Keeper) bucket(now time.Time, t *table, key Key) *bucket {
--- a/decide/quota/messages.go
+++ b/decide/quota/messages.go
@@ -153,6 +153,8 @@
 type BucketState struct {
 	Key         Key           `json:"key"`
 	Level       float64       `json:"level"`
+	Version     uint64        `json:"version"`           // of the limit that the old keeper applied
+	Settled     bool          `json:"settled,omitempty"` // no change of the number of parts is recent
 	Outstanding []Outstanding `json:"outstanding,omitempty"`
 }
 
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -20,6 +20,7 @@
 	CutIn                  // messages to the host are lost for For
 	CutZoneOut             // messages from the host's zone to others are lost for For
 	Replace                // a new host takes the place of the host
+	FalseAlarm             // every process suspects every other for For
 	kinds
 )
 
@@ -68,6 +69,8 @@
 		})
 	case Replace:
 		f.replaceWithin(m)
+	case FalseAlarm:
+		f.falseAlarm(fault.For)
 	}
 }
 
@@ -79,6 +82,19 @@
 	f.At(f.now+d, func() { f.cut = nil })
 }
 
+// falseAlarm makes all candidates compete at once, since each takes itself for
+// the only one alive.
+func (f *Fleet) falseAlarm(d time.Duration) {
+	for _, p := range f.all {
+		others := make(map[string]bool)
+		for _, m := range f.members {
+			others[m.ID] = m.ID != p.member.ID
+		}
+		p.candidate.SetSuspected(others)
+	}
+	f.At(f.now+d, f.suspect)
+}
+
 func (f *Fleet) replaceWithin(old rendezvous.Member) {
 	if f.replaced > 0 && f.now-f.replaced < replaceGap {
 		return
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -187,6 +187,7 @@
 		return
 	}
 	p.pausedUntil = max(p.pausedUntil, f.now+d)
+	f.exec(p, p.refreshLimits)
 	stale := p.clock()
 	for _, team := range p.teams {
 		share := p.holders.Get(team).Share()
--- a/internal/fleetsim/process.go
+++ b/internal/fleetsim/process.go
@@ -42,7 +42,7 @@
 		f:       f,
 		member:  m,
 		run:     f.runs,
-		rate:    1 - f.rng.Float64()*f.cfg.ClockSpread,
+		rate:    f.clockRate(),
 		epochs:  make(map[uint32]uint64),
 		waiting: make(map[uint64]*Request),
 	}
@@ -63,6 +63,12 @@
 	f.After(f.delay(quotaTick), p, p.tickQuota)
 }
 
+// clockRate is mostly one of the extremes.
+func (f *Fleet) clockRate() float64 {
+	x := min(1, max(0, 3*f.rng.Float64()-1))
+	return 1 - x*f.cfg.ClockSpread
+}
+
 // clock returns the local time. Clocks of processes share no origin.
 func (p *process) clock() time.Time {
 	origin := time.Unix(int64(p.run)*1000, 0)
@@ -74,6 +80,14 @@
 	p.candidate.MembersChanged(p.clock())
 }
 
+// refreshLimits applies the limits in force. A process that resumes is not
+// current, and takes no part, before it has heard of the newest configuration.
+func (p *process) refreshLimits() {
+	for _, team := range p.teams {
+		p.setLimit(team, p.f.limits[team])
+	}
+}
+
 func (p *process) setLimit(team string, l quota.Limit) {
 	now := p.clock()
 	if p.holders.Get(team) == nil {
