--- a/config/parse.go
+++ b/config/parse.go
@@ -70,7 +70,7 @@
 	readManifest(d)
 	checkManifest(d)
 	if len(d.problems) > 0 {
-		return 0, nil, d.problems
+		return 0, nil, d.result()
 	}
 	for _, name := range partNames(d.listed.TeamParts) {
 		if !d.unchanged(name) {
@@ -94,11 +94,10 @@
 		run(d)
 	}
 	if len(d.problems) > 0 {
-		d.problems.sort()
-		return nil, d.problems
+		return nil, d.result()
 	}
 	return &Config{
-		manifest: d.manifest,
+		manifest: canonicalManifest(d.listed),
 		version:  d.listed.Version,
 		fleet:    d.fleet,
 		teams:    d.teams,
@@ -216,7 +215,7 @@
 		return
 	}
 	document := newReader(FleetName, v.data, &d.report).fleet()
-	d.fleet = &fleetPart{value: v, document: document}
+	d.fleet = &fleetPart{value: v, since: d.listed.Version, document: document}
 }
 
 func selectTeams(d *draft) {
@@ -233,7 +232,7 @@
 		}
 		teams := newReader(name, v.data, &d.report).teams()
 		// Clone frees the room that appending left over, 1.6 MB at the goal's size.
-		d.teams[i] = &teamPart{value: v, number: i, teams: slices.Clone(teams)}
+		d.teams[i] = &teamPart{value: v, since: d.listed.Version, number: i, teams: slices.Clone(teams)}
 	}
 }
 
