--- a/control/assemble.go
+++ b/control/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
 	"github.com/ragwortyard/ragwortyard/decide/path"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
@@ -10,8 +11,9 @@
 
 // Options configure the control loop of a process.
 type Options struct {
-	Self Self
-	Seed uint64 // of the random choices of peers
+	Self     Self
+	Seed     uint64 // of the random choices of peers
+	Ejection ejection.Settings
 	// Shares is the table through which traffic spends tokens.
 	Shares *ShareTable
 }
@@ -26,6 +28,9 @@
 	}
 	leases := newLeasesStage(state)
 	quotas := newQuotaStage(state, o.Shares)
+	judges := newJudgesStage(state, o.Ejection)
+	health := newHealthStage(state, judges, o.Ejection)
+	judges.deliver = health.apply
 	stages := []Stage{
 		&stopStage{state: state},
 		newHostsStage(state, table),
@@ -35,6 +40,8 @@
 		leases,
 		quotas,
 		&handoverStage{state: state, leases: leases, keeper: quotas.keeper, next: o.Self.Started},
+		judges,
+		health,
 		&statusStage{state: state},
 	}
 	publish := &publisher{state: state}
--- a/control/publish.go
+++ b/control/publish.go
@@ -29,6 +29,7 @@
 		Stopping:  p.state.Stopping,
 		Services:  p.services,
 		Locals:    p.buildLocals(),
+		Ejections: p.state.Ejections,
 	}
 }
 
@@ -74,7 +75,7 @@
 	self := p.state.Hosts[p.state.Self.ID]
 	leaving := make(map[string]bool)
 	for _, b := range self.Backends {
-		leaving[b.ID] = b.Leaving || self.Leaving
+		leaving[b.ID] = b.Leaving || self.Leaving || p.state.Draining[b.ID]
 	}
 	return leaving
 }
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/decide/balance"
+	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/retry"
 )
 
@@ -19,10 +20,11 @@
 	// clock at the moment of use, so that it also holds after a pause.
 	KeysUntil time.Time
 	// ReadyAt is when the shards of a fleet that starts together have keepers.
-	ReadyAt  time.Time
-	Stopping bool // a planned stop has begun
-	Services map[string]*Service
-	Locals   map[string]*Local // backend servers of this host by identifier
+	ReadyAt   time.Time
+	Stopping  bool // a planned stop has begun
+	Services  map[string]*Service
+	Locals    map[string]*Local         // backend servers of this host by identifier
+	Ejections map[string]ejection.Lease // of the backend servers of this host
 }
 
 // startTime is how long a starting process waits before it calls itself ready:
--- a/control/state.go
+++ b/control/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/decide/balance"
+	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
@@ -52,6 +53,10 @@
 	Config    *config.Config
 	KeysUntil time.Time
 
+	// Written by the health stage, by backend server of this host.
+	Ejections map[string]ejection.Lease
+	Draining  map[string]bool
+
 	// Set up by the leases stage.
 	Leases Leases
 
--- a/control/status.go
+++ b/control/status.go
@@ -17,6 +17,7 @@
 	Stopping      bool            `json:"stopping"`
 	Refusals      []ConfigRefusal `json:"configRefusals,omitempty"`
 	Peers         []PeerStatus    `json:"peers,omitempty"`
+	Backends      []BackendStatus `json:"backends,omitempty"` // of the services that this process keeps
 }
 
 // ConfigRefusal is a refused configuration.
@@ -34,6 +35,15 @@
 	Path    string `json:"path,omitempty"`
 }
 
+// BackendStatus is a backend server as the keeper of its service sees it.
+type BackendStatus struct {
+	Service string  `json:"service"`
+	ID      string  `json:"id"`
+	Healthy bool    `json:"healthy"`
+	Share   float64 `json:"share"`            // of its traffic, 0 to 1
+	Reason  string  `json:"reason,omitempty"` // of an ejection or return
+}
+
 // statusAsked collects the status from all stages. The last stage sends it.
 type statusAsked struct {
 	status *Status
--- a/filters/send/send.go
+++ b/filters/send/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/internal/httpsend"
@@ -40,6 +41,7 @@
 
 // Observation is one call to the backend server.
 type Observation struct {
+	Call    uint64 // as passed to Started
 	Request *pipeline.Request
 	Ending  Ending
 	Latency time.Duration // until the header of the answer
@@ -49,8 +51,12 @@
 type Filter struct {
 	Addr      string // "ip:port" of the backend server
 	Transport http.RoundTripper
-	// Observe takes each ended call. It must not block.
+	// Started takes each call that is sent, Observe each one that has ended.
+	// They must not block.
+	Started func(call uint64, class string, at time.Time)
 	Observe func(Observation)
+
+	calls atomic.Uint64
 }
 
 // Name returns "send".
@@ -63,12 +69,16 @@
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	out := httpsend.NewRequest(httptrace.WithClientTrace(ctx, trace), req, f.Addr)
 	setHeaders(out.Header, req)
+	call := f.calls.Add(1)
 	started := time.Now()
+	f.Started(call, req.Class.Name, started)
 	resp, err := f.Transport.RoundTrip(out)
 	latency := time.Since(started)
 	if err != nil {
 		defer cancel()
-		return f.failed(ctx, req, connected, latency)
+		code, end := failure(ctx, req, connected, latency)
+		f.Observe(Observation{Call: call, Request: req, Ending: end, Latency: latency})
+		return pipeline.Refuse(code, "")
 	}
 	result := &pipeline.Result{
 		Outcome:       pipeline.Answered,
@@ -79,7 +89,7 @@
 	httpsend.AttachBody(result, resp)
 	req.OnComplete(func(c pipeline.Completion) {
 		cancel()
-		f.Observe(Observation{Request: req, Ending: ending(c), Latency: latency})
+		f.Observe(Observation{Call: call, Request: req, Ending: ending(c), Latency: latency})
 	})
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) != "" {
 		_ = resp.Body.Close()
@@ -118,19 +128,13 @@
 	return out
 }
 
-// failed classifies a call without an answer. Without a connection, nothing was
-// sent; after that, the backend server may have run the request.
-func (f *Filter) failed(ctx context.Context, req *pipeline.Request, connected bool, latency time.Duration) *pipeline.Result {
-	code, end := failure(ctx, req, connected, latency)
-	f.Observe(Observation{Request: req, Ending: end, Latency: latency})
-	return pipeline.Refuse(code, "")
-}
-
 // patience is the multiple of a class's target latency from which a call that
 // the deadline ended counts against the backend server. Callers with a shorter
 // deadline ended it too early to blame anyone.
 const patience = 4
 
+// failure classifies a call without an answer. Without a connection, nothing was
+// sent; after that, the backend server may have run the request.
 func failure(ctx context.Context, req *pipeline.Request, connected bool, latency time.Duration) (pipeline.Code, Ending) {
 	patient := latency >= patience*req.Class.Target
 	switch {
--- a/node/exits.go
+++ b/node/exits.go
@@ -8,6 +8,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/filters/admit"
+	"github.com/ragwortyard/ragwortyard/filters/eject"
 	"github.com/ragwortyard/ragwortyard/filters/queue"
 	"github.com/ragwortyard/ragwortyard/filters/send"
 	"github.com/ragwortyard/ragwortyard/filters/validate"
@@ -79,10 +80,11 @@
 	check := &validate.Filter{Snapshot: e.node.loop.Snapshot, Backend: local.ID}
 	x.chain = pipeline.Chain{
 		check,
+		&eject.Filter{Snapshot: e.node.loop.Snapshot, Backend: local.ID},
 		&admit.Filter{Shares: e.node.shares, Submit: e.node.loop.Submit, Post: e.node.loop.Post},
 		&queue.Filter{Dispatcher: x.dispatcher, Suspect: e.node.suspect},
 		check,
-		&send.Filter{Addr: local.Addr, Transport: e.transport, Observe: e.node.observer(local)},
+		&send.Filter{Addr: local.Addr, Transport: e.transport, Started: e.node.callStarted(local), Observe: e.node.callEnded(local)},
 	}
 	go x.dispatcher.Run(ctx)
 	return x
--- a/node/messages.go
+++ b/node/messages.go
@@ -28,6 +28,8 @@
 	fleet.Register[quota.Return, control.Ack](r, "quota.return")
 	fleet.Register[quota.HandoverOffer, quota.HandoverAccept](r, "quota.offer")
 	fleet.Register[quota.Handover, control.Ack](r, "quota.handover")
+	fleet.Register[control.HealthReport, control.HealthAnswer](r, "health.report")
+	fleet.Register[control.HealthVerdicts, control.Ack](r, "health.verdict")
 	return r
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -17,13 +17,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/path"
 	"github.com/ragwortyard/ragwortyard/filters/authenticate"
 	"github.com/ragwortyard/ragwortyard/filters/classify"
 	"github.com/ragwortyard/ragwortyard/filters/forward"
 	"github.com/ragwortyard/ragwortyard/filters/observe"
 	"github.com/ragwortyard/ragwortyard/filters/route"
-	"github.com/ragwortyard/ragwortyard/filters/send"
 	"github.com/ragwortyard/ragwortyard/fleet"
 	"github.com/ragwortyard/ragwortyard/httpfront"
 	"github.com/ragwortyard/ragwortyard/pipeline"
@@ -107,8 +107,9 @@
 			Incarnation: uint64(now.UnixMilli()),
 			Started:     now,
 		},
-		Seed:   rand.Uint64(),
-		Shares: n.shares,
+		Seed:     rand.Uint64(),
+		Ejection: ejection.Today(),
+		Shares:   n.shares,
 	}
 }
 
@@ -184,11 +185,6 @@
 	return pipeline.Refuse(pipeline.CodeStopping, "")
 }
 
-// observer returns the function that takes the calls to a local backend server.
-func (n *Node) observer(control.Local) func(send.Observation) {
-	return func(send.Observation) {}
-}
-
 // suspect tells whether a request must run alone.
 func (n *Node) suspect(*pipeline.Request) bool { return false }
 
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +68,8 @@
 		o.readParts(c)
 	case control.ProbePath:
 		o.probe(c)
+	case control.EjectionLog:
+		o.logEjection(c)
 	case control.ConfigLog:
 		o.logConfig(c)
 	}
@@ -116,3 +119,12 @@
 	}
 	o.node.log.Info("configuration accepted", zap.Uint64("version", c.Accepted.Version()), zap.String("from", from))
 }
+
+func (o *outbound) logEjection(c control.EjectionLog) {
+	o.node.metrics.GetOrCreateCounter(fmt.Sprintf(`ragwortyard_ejection_verdicts_total{kind=%q}`, c.Verdict.Kind)).Inc()
+	o.node.log.Warn("ejection verdict applied",
+		zap.String("backend", c.Backend),
+		zap.String("kind", string(c.Verdict.Kind)),
+		zap.String("reason", string(c.Verdict.Reason)),
+		zap.Float64("share", c.Verdict.Share))
+}
