--- /dev/null
+++ b/decide/membership/membership_test.go
@@ -0,0 +1,186 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/internal/simnet"
+	"pgregory.net/rapid"
+)
+
+// settle is the time within which all processes know of a change: one round of
+// pings over 26 processes and the passing on.
+const settle = 8 * time.Second
+
+func newFleet(t *rapid.T) (*simnet.MemberFleet, []rendezvous.Member) {
+	members := simnet.Members(rapid.IntRange(5, 26).Draw(t, "hosts"), 4)
+	f := simnet.NewMemberFleet(simnet.New(rapid.Uint64().Draw(t, "seed")), simnet.HostListOf(1, members))
+	for _, m := range members {
+		f.Start(m.ID)
+	}
+	f.Net.Run(time.Second)
+	return f, members
+}
+
+func requireSuspects(t *rapid.T, f *simnet.MemberFleet, want ...string) {
+	t.Helper()
+	for id, table := range f.Tables {
+		v := table.View()
+		var got []string
+		for suspect := range v.Suspect {
+			got = append(got, suspect)
+		}
+		if slices.Sort(got); !slices.Equal(got, want) {
+			t.Fatalf("%s suspects %v, want %v", id, got, want)
+		}
+	}
+}
+
+// Guards against dead members that stay unnoticed, live ones that stay suspect after
+// the faults, and a member set that moves by suspicion.
+func TestSuspicionFollowsTheFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, members := newFleet(t)
+		dead := members[0].ID
+		f.Stop(dead)
+		loss := rapid.IntRange(0, 10).Draw(t, "loss in 100")
+		f.Net.Lose = func(_, _ string) bool { return f.Net.Rand.IntN(100) < loss }
+		for range rapid.IntRange(0, 2*len(members)).Draw(t, "cut links") {
+			f.Net.Cut(rapid.SampledFrom(members).Draw(t, "from").ID, rapid.SampledFrom(members).Draw(t, "to").ID, true)
+		}
+		f.Net.Pause(members[1].ID, time.Duration(rapid.IntRange(0, 5000).Draw(t, "pause ms"))*time.Millisecond)
+		f.Net.Run(settle)
+		f.Net.Lose = func(_, _ string) bool { return false }
+		f.Net.Mend()
+		f.Net.Run(settle)
+		requireSuspects(t, f, dead)
+		f.List = func(string) membership.HostList { return simnet.HostListOf(2, members) }
+		for id := range f.Tables {
+			f.ReadList(id)
+		}
+		f.Start(dead)
+		f.Net.Run(settle)
+		requireSuspects(t, f)
+		for id, table := range f.Tables {
+			if got := table.View().Members; !slices.Equal(got, members) {
+				t.Fatalf("%s has members %v, want those of the host list", id, got)
+			}
+		}
+	})
+}
+
+// Guards against suspicion by one broken path, and by a process that was paused and
+// takes its own lateness for theirs.
+func TestOneSidedEvidenceSuspectsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, members := newFleet(t)
+		f.Net.Cut(members[0].ID, members[1].ID, rapid.Bool().Draw(t, "cut there"))
+		f.Net.Cut(members[1].ID, members[0].ID, rapid.Bool().Draw(t, "cut back"))
+		f.Net.Delay = func(_, _ string) time.Duration { return time.Duration(20+f.Net.Rand.IntN(20)) * time.Millisecond }
+		paused := rapid.SampledFrom(members[:3]).Draw(t, "paused").ID
+		f.OnAction = func(id string, a membership.Action) {
+			if s, ok := a.(membership.Suspected); ok && s.ID != paused {
+				t.Fatalf("%s suspects %s", id, s.ID)
+			}
+		}
+		for range 20 {
+			f.Net.Pause(paused, time.Duration(f.Net.Rand.IntN(2000))*time.Millisecond)
+			f.Net.Run(2500 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against a leaving process that gets new work, and one that is still taken
+// for leaving in its next life.
+func TestLeavingIsKnownUntilTheNextLife(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, members := newFleet(t)
+		gone := members[0].ID
+		f.Net.Cut(gone, members[1].ID, true) // this one learns it from others
+		f.Do(gone, f.Tables[gone].Leave(f.Net.Now()))
+		f.Net.Run(2 * time.Second)
+		requireLeaving(t, f, gone, true)
+		f.Stop(gone)
+		f.Net.Run(time.Duration(rapid.IntRange(1, 5000).Draw(t, "down ms")) * time.Millisecond)
+		f.Start(gone)
+		f.Net.Mend()
+		f.Net.Run(settle)
+		requireLeaving(t, f, gone, false)
+	})
+}
+
+func requireLeaving(t *rapid.T, f *simnet.MemberFleet, gone string, want bool) {
+	t.Helper()
+	for id, table := range f.Tables {
+		if got := table.View().Leaving[gone]; got != want {
+			t.Fatalf("%s has leaving %v of %s, want %v", id, got, gone, want)
+		}
+	}
+}
+
+// Guards against a host list that arrives late and takes members back.
+func TestHostListNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, members := newFleet(t)
+		table := f.Tables[members[0].ID]
+		newest := uint64(1)
+		want := members
+		for range rapid.IntRange(1, 10).Draw(t, "lists") {
+			version := rapid.Uint64Range(1, 12).Draw(t, "version")
+			list := simnet.HostListOf(version, members[:rapid.IntRange(1, len(members)).Draw(t, "hosts")])
+			list.Hosts[0].Leaving = true
+			table.OnHostList(f.Net.Now(), list)
+			if version > newest {
+				newest, want = version, members[1:len(list.Hosts)]
+			}
+			if v := table.View(); v.Version != newest || !slices.Equal(v.Members, want) {
+				t.Fatalf("version %d with %v, want %d with %v", v.Version, v.Members, newest, want)
+			}
+		}
+	})
+}
+
+// Guards against a member that stays suspect though its message just came, a suspect
+// that cannot refute because nobody tells it, and an answer for another process.
+func TestDirectEvidence(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var tables [2]*membership.Table
+	members := simnet.Members(2, 1)
+	for i := range tables {
+		tables[i] = membership.New(membership.Options{Self: members[i].ID, Incarnation: 7, Rand: rand.New(rand.NewPCG(1, 1))})
+		tables[i].OnHostList(now, simnet.HostListOf(1, members))
+	}
+	a, b := tables[0], tables[1]
+	ping := membership.Ping{From: membership.Rumour{ID: members[1].ID, Incarnation: 7}, Target: members[0].ID}
+	a.OnPing(now, ping)
+	for !a.View().Suspect[members[1].ID] {
+		a.Tick(now)
+		now = now.Add(50 * time.Millisecond)
+	}
+	ack, ok, _ := a.OnPing(now, ping)
+	if !ok || a.View().Suspect[members[1].ID] {
+		t.Fatalf("suspect after its ping, answered %v", ok)
+	}
+	if r := ack.From; r.ID != members[0].ID || r.Incarnation != 7 {
+		t.Fatalf("answered as %+v", r)
+	}
+	var last membership.Ping // by then the rumour has been passed on often enough
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		for _, action := range a.Tick(now) {
+			if sent, isPing := action.(membership.SendPing); isPing {
+				last = sent.Ping
+			}
+		}
+	}
+	if ack, _, _ := b.OnPing(now, last); ack.From.Incarnation <= 7 {
+		t.Fatalf("the suspect did not refute: %+v", ack.From)
+	}
+	if _, ok, _ := b.OnPing(now, ping); ok {
+		t.Fatal("answered a ping for another process")
+	}
+}
--- a/internal/simnet/net.go
+++ b/internal/simnet/net.go
@@ -82,7 +82,7 @@
 func (n *Net) On(id string, d time.Duration, f func()) {
 	life := n.lives[id]
 	n.After(d, func() {
-		n.atProcess(id, func() {
+		n.atProcess(id, 0, func() {
 			if n.lives[id] == life {
 				f()
 			}
@@ -96,14 +96,22 @@
 	if n.cut[link{from, to}] || n.Lose(from, to) {
 		return
 	}
-	n.After(n.Delay(from, to), func() { n.atProcess(to, f) })
+	n.After(n.Delay(from, to), func() { n.atProcess(to, backlog, f) })
 }
 
-func (n *Net) atProcess(id string, f func()) {
+// backlog bounds how long a resumed process reads messages that waited. Its timers
+// fire first, so that it acts on what it knew before the pause.
+const backlog = 5 * time.Millisecond
+
+func (n *Net) atProcess(id string, late time.Duration, f func()) {
 	switch {
 	case n.down[id]:
 	case n.Paused(id):
-		n.push(n.paused[id], func() { n.atProcess(id, f) })
+		at := n.paused[id]
+		if late > 0 {
+			at = at.Add(time.Duration(n.Rand.Int64N(int64(late))))
+		}
+		n.push(at, func() { n.atProcess(id, late, f) })
 	default:
 		f()
 	}
