Refuse a manifest that lists the all-zero digest

The parser took that digest for one that it had already reported as malformed and accepted any content for it. It is now a problem of its own.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -227,6 +227,17 @@
 	}
 }
 
+// Guards against a manifest whose digest binds no content.
+func TestParseRefusesTheZeroDigest(t *testing.T) {
+	_, parts := mustBuild(t, 1, smallFleet(), smallTeams())
+	listed := digestParts(1, testParts, parts)
+	listed.Parts[2].Digest = Digest{}
+	cfg, problems := Parse(marshalManifest(listed), parts)
+	if cfg != nil || len(problems) != 1 || problems[0].Path != "parts[2].digest" {
+		t.Errorf("got %v", problems)
+	}
+}
+
 // Guards against places in the key index that wrap around: a malformed value of
 // allowed size can list more teams or keys than an entry counts. Guards also
 // against a list of problems without a bound, which would exhaust the memory of
--- a/config/json.go
+++ b/config/json.go
@@ -77,6 +77,10 @@
 }
 
 func (r *reader) add(code pipeline.Code, message string) {
+	if r.report.full() {
+		r.report.unlisted++
+		return
+	}
 	r.report.add(code, r.part, r.where(), message)
 }
 
--- a/config/parse.go
+++ b/config/parse.go
@@ -166,6 +166,10 @@
 	default:
 		d.digests[part.Name] = part.Digest
 	}
+	if part.Digest == (Digest{}) {
+		// Also left by a malformed digest; open relies on this report.
+		d.add(pipeline.CodeConfigRange, ManifestName, fmt.Sprintf("parts[%d].digest", i), "no value has this digest")
+	}
 }
 
 // teamPartNumber reads the number from a name such as "teams-3".
--- a/config/problem.go
+++ b/config/problem.go
@@ -80,8 +80,10 @@
 	unlisted int // problems beyond MaxProblems
 }
 
+func (r *report) full() bool { return len(r.problems) >= MaxProblems }
+
 func (r *report) add(code pipeline.Code, part, path, message string) {
-	if len(r.problems) >= MaxProblems {
+	if r.full() {
 		r.unlisted++
 		return
 	}
