--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -24,11 +24,13 @@
 // ErrFailed reports that a check of the demonstration failed.
 var ErrFailed = errors.New("the demonstration failed a check")
 
-// The teams of the demonstration. The rates are those of the whole fleet.
+// The teams of the demonstration and what they send, in requests per second over
+// the whole fleet.
 const (
-	clinicsRate  = 60
-	schoolsRate  = 30
+	clinicsRate  = 80 // to the roster service; a quarter of it to each of the others
+	schoolsRate  = 40
 	shopsRate    = 30
+	visitorsRate = 50
 	noisyFactor  = 5
 	burstSeconds = 1
 )
@@ -51,10 +53,10 @@
 
 func demoTeams() []config.Team {
 	return []config.Team{
-		NewTeam("clinics", keyOf("clinics"), 2*clinicsRate, 2*clinicsRate*burstSeconds),
-		NewTeam("schools", keyOf("schools"), 2*schoolsRate, 2*schoolsRate*burstSeconds),
+		NewTeam("clinics", keyOf("clinics"), 3*clinicsRate, 3*clinicsRate*burstSeconds),
+		NewTeam("schools", keyOf("schools"), 3*schoolsRate, 3*schoolsRate*burstSeconds),
 		NewTeam("shops", keyOf("shops"), shopsRate, shopsRate*burstSeconds),
-		NewTeam("visitors", keyOf("visitors"), 100, 100),
+		NewTeam("visitors", keyOf("visitors"), 2*visitorsRate, 2*visitorsRate*burstSeconds),
 	}
 }
 
@@ -123,10 +125,11 @@
 
 func backgroundStreams() []stream {
 	var streams []stream
+	shares := map[string]float64{"roster": 1, "bookings": 0.25, "invoicing": 0.25}
 	for _, service := range []string{"roster", "bookings", "invoicing"} {
 		streams = append(streams,
-			stream{Team: "clinics", Key: keyOf("clinics"), Service: service, Rate: clinicsRate / 3.0},
-			stream{Team: "schools", Key: keyOf("schools"), Service: service, Rate: schoolsRate / 3.0},
+			stream{Team: "clinics", Key: keyOf("clinics"), Service: service, Rate: clinicsRate * shares[service]},
+			stream{Team: "schools", Key: keyOf("schools"), Service: service, Rate: schoolsRate * shares[service]},
 		)
 	}
 	return streams
@@ -184,7 +187,7 @@
 	visiting, stop := context.WithTimeout(ctx, 4*time.Second)
 	defer stop()
 	d.callers.start(visiting, stream{
-		Team: "visitors", Key: keyOf("visitors"), Service: "roster", Rate: 50, Seed: d.options.Seed + 200,
+		Team: "visitors", Key: keyOf("visitors"), Service: "roster", Rate: visitorsRate, Seed: d.options.Seed + 200,
 	})
 	if err := pause(ctx, time.Second); err != nil {
 		return err
