demo: keep listeners open until the processes serve

Cause: one run ended with a process that never became ready. Its port had been chosen, closed and taken by an outgoing connection before the process listened. Change: the fleet opens the listeners and hands them over; the test of real processes picks ports below the ephemeral range.

--- a/cmd/ragwortyard/process_test.go
+++ b/cmd/ragwortyard/process_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -110,14 +111,20 @@
 	}
 }
 
+// freePort returns an address with a free port below the range that the kernel
+// gives to outgoing connections, so that none of those takes it before the
+// process listens.
 func freePort(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start runs a process with its settings in the environment.
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -27,6 +27,7 @@
 	Backend  *fakes.Backend
 	Settings node.Settings
 	node     *node.Node
+	open     *node.Listeners
 	cancel   context.CancelFunc
 	done     chan error
 }
@@ -167,11 +168,12 @@
 	if err != nil {
 		return nil, err
 	}
-	addrs, err := freeAddrs(4)
+	open, err := openListeners()
 	if err != nil {
 		return nil, err
 	}
 	m := &Member{
+		open:    open,
 		ID:      fmt.Sprintf("host-%s-%d", s.Name, i),
 		Zone:    f.spec.Zones[len(f.Members)%len(f.spec.Zones)],
 		Service: s.Name,
@@ -179,7 +181,8 @@
 	}
 	m.Settings = node.Settings{
 		ID: m.ID, Zone: m.Zone,
-		CallersAddr: addrs[0], TrafficAddr: addrs[1], ControlAddr: addrs[2], OperatorAddr: addrs[3],
+		CallersAddr: open.Callers.Addr().String(), TrafficAddr: open.Traffic.Addr().String(),
+		ControlAddr: open.Control.Addr().String(), OperatorAddr: open.Operator.Addr().String(),
 		ConfigURL: f.Config.URL(), HostsURL: f.Hosts.URL(),
 		HostsInterval: 500 * time.Millisecond,
 		DrainTime:     2 * time.Second,
@@ -191,18 +194,18 @@
 	return m, nil
 }
 
-// freeAddrs returns loopback addresses with ports that are free now.
-func freeAddrs(n int) ([]string, error) {
-	var addrs []string
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+// openListeners opens the ports of a process on loopback. They stay open until
+// the process serves, so that nothing else can take them.
+func openListeners() (*node.Listeners, error) {
+	l := &node.Listeners{}
+	for _, to := range []*net.Listener{&l.Callers, &l.Traffic, &l.Control, &l.Operator} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return nil, eris.Wrap(err, "no free port")
 		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().String())
+		*to = listener
 	}
-	return addrs, nil
+	return l, nil
 }
 
 func (f *Fleet) hostEntries() []fakes.Host {
@@ -228,7 +231,7 @@
 	ctx, m.cancel = context.WithCancel(ctx)
 	m.node = n
 	m.done = make(chan error, 1)
-	go func() { m.done <- n.Run(ctx) }()
+	go func() { m.done <- n.Serve(ctx, m.open) }()
 	return nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -188,21 +188,21 @@
 // suspect tells whether a request must run alone.
 func (n *Node) suspect(*pipeline.Request) bool { return false }
 
-// listeners are the open ports of a process.
-type listeners struct {
-	callers, traffic, control, operator net.Listener
+// Listeners are the open ports of a process.
+type Listeners struct {
+	Callers, Traffic, Control, Operator net.Listener
 }
 
-func (n *Node) listen() (*listeners, error) {
-	l := &listeners{}
+func (n *Node) listen() (*Listeners, error) {
+	l := &Listeners{}
 	ports := []struct {
 		addr string
 		to   *net.Listener
 	}{
-		{n.settings.CallersAddr, &l.callers},
-		{n.settings.TrafficAddr, &l.traffic},
-		{n.settings.ControlAddr, &l.control},
-		{n.settings.OperatorAddr, &l.operator},
+		{n.settings.CallersAddr, &l.Callers},
+		{n.settings.TrafficAddr, &l.Traffic},
+		{n.settings.ControlAddr, &l.Control},
+		{n.settings.OperatorAddr, &l.Operator},
 	}
 	for _, p := range ports {
 		listener, err := net.Listen("tcp", p.addr)
@@ -215,36 +215,41 @@
 	return l, nil
 }
 
-func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.traffic, l.control, l.operator} {
+func (l *Listeners) close() {
+	for _, listener := range []net.Listener{l.Callers, l.Traffic, l.Control, l.Operator} {
 		if listener != nil {
 			_ = listener.Close()
 		}
 	}
 }
 
-// Run serves until ctx is done and then stops gracefully. It returns once all
-// running requests have ended or the stop timeout has passed.
+// Run listens on the addresses of the settings and serves until ctx is done.
 func (n *Node) Run(ctx context.Context) error {
 	open, err := n.listen()
 	if err != nil {
 		return err
 	}
+	return n.Serve(ctx, open)
+}
+
+// Serve serves on open listeners until ctx is done and then stops gracefully. It
+// returns once all running requests have ended or the stop timeout has passed.
+func (n *Node) Serve(ctx context.Context, open *Listeners) error {
 	// The background work outlives ctx: it is needed until the stop is complete.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.startBackground(background)
 	group, groupCtx := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(n.servers.callers, open.callers) })
-	group.Go(func() error { return serve(n.servers.traffic, open.traffic) })
-	group.Go(func() error { return serve(n.servers.operator, open.operator) })
-	group.Go(func() error { return n.servers.control.Serve(background, open.control) })
+	group.Go(func() error { return serve(n.servers.callers, open.Callers) })
+	group.Go(func() error { return serve(n.servers.traffic, open.Traffic) })
+	group.Go(func() error { return serve(n.servers.operator, open.Operator) })
+	group.Go(func() error { return n.servers.control.Serve(background, open.Control) })
 	group.Go(func() error {
 		<-groupCtx.Done()
 		defer cancel()
 		return n.shutdown()
 	})
-	n.log.Info("serving", zap.String("zone", n.settings.Zone), zap.Stringer("callers", open.callers.Addr()))
+	n.log.Info("serving", zap.String("zone", n.settings.Zone), zap.Stringer("callers", open.Callers.Addr()))
 	return group.Wait()
 }
 
