--- a/node/exits.go
+++ b/node/exits.go
@@ -87,6 +87,7 @@
 		&send.Filter{Addr: local.Addr, Transport: e.transport, Started: e.node.callStarted(local), Observe: e.node.callEnded(local)},
 	}
 	go x.dispatcher.Run(ctx)
+	go e.node.probe(ctx, local)
 	return x
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/ragwortyard/ragwortyard/fleet"
 	"github.com/ragwortyard/ragwortyard/httpfront"
 	"github.com/ragwortyard/ragwortyard/pipeline"
+	"github.com/ragwortyard/ragwortyard/platform"
 )
 
 // Platform is what a process reads of its surroundings.
@@ -52,6 +53,7 @@
 	hop      *fleet.HopClient
 	source   *configSource
 	exits    *exits
+	probes   *http.Client // for health endpoints
 	entry    pipeline.Chain
 	policies *control.Policies
 	shares   *control.ShareTable
@@ -68,7 +70,7 @@
 }
 
 // New returns a process that is ready to run. The settings must be valid.
-func New(settings Settings, platform Platform, log *zap.Logger) (*Node, error) {
+func New(settings Settings, reads Platform, log *zap.Logger) (*Node, error) {
 	fleetTLS, err := loadFleetTLS(settings)
 	if err != nil {
 		return nil, err
@@ -80,11 +82,12 @@
 	n := &Node{
 		settings: settings,
 		log:      log.With(zap.String("host", settings.ID)),
-		platform: platform,
+		platform: reads,
 		metrics:  metrics.NewSet(),
 		policies: &control.Policies{},
 		shares:   &control.ShareTable{},
-		source:   newConfigSource(platform.Config),
+		source:   newConfigSource(reads.Config),
+		probes:   platform.NewClient(),
 	}
 	n.ids.prefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 	registry := newRegistry()
