--- a/control/assemble.go
+++ b/control/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
@@ -14,6 +15,7 @@
 	Self     Self
 	Seed     uint64 // of the random choices of peers
 	Ejection ejection.Settings
+	Window   time.Duration // for which the ledger remembers an idempotency key
 	// Shares is the table through which traffic spends tokens.
 	Shares *ShareTable
 }
@@ -40,6 +42,7 @@
 		leases,
 		quotas,
 		&handoverStage{state: state, leases: leases, keeper: quotas.keeper, next: o.Self.Started},
+		newClaimsStage(state, o.Window),
 		judges,
 		health,
 		&statusStage{state: state},
--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -34,17 +34,12 @@
 
 // Handle sends the request until an attempt settles it.
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
-	body, refusal := bufferBody(req)
-	if refusal != nil {
-		return refusal
-	}
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	req.OnComplete(func(pipeline.Completion) { cancel() })
 	r := &run{
 		filter:  f,
 		ctx:     ctx,
 		req:     req,
-		body:    body,
 		policy:  f.Policies.Get(control.PolicyKey{Service: req.Service, Class: req.Class.Name}),
 		results: make(chan *attempt, retry.DefaultMaxAttempts),
 	}
--- a/filters/forward/run.go
+++ b/filters/forward/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/retry"
@@ -11,23 +10,6 @@
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
-// maxBuffered is the largest body in bytes that is read before sending, so that
-// a request refused by one exit can be sent to another. Larger bodies stream
-// and are sent once.
-const maxBuffered = 64 << 10
-
-// bufferBody reads a small body. It returns nil bytes for a body that streams.
-func bufferBody(req *pipeline.Request) ([]byte, *pipeline.Result) {
-	if req.Body == nil || req.ContentLength <= 0 || req.ContentLength > maxBuffered || len(req.TrailerNames) > 0 {
-		return nil, nil
-	}
-	body := make([]byte, req.ContentLength)
-	if _, err := io.ReadFull(req.Body, body); err != nil {
-		return nil, pipeline.Refuse(pipeline.CodeMalformed, "the body ended before its declared length")
-	}
-	return body, nil
-}
-
 // attempt is one send of a request.
 type attempt struct {
 	target pipeline.Target
@@ -43,7 +25,6 @@
 	filter  *Filter
 	ctx     context.Context
 	req     *pipeline.Request
-	body    []byte
 	policy  *retry.Policy
 	results chan *attempt
 	pending []*attempt
@@ -98,8 +79,8 @@
 func (r *run) copyRequest() *pipeline.Request {
 	sent := *r.req
 	sent.ID = r.filter.NewID()
-	if r.body != nil {
-		sent.Body = bytes.NewReader(r.body)
+	if r.req.Payload != nil {
+		sent.Body = bytes.NewReader(r.req.Payload)
 	}
 	return &sent
 }
@@ -153,7 +134,7 @@
 }
 
 func (r *run) replayable() bool {
-	return r.body != nil || r.req.Replayable()
+	return r.req.Replayable()
 }
 
 func (r *run) forget(a *attempt) {
--- a/fleet/rpc_server.go
+++ b/fleet/rpc_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"net"
@@ -38,11 +39,13 @@
 	registry *Registry
 	handler  Handler
 	traffic  *Traffic
+	tls      *tls.Config
 }
 
-// NewServer returns a server that decodes messages by the registry.
-func NewServer(registry *Registry, handler Handler, traffic *Traffic) *Server {
-	return &Server{registry: registry, handler: handler, traffic: traffic}
+// NewServer returns a server that decodes messages by the registry and uses
+// mutual TLS when config is not nil.
+func NewServer(registry *Registry, handler Handler, traffic *Traffic, config *tls.Config) *Server {
+	return &Server{registry: registry, handler: handler, traffic: traffic, tls: config}
 }
 
 // Serve accepts connections until the listener is closed or ctx is done.
@@ -57,6 +60,9 @@
 			}
 			return err
 		}
+		if s.tls != nil {
+			conn = tls.Server(conn, s.tls)
+		}
 		s.serveConn(ctx, conn)
 	}
 }
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -57,6 +57,8 @@
 	Teams    []config.Team
 	Floor    float64
 	Seed     uint64
+	// Adjust changes the settings of each process; nil leaves them.
+	Adjust func(*node.Settings)
 }
 
 // Fleet is a running fleet on loopback.
@@ -191,6 +193,9 @@
 		FleetPlain:    true,
 		LogLevel:      "warn",
 	}
+	if f.spec.Adjust != nil {
+		f.spec.Adjust(&m.Settings)
+	}
 	return m, nil
 }
 
--- a/internal/demo/path_test.go
+++ b/internal/demo/path_test.go
@@ -12,13 +12,15 @@
 
 	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/internal/fakes"
+	"github.com/ragwortyard/ragwortyard/node"
 )
 
 // smallFleet starts three processes in two zones.
-func smallFleet(t *testing.T) *Fleet {
+func smallFleet(t *testing.T, adjust func(*node.Settings)) *Fleet {
 	t.Helper()
 	spec := FleetSpec{
-		Zones: []string{"a", "b"},
+		Adjust: adjust,
+		Zones:  []string{"a", "b"},
 		Services: []ServiceSpec{
 			{Name: "roster", Servers: 2, Time: fakes.FixedTime(time.Millisecond), Idempotent: true, Worth: 1},
 			{Name: "bookings", Servers: 1, Time: fakes.FixedTime(time.Millisecond), Worth: 5},
@@ -59,7 +61,7 @@
 // Guards against a path that loses requests, against keys that reach a backend
 // server, and against refusals without a true code.
 func TestRequestCrossesTwoProcesses(t *testing.T) {
-	f := smallFleet(t)
+	f := smallFleet(t, nil)
 	for _, m := range f.Members {
 		resp, body := send(t, "POST", m.CallersURL()+"/bookings/7", "blue-secret", "two mats")
 		if resp.StatusCode != 200 || resp.Header.Get("Ragwort-Outcome") != "answered" {
--- a/node/messages.go
+++ b/node/messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/ledger"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
 	"github.com/ragwortyard/ragwortyard/decide/quota"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
@@ -30,6 +31,10 @@
 	fleet.Register[quota.Handover, control.Ack](r, "quota.handover")
 	fleet.Register[control.HealthReport, control.HealthAnswer](r, "health.report")
 	fleet.Register[control.HealthVerdicts, control.Ack](r, "health.verdict")
+	fleet.Register[ledger.Claim, ledger.ClaimReply](r, "ledger.claim")
+	fleet.Register[ledger.Finish, control.Ack](r, "ledger.finish")
+	fleet.Register[ledger.Release, control.Ack](r, "ledger.release")
+	fleet.Register[ledger.SyncAsk, ledger.Export](r, "ledger.export")
 	return r
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -20,7 +20,10 @@
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/path"
 	"github.com/ragwortyard/ragwortyard/filters/authenticate"
+	"github.com/ragwortyard/ragwortyard/filters/buffer"
+	"github.com/ragwortyard/ragwortyard/filters/claim"
 	"github.com/ragwortyard/ragwortyard/filters/classify"
+	"github.com/ragwortyard/ragwortyard/filters/fingerprint"
 	"github.com/ragwortyard/ragwortyard/filters/forward"
 	"github.com/ragwortyard/ragwortyard/filters/observe"
 	"github.com/ragwortyard/ragwortyard/filters/route"
@@ -113,6 +116,7 @@
 		Seed:     rand.Uint64(),
 		Ejection: ejection.Today(),
 		Shares:   n.shares,
+		Window:   n.settings.LedgerWindow,
 	}
 }
 
@@ -121,6 +125,9 @@
 		observe.New(n.metrics),
 		&classify.Filter{Snapshot: n.loop.Snapshot},
 		&authenticate.Filter{Snapshot: n.loop.Snapshot},
+		buffer.Filter{},
+		fingerprint.Filter{},
+		&claim.Filter{Submit: n.loop.Submit, Post: n.loop.Post, NewID: n.ids.next},
 		&route.Filter{Snapshot: n.loop.Snapshot},
 		&forward.Filter{
 			Sender:      n.hop,
@@ -153,7 +160,7 @@
 		callers:  callers,
 		traffic:  traffic,
 		operator: &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second},
-		control:  fleet.NewServer(registry, &peerHandler{loop: n.loop}, &n.traffic),
+		control:  fleet.NewServer(registry, &peerHandler{loop: n.loop}, &n.traffic, fleetTLS),
 	}
 }
 
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -48,6 +48,9 @@
 	TrailerNames  []string
 	Body          io.Reader // nil when there is no body
 	ContentLength int64     // -1 when unknown
+	// Payload is the whole body once the buffer filter has read it, so that the
+	// request can be sent more than once.
+	Payload []byte
 
 	Received time.Time
 	Deadline time.Time
@@ -97,5 +100,5 @@
 // Replayable tells whether the request carries no body, so that a second
 // attempt needs nothing of the first.
 func (r *Request) Replayable() bool {
-	return r.Body == nil
+	return r.Body == nil || r.Payload != nil
 }
