--- a/decide/ledger/message.go
+++ b/decide/ledger/message.go
@@ -60,14 +60,16 @@
 }
 
 // SyncAsk tells another holder of a shard which set its sender uses, and asks for
-// the records if Records is set.
+// one page of the records if Records is set.
 type SyncAsk struct {
 	Seq     uint64   `json:"q"`
 	Shard   uint32   `json:"s"`
 	From    string   `json:"f"`
 	Holders uint64   `json:"h"`           // SetID of the set that the sender uses
-	Kept    []string `json:"k,omitempty"` // holders that were also in the sender's set before; nil if it had none
+	Changed bool     `json:"c,omitempty"` // the sender was in another set of the shard before
+	Kept    []string `json:"k,omitempty"` // with Changed: those that were in that set too
 	Records bool     `json:"r,omitempty"`
+	Page    int      `json:"p,omitempty"` // first page asked for, below Pages
 }
 
 // Export answers a SyncAsk.
@@ -75,9 +77,10 @@
 	Seq     uint64   `json:"q"`
 	Shard   uint32   `json:"s"`
 	Holder  string   `json:"o"`
-	Holders uint64   `json:"h"`           // SetID of the set that the answering holder uses, 0 if it holds no set
-	Vouches bool     `json:"v,omitempty"` // Records are complete as far as the holder vouches
+	Holders uint64   `json:"h"`           // SetID of the set that the answering holder uses, 0 if it is no holder
+	Vouches bool     `json:"v,omitempty"` // the holder vouches for the shard
 	Records []Record `json:"r,omitempty"`
+	Next    int      `json:"n,omitempty"` // page to go on with; Pages after the last
 }
 
 // AttemptState says how far one attempt has come. States only ever grow.
