--- a/control/claims.go
+++ b/control/claims.go
@@ -25,6 +25,7 @@
 	Verdict ledger.Verdict
 	Status  int // of the earlier run, with AlreadyRan
 	Round   *ledger.Round
+	Holders []string
 }
 
 // ClaimAbandoned says that nobody waits for the decision any more.
@@ -37,9 +38,10 @@
 
 // ClaimEnded says how a request that held its key ended.
 type ClaimEnded struct {
-	Round  *ledger.Round
-	Status int // HTTP status, or UnknownStatus
-	NotRun bool
+	Round   *ledger.Round
+	Holders []string
+	Status  int // HTTP status, or UnknownStatus
+	NotRun  bool
 }
 
 // ControlEvent marks ClaimEnded as an event.
@@ -60,6 +62,7 @@
 	holder  *ledger.Holder
 	open    map[string]*openClaim // by attempt
 	version uint64                // of the member set that the holder knows
+	next    time.Time             // when the holder needs attention
 }
 
 func newClaimsStage(state *State, window time.Duration) *claimsStage {
@@ -76,7 +79,7 @@
 
 // Deadline returns when the holder or an open claim needs attention.
 func (s *claimsStage) Deadline() time.Time {
-	next := s.holder.Next()
+	next := s.next
 	for _, c := range s.open {
 		if next.IsZero() || c.expires.Before(next) {
 			next = c.expires
@@ -102,6 +105,7 @@
 	case Tick:
 		s.tick(now, out)
 	}
+	s.next = s.holder.Next(now)
 }
 
 func (s *claimsStage) followMembers(now time.Time, out *Output) {
@@ -148,13 +152,10 @@
 		return
 	}
 	delete(s.open, attempt)
-	if verdict == ledger.Run && !c.round.MayStart(now) {
-		verdict = ledger.NoQuorum
-	}
 	if verdict != ledger.Run {
 		s.send(now, c.holders, c.round.Release(), out)
 	}
-	c.reply <- ClaimDecided{Verdict: verdict, Status: c.round.Status(), Round: c.round}
+	c.reply <- ClaimDecided{Verdict: verdict, Status: c.round.Status(), Round: c.round, Holders: c.holders}
 }
 
 func (s *claimsStage) abandon(now time.Time, attempt string, out *Output) {
@@ -168,10 +169,10 @@
 
 func (s *claimsStage) ended(now time.Time, e ClaimEnded, out *Output) {
 	if e.NotRun {
-		s.send(now, e.Round.Holders(), e.Round.Release(), out)
+		s.send(now, e.Holders, e.Round.Release(), out)
 		return
 	}
-	s.send(now, e.Round.Holders(), e.Round.Finish(e.Status), out)
+	s.send(now, e.Holders, e.Round.Finish(e.Status), out)
 }
 
 // send tells the holders how a claim ended.
--- a/filters/claim/claim.go
+++ b/filters/claim/claim.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/ledger"
@@ -62,7 +63,12 @@
 func (f *Filter) act(req *pipeline.Request, decided control.ClaimDecided) *pipeline.Result {
 	switch decided.Verdict {
 	case ledger.Run:
-		req.OnComplete(func(c pipeline.Completion) { f.Post(f.ended(decided, c)) })
+		req.OnComplete(func(c pipeline.Completion) { f.Post(ended(decided, c)) })
+		// The grants count for a short time only; a process that was paused since
+		// then must not start the request.
+		if !decided.Round.MayStart(time.Now()) {
+			return pipeline.Refuse(pipeline.CodeCannotVouch, "")
+		}
 		return nil
 	case ledger.AlreadyRan:
 		return refuseRepeat(decided.Status)
@@ -87,13 +93,13 @@
 
 // ended reports how the request ended. Only a request that certainly did not run
 // frees its key.
-func (f *Filter) ended(decided control.ClaimDecided, c pipeline.Completion) control.ClaimEnded {
+func ended(decided control.ClaimDecided, c pipeline.Completion) control.ClaimEnded {
+	end := control.ClaimEnded{Round: decided.Round, Holders: decided.Holders, Status: control.UnknownStatus}
 	switch c.Outcome {
 	case pipeline.NotRun:
-		return control.ClaimEnded{Round: decided.Round, NotRun: true}
+		end.NotRun = true
 	case pipeline.Answered:
-		return control.ClaimEnded{Round: decided.Round, Status: c.Status}
-	default:
-		return control.ClaimEnded{Round: decided.Round, Status: control.UnknownStatus}
+		end.Status = c.Status
 	}
+	return end
 }
