--- a/control/paths.go
+++ b/control/paths.go
@@ -30,6 +30,8 @@
 type pathsStage struct {
 	state *State
 	table *path.Table
+	hosts map[string]Host // that the table may know
+	seen  uint64          // version of that list
 }
 
 // Name returns "paths".
@@ -43,6 +45,7 @@
 
 // Handle takes observations.
 func (s *pathsStage) Handle(now time.Time, ev Event, out *Output) {
+	s.forgetGone()
 	switch e := ev.(type) {
 	case PathObserved:
 		s.apply(s.table.Observe(now, e.Observation), out)
@@ -53,6 +56,20 @@
 	}
 }
 
+// forgetGone drops peers that the host list no longer names.
+func (s *pathsStage) forgetGone() {
+	if s.seen == s.state.HostVersion {
+		return
+	}
+	s.seen = s.state.HostVersion
+	for id := range s.hosts {
+		if _, ok := s.state.Hosts[id]; !ok {
+			s.table.Forget(id)
+		}
+	}
+	s.hosts = s.state.Hosts
+}
+
 func (s *pathsStage) report(status *Status) {
 	for _, id := range slices.Sorted(maps.Keys(s.state.Hosts)) {
 		if st := s.table.State(id); st != path.Good {
--- a/fleet/hop_server.go
+++ b/fleet/hop_server.go
@@ -33,6 +33,7 @@
 		h.refuse(w, pipeline.Refuse(pipeline.CodeWrongExit, ""), hop.Request.ID, Load{})
 		return
 	}
+	defer completeAfterPanic(hop.Request)
 	result := chain.Run(r.Context(), hop.Request)
 	load := h.Load(hop.Backend)
 	if result.Code != pipeline.CodeOK {
@@ -102,3 +103,12 @@
 	hopHeaderTimeout = 2 * time.Second
 	maxStreams       = 1000 // open requests of one peer; slots and queues refuse far below
 )
+
+// completeAfterPanic ends a request whose handling panicked, so that its slot is
+// given back. The panic goes on: net/http resets the stream.
+func completeAfterPanic(req *pipeline.Request) {
+	if p := recover(); p != nil {
+		req.Complete(pipeline.Completion{Outcome: pipeline.Unknown, Code: pipeline.CodeInternal})
+		panic(p)
+	}
+}
--- a/fleet/rpc_client.go
+++ b/fleet/rpc_client.go
@@ -32,8 +32,14 @@
 type peerConn struct {
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
+	idle *time.Timer // closes the connection
 }
 
+// controlIdleTimeout closes control connections that are not used. Peers are
+// chosen at random, so that a process in a large fleet would otherwise keep a
+// connection to every other one.
+const controlIdleTimeout = 30 * time.Second
+
 // NewClient returns a client that signs its messages with the identifier self
 // and uses mutual TLS when config is not nil.
 func NewClient(self string, registry *Registry, traffic *Traffic, config *tls.Config) *Client {
@@ -98,6 +104,7 @@
 		case <-p.conn.DisconnectNotify():
 			p.conn = nil
 		default:
+			p.idle.Reset(controlIdleTimeout)
 			return p.conn, nil
 		}
 	}
@@ -106,8 +113,10 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn, c.traffic}, boundedCodec{})
-	p.conn = jsonrpc2.NewConn(context.Background(), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
-	return p.conn, nil
+	opened := jsonrpc2.NewConn(context.Background(), stream, ignoreCalls{}, jsonrpc2.SetLogger(discardLogger{}))
+	p.conn = opened
+	p.idle = time.AfterFunc(controlIdleTimeout, func() { p.drop(opened) })
+	return opened, nil
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
--- a/fleet/rpc_server.go
+++ b/fleet/rpc_server.go
@@ -18,6 +18,7 @@
 const (
 	maxConcurrentCalls = 256             // calls that one connection may have open; further ones wait unread
 	serveTimeout       = 2 * time.Second // longest time that a call may wait for the control loop
+	handshakeTimeout   = 2 * time.Second // a handshake takes three round trips of a few milliseconds
 )
 
 // Traffic counts the bytes of control messages.
@@ -60,20 +61,37 @@
 			}
 			return err
 		}
-		if s.tls != nil {
-			conn = tls.Server(conn, s.tls)
-		}
-		s.serveConn(ctx, conn)
+		go s.serveConn(ctx, conn)
 	}
 }
 
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	conn, err := s.secure(ctx, conn)
+	if err != nil {
+		return
+	}
 	stream := jsonrpc2.NewBufferedStream(deadlineConn{conn, s.traffic}, boundedCodec{})
 	handler := &callHandler{server: s, slots: make(chan struct{}, maxConcurrentCalls)}
 	peer := jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 	context.AfterFunc(ctx, func() { _ = peer.Close() })
 }
 
+// secure completes the TLS handshake, within a limit, so that a stranger holds a
+// connection for a short time only.
+func (s *Server) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if s.tls == nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	secure := tls.Server(conn, s.tls)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
 // discardLogger drops the library's messages about closed connections, which
 // are ordinary when a peer restarts.
 type discardLogger struct{}
--- a/httpfront/server.go
+++ b/httpfront/server.go
@@ -38,6 +38,14 @@
 		c.Duration = time.Since(req.Received)
 		req.Complete(c)
 	}
+	defer func() {
+		// A filter that panics must not keep what the request holds. net/http
+		// then resets the connection or stream.
+		if p := recover(); p != nil {
+			done(pipeline.Completion{Outcome: pipeline.Unknown, Code: pipeline.CodeInternal})
+			panic(p)
+		}
+	}()
 	result := h.Chain.Run(r.Context(), req)
 	Respond(w, result, done)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -314,7 +314,9 @@
 func (n *Node) shutdown() error {
 	n.log.Info("stopping: announced to peers", zap.Duration("drain", n.settings.DrainTime))
 	n.leaving.Store(true)
-	n.loop.Post(control.Stop{})
+	if err := n.loop.Submit(context.Background(), control.Stop{}); err != nil {
+		return err
+	}
 	time.Sleep(n.settings.DrainTime)
 	n.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
