fleet: pass control messages round a broken path through a third process

Cause: a one-way partition between a holder and the keeper of its only part, or between a keeper and its witnesses, stopped them although both could reach others.

--- a/control/publish.go
+++ b/control/publish.go
@@ -13,6 +13,7 @@
 	state    *State
 	version  uint64
 	services map[string]*Service
+	controls map[string]string
 }
 
 // build returns the snapshot for traffic.
@@ -20,6 +21,7 @@
 	if p.services == nil || p.version != p.state.HostVersion {
 		p.version = p.state.HostVersion
 		p.services = p.buildServices()
+		p.controls = p.buildControls()
 	}
 	return &Snapshot{
 		Config:    p.state.Config,
@@ -28,6 +30,7 @@
 		ReadyAt:   p.state.Self.Started.Add(startTime),
 		Stopping:  p.state.Stopping,
 		Services:  p.services,
+		Controls:  p.controls,
 		Locals:    p.buildLocals(),
 		Ejections: p.state.Ejections,
 	}
@@ -49,6 +52,14 @@
 	return services
 }
 
+func (p *publisher) buildControls() map[string]string {
+	controls := make(map[string]string, len(p.state.Hosts))
+	for id, h := range p.state.Hosts {
+		controls[id] = h.ControlAddr
+	}
+	return controls
+}
+
 func (p *publisher) newService(name string) *Service {
 	return &Service{
 		Name:    name,
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -23,6 +23,7 @@
 	ReadyAt   time.Time
 	Stopping  bool // a planned stop has begun
 	Services  map[string]*Service
+	Controls  map[string]string         // control address by host
 	Locals    map[string]*Local         // backend servers of this host by identifier
 	Ejections map[string]ejection.Lease // of the backend servers of this host
 }
--- a/fleet/rpc_client.go
+++ b/fleet/rpc_client.go
@@ -50,39 +50,47 @@
 // times out closes the connection, since it may have gone silent; the next call
 // dials a fresh one.
 func (c *Client) Call(ctx context.Context, addr string, message any) (any, error) {
+	m, err := c.registry.forMessage(message)
+	if err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := c.send(ctx, addr, m.name, envelope{Version: protocolVersion, From: c.self, Message: data})
+	if err != nil {
+		return nil, err
+	}
+	return decodeInto(m.reply, raw)
+}
+
+// send calls a method with encoded parameters and returns the encoded reply.
+func (c *Client) send(ctx context.Context, addr, method string, params any) (json.RawMessage, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	c.traffic.Calls.Add(1)
-	reply, err := c.call(ctx, addr, message)
+	reply, err := c.exchange(ctx, addr, method, params)
 	if err != nil {
 		c.traffic.Failed.Add(1)
 	}
 	return reply, err
 }
 
-func (c *Client) call(ctx context.Context, addr string, message any) (any, error) {
-	m, err := c.registry.forMessage(message)
-	if err != nil {
-		return nil, err
-	}
-	data, err := json.Marshal(message)
-	if err != nil {
-		return nil, err
-	}
+func (c *Client) exchange(ctx context.Context, addr, method string, params any) (json.RawMessage, error) {
 	peer := c.peer(addr)
 	conn, err := c.connect(ctx, peer, addr)
 	if err != nil {
 		return nil, err
 	}
 	var reply json.RawMessage
-	params := envelope{Version: protocolVersion, From: c.self, Message: data}
-	if err := conn.Call(ctx, m.name, params, &reply); err != nil {
+	if err := conn.Call(ctx, method, params, &reply); err != nil {
 		if ctx.Err() != nil {
 			peer.drop(conn)
 		}
 		return nil, err
 	}
-	return decodeInto(m.reply, reply)
+	return reply, nil
 }
 
 func (c *Client) peer(addr string) *peerConn {
--- a/fleet/rpc_server.go
+++ b/fleet/rpc_server.go
@@ -41,12 +41,26 @@
 	handler  Handler
 	traffic  *Traffic
 	tls      *tls.Config
+	client   *Client
+	resolve  Resolver
 }
 
-// NewServer returns a server that decodes messages by the registry and uses
-// mutual TLS when config is not nil.
-func NewServer(registry *Registry, handler Handler, traffic *Traffic, config *tls.Config) *Server {
-	return &Server{registry: registry, handler: handler, traffic: traffic, tls: config}
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Registry *Registry
+	Handler  Handler
+	Traffic  *Traffic
+	TLS      *tls.Config // nil for plain connections
+	Client   *Client     // passes on relayed messages
+	Resolve  Resolver
+}
+
+// NewServer returns a server for control messages.
+func NewServer(o ServerOptions) *Server {
+	return &Server{
+		registry: o.Registry, handler: o.Handler, traffic: o.Traffic,
+		tls: o.TLS, client: o.Client, resolve: o.Resolve,
+	}
 }
 
 // Serve accepts connections until the listener is closed or ctx is done.
@@ -149,6 +163,9 @@
 }
 
 func (s *Server) dispatch(ctx context.Context, req *jsonrpc2.Request) (any, error) {
+	if req.Method == relayMethod {
+		return s.relay(ctx, req)
+	}
 	m, ok := s.registry.byName[req.Method]
 	if !ok {
 		return nil, &CodedError{Code: pipeline.CodeVersionMismatch, Detail: "unknown method"}
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	refusing atomic.Bool // exits refuse new work: the last part of a planned stop
 	leaving  atomic.Bool // callers are asked to connect elsewhere
 	servers  servers
+	detours  detours
 }
 
 // servers are the listeners of a process and what serves them.
@@ -160,10 +161,23 @@
 		callers:  callers,
 		traffic:  traffic,
 		operator: &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second},
-		control:  fleet.NewServer(registry, &peerHandler{loop: n.loop}, &n.traffic, fleetTLS),
+		control: fleet.NewServer(fleet.ServerOptions{
+			Registry: registry,
+			Handler:  &peerHandler{loop: n.loop},
+			Traffic:  &n.traffic,
+			TLS:      fleetTLS,
+			Client:   n.client,
+			Resolve:  n.controlAddr,
+		}),
 	}
 }
 
+// controlAddr returns the control address of a host.
+func (n *Node) controlAddr(host string) (string, bool) {
+	addr, ok := n.loop.Snapshot().Controls[host]
+	return addr, ok
+}
+
 // closeWhenLeaving asks callers of HTTP/1.1 to connect elsewhere once a planned
 // stop has begun, so that few idle connections are left when the server closes.
 func (n *Node) closeWhenLeaving(next http.Handler) http.Handler {
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -77,7 +77,7 @@
 
 func (o *outbound) call(c control.Call) {
 	sent := time.Now()
-	reply, err := o.node.client.Call(o.ctx, c.Addr, c.Message)
+	reply, err := o.node.exchange(o.ctx, c)
 	o.node.loop.Post(control.PeerReplied{Peer: c.Peer, Message: c.Message, Reply: reply, Err: err, Sent: sent})
 }
 
