--- a/httpfront/decode.go
+++ b/httpfront/decode.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -90,13 +91,22 @@
 		}
 	}
 	for _, key := range keys {
-		if strings.Contains(r.URL.EscapedPath(), key) || strings.Contains(r.URL.RawQuery, key) {
+		if urlContains(r.URL, key) {
 			return nil, pipeline.Refuse(pipeline.CodeKeyInURL, "")
 		}
 	}
 	return keys, nil
 }
 
+// urlContains looks for the key as written and behind percent escapes.
+func urlContains(u *url.URL, key string) bool {
+	if strings.Contains(u.EscapedPath(), key) || strings.Contains(u.Path, key) || strings.Contains(u.RawQuery, key) {
+		return true
+	}
+	plain, err := url.QueryUnescape(u.RawQuery)
+	return err == nil && strings.Contains(plain, key)
+}
+
 func appendDistinct(keys []string, key string) []string {
 	if key == "" {
 		return keys
