--- a/cmd/ragwortyard/main.go
+++ b/cmd/ragwortyard/main.go
@@ -24,12 +24,13 @@
 
 // commands are the subcommands.
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run the process beside the backend servers of a host."`
-	Check   checkCommand   `cmd:"" help:"Validate a configuration before it is published."`
-	Status  statusCommand  `cmd:"" help:"Ask a running process for its state."`
-	Demo    demoCommand    `cmd:"" help:"Run a small fleet on loopback, bring about failures and compare what callers saw with the targets."`
-	Measure measureCommand `cmd:"" help:"Run the measurements in virtual time and print them beside plain baselines."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Serve    serveCommand    `cmd:"" help:"Run the process beside the backend servers of a host."`
+	Check    checkCommand    `cmd:"" help:"Validate a configuration before it is published."`
+	Status   statusCommand   `cmd:"" help:"Ask a running process for its state."`
+	Demo     demoCommand     `cmd:"" help:"Run a small fleet on loopback, bring about failures and compare what callers saw with the targets."`
+	Measure  measureCommand  `cmd:"" help:"Run the measurements in virtual time and print them beside plain baselines."`
+	Capacity capacityCommand `cmd:"" help:"Measure what a process costs at growing sizes; it loads the whole size into memory."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- a/control/claims.go
+++ b/control/claims.go
@@ -66,7 +66,7 @@
 }
 
 func newClaimsStage(state *State, window time.Duration) *claimsStage {
-	options := ledger.Options{Self: state.Self.ID, Window: window}
+	options := ledger.Options{Self: state.Self.ID, Seed: state.Self.Incarnation, Window: window}
 	return &claimsStage{
 		state:  state,
 		holder: ledger.NewHolder(state.Self.Started, options),
@@ -217,7 +217,7 @@
 			s.settle(now, reply.Attempt, c, out)
 		}
 	case ledger.Export:
-		s.holder.Import(now, reply)
+		s.apply(s.holder.Import(now, reply), out)
 	}
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -128,16 +128,17 @@
 		case <-ctx.Done():
 			return
 		case ev := <-l.events:
-			l.handle(ev)
+			l.Step(time.Now(), ev)
 		case <-timer.C:
-			l.handle(Tick{})
+			l.Step(time.Now(), Tick{})
 		}
 		timer.Reset(l.untilDeadline(time.Now()))
 	}
 }
 
-func (l *Loop) handle(ev Event) {
-	now := time.Now()
+// Step handles one event. Run calls it; a caller that keeps its own time, such
+// as a measurement in virtual time, calls it instead of Run.
+func (l *Loop) Step(now time.Time, ev Event) {
 	l.stats.Events.Add(1)
 	for _, stage := range l.stages {
 		stage.Handle(now, ev, &l.output)
@@ -166,6 +167,11 @@
 // minWait keeps a stage whose deadline stays in the past from making the loop spin.
 const minWait = time.Millisecond
 
+// NextDeadline returns when the stages next want a Tick, at most idleWait ahead.
+func (l *Loop) NextDeadline(now time.Time) time.Time {
+	return now.Add(l.untilDeadline(now))
+}
+
 func (l *Loop) untilDeadline(now time.Time) time.Duration {
 	wait := idleWait
 	for _, stage := range l.stages {
--- /dev/null
+++ b/internal/capacity/run.go
@@ -0,0 +1,172 @@
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/decide/balance"
+	"github.com/ragwortyard/ragwortyard/decide/ledger"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+)
+
+// Run measures all slopes.
+func Run() ([]Slope, error) {
+	slopes, err := configSlopes()
+	if err != nil {
+		return nil, err
+	}
+	slopes = append(slopes, nodeSlopes()...)
+	slopes = append(slopes, routingSlopes()...)
+	slopes = append(slopes, ledgerSlope())
+	rpc, err := rpcSlopes()
+	if err != nil {
+		return nil, err
+	}
+	return append(slopes, rpc...), nil
+}
+
+// configSlopes loads the configuration with all routes and a growing number of
+// teams.
+func configSlopes() ([]Slope, error) {
+	heap := Slope{Name: "configuration: heap with the values kept for peers", Per: "teams", Unit: "MB"}
+	parse := Slope{Name: "configuration: whole parse at a start", Per: "teams", Unit: "ms"}
+	update := Slope{Name: "configuration: one changed team value", Per: "teams", Unit: "ms"}
+	size := Slope{Name: "configuration: all values, fetched at a start", Per: "teams", Unit: "MB"}
+	for _, teams := range teamSizes {
+		manifest, parts, err := documentsOf(teams, 1)
+		if err != nil {
+			return nil, err
+		}
+		nextManifest, nextParts, err := documentsOf(teams, 2)
+		if err != nil {
+			return nil, err
+		}
+		var current *config.Config
+		parse.add(teams, timeOf(func() { current, _ = config.Parse(manifest, parts) })/1e3)
+		update.add(teams, timeOf(func() { current.Update(nextManifest, nextParts) })/1e3)
+		size.add(teams, float64(totalSize(parts)+len(manifest))/1e6)
+		current = nil
+		heap.add(teams, heapOf(func() any {
+			cfg, _ := config.Parse(manifest, parts)
+			return cfg
+		})+float64(totalSize(parts))/1e6)
+	}
+	return []Slope{size, heap, parse, update}, nil
+}
+
+func (s *Slope) add(size int, value float64) {
+	s.Points = append(s.Points, Point{Size: size, Value: value})
+}
+
+func totalSize(parts map[string][]byte) int {
+	total := 0
+	for _, p := range parts {
+		total += len(p)
+	}
+	return total
+}
+
+// measuredSeconds is the virtual time over which an idle node is measured.
+const measuredSeconds = 60
+
+// nodeSlopes runs the control loop of one process among a growing fleet.
+func nodeSlopes() []Slope {
+	processor := Slope{Name: "control loop, idle: processor time", Per: "hosts", Unit: "us/s"}
+	heap := Slope{Name: "control loop: heap for hosts and backend servers", Per: "hosts", Unit: "MB"}
+	traffic := make(map[string]*Slope)
+	total := Slope{Name: "control messages, idle: all kinds", Per: "hosts", Unit: "B/s"}
+	kept := Slope{Name: "lease messages of one kept shard", Per: "hosts", Unit: "B/s"}
+	for _, n := range hostSizes {
+		cost := measureNode(n, measuredSeconds)
+		processor.add(n, float64(cost.Processor.Microseconds()))
+		heap.add(n, cost.Heap)
+		if cost.Kept > 0 {
+			kept.add(n, float64(cost.Traffic[leaseKind].Bytes)/float64(cost.Seconds)/float64(cost.Kept))
+		}
+		sum := 0.0
+		for kind := range cost.Traffic {
+			s := traffic[kind]
+			if s == nil {
+				s = &Slope{Name: "control messages, idle: " + kind, Per: "hosts", Unit: "B/s"}
+				traffic[kind] = s
+			}
+			rate := cost.average(kind, n)
+			s.add(n, rate)
+			sum += rate
+		}
+		total.add(n, sum)
+	}
+	slopes := []Slope{processor, heap, total, kept}
+	return append(slopes, sorted(traffic)...)
+}
+
+func sorted(byKind map[string]*Slope) []Slope {
+	var slopes []Slope
+	for _, s := range byKind {
+		slopes = append(slopes, *s)
+	}
+	sort.Slice(slopes, func(i, j int) bool { return slopes[i].Name < slopes[j].Name })
+	return slopes
+}
+
+// choices is how often the choice of a backend server is timed in one round.
+const choices = 100_000
+
+// routingSlopes measures the choice of a backend server and the making of a
+// subset in services of growing size.
+func routingSlopes() []Slope {
+	choose := Slope{Name: "choice of a backend server", Per: "backend servers of the service", Unit: "ns"}
+	subset := Slope{Name: "subset of a team, made once for each host list", Per: "backend servers of the service", Unit: "us"}
+	now := time.Unix(1_800_000_000, 0)
+	for _, n := range []int{8, 40, 1_000, goalBackends} {
+		members := make([]*balance.Member, n)
+		for i := range members {
+			members[i] = balance.NewMember(now, fmt.Sprintf("backend-%d", i), hostID(i%goalHosts), fmt.Sprintf("zone-%d", i%goalZones))
+		}
+		options := balance.Options{Zone: "zone-0"}
+		var s *balance.Subset
+		subset.add(n, timeOf(func() { s = balance.NewSubset("team", "service", members, options) }))
+		r := rand.New(rand.NewPCG(1, 1))
+		choose.add(n, timeOf(func() {
+			for range choices {
+				balance.Choose(now, r, s, 0)
+			}
+		})*1e3/choices)
+	}
+	return []Slope{choose, subset}
+}
+
+// ledgerSlope loads records of idempotency keys.
+func ledgerSlope() Slope {
+	s := Slope{Name: "ledger: heap", Per: "records", Unit: "MB"}
+	now := time.Unix(1_800_000_000, 0)
+	members := []rendezvous.Member{{ID: "a", Zone: "1"}, {ID: "b", Zone: "2"}, {ID: "c", Zone: "3"}}
+	for _, n := range []int{10_000, 50_000, 200_000} {
+		s.add(n, heapOf(func() any {
+			holder := ledger.NewHolder(now, ledger.Options{Self: "a"})
+			holder.SetMembers(now, members)
+			load := func(at time.Time, i int) {
+				key := fmt.Sprintf("visit-%d", i)
+				shard := ledger.ShardOf("team", key, rendezvous.ShardCount)
+				set := ledger.SetID(ledger.HoldersOf(shard, members))
+				holder.Claim(at, ledger.Claim{Team: "team", Key: key, Attempt: key, Request: uint64(i), Holders: set, First: true})
+			}
+			for i := range n {
+				load(now.Add(10*time.Second), i) // opens the shards, which grant a little later
+			}
+			for i := range n {
+				load(now.Add(20*time.Second), i)
+			}
+			if holder.Len() != n {
+				panic(fmt.Sprintf("the ledger holds %d of %d records", holder.Len(), n))
+			}
+			return holder
+		}))
+		runtime.GC()
+	}
+	return s
+}
