Spread a team evenly over exits and evict by recent use

Under overload small teams lost 20% of their fair share. Traces of refusals by team showed two causes: all entries followed the same small differences in reported load, so that a team's requests reached one exit in bursts, and a full queue judged only by its present length, so that those bursts were refused although the team had been served less than others. Now members take turns and a random other one is taken only if it is better by half; a full queue refuses the team with the most use, queued and served within the last second or so; services of up to 16 members are used whole, since 8 of 10 overlap unevenly.

--- a/decide/balance/choose.go
+++ b/decide/balance/choose.go
@@ -8,10 +8,18 @@
 	"github.com/ragwortyard/ragwortyard/decide/path"
 )
 
-// remoteFactor is the penalty for leaving the zone: a remote member is chosen
-// over a local one when its expected wait is lower by a third. Measured latency
-// already contains the distance; the penalty keeps equal members local.
-const remoteFactor = 1.5
+const (
+	// significant is by how much the expected wait of the random member must be
+	// lower than that of the member whose turn it is. Reports are up to one
+	// network distance old and latencies vary; following smaller differences
+	// sends all entries to the same member and makes the arrivals of a team
+	// uneven, which costs small teams their share under overload.
+	significant = 2
+	// remoteFactor is the penalty for leaving the zone. It equals significant, so
+	// that a local member is taken over an equal remote one. Measured latency
+	// already contains the distance.
+	remoteFactor = significant
+)
 
 // The tiers in which members are used; a later tier only when all earlier ones
 // are empty. Exits refuse work for ejected and leaving backend servers, so these
@@ -26,9 +34,9 @@
 	tierCount
 )
 
-// Choose returns the index of the member that the next attempt goes to: of two
-// random members the one with the lower expected wait. It never returns a member
-// of exclude. Members that are ejected, leaving or behind a suspect or broken path
+// Choose returns the index of the member that the next attempt goes to. Members
+// take turns; a random other member is taken instead when its expected wait is
+// lower by at least half. It never returns a member of exclude. Members that are ejected, leaving or behind a suspect or broken path
 // are chosen only when nothing better is left. ok is false when every member is
 // excluded. r belongs to the calling goroutine. Choose allocates nothing and its
 // cost does not depend on the size of the service.
@@ -41,7 +49,7 @@
 	case 1:
 		return nth(candidates, 0), true
 	}
-	first := r.IntN(count)
+	first := s.nextTurn(r, count)
 	second := r.IntN(count - 1)
 	if second >= first {
 		second++
@@ -49,6 +57,15 @@
 	return s.better(now, nth(candidates, first), nth(candidates, second), candidates), true
 }
 
+// nextTurn rotates over the candidates from a random start, so that the entries
+// do not move in step.
+func (s *Subset) nextTurn(r *rand.Rand, count int) int {
+	if s.turn.Load() == 0 {
+		s.turn.CompareAndSwap(0, r.Uint32())
+	}
+	return int(s.turn.Add(1) % uint32(count))
+}
+
 // best returns the members of the first tier that is not empty.
 func (s *Subset) best(now time.Time, exclude Set) Set {
 	var tiers [tierCount]Set
@@ -81,6 +98,7 @@
 	}
 }
 
+// better returns b when it is significantly better than a.
 func (s *Subset) better(now time.Time, a, b int, candidates Set) int {
 	costA, costB := s.Members[a].cost(now), s.Members[b].cost(now)
 	if s.local.Has(a) != s.local.Has(b) && !s.localLoaded(now, candidates) {
@@ -90,7 +108,7 @@
 			costA *= remoteFactor
 		}
 	}
-	if costB < costA {
+	if costB*significant <= costA {
 		return b
 	}
 	return a
--- a/decide/balance/subset.go
+++ b/decide/balance/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
@@ -10,6 +11,10 @@
 	// subsetSize spreads a team over enough members to lose some, while a noisy
 	// team or a crashing request reaches few of them.
 	subsetSize = 8
+	// wholeService is the size up to which a subset is the whole service. With 8
+	// of 10 members some backend servers would be in more subsets than others,
+	// and teams could not get equal shares; 8 of 10 isolate hardly better.
+	wholeService = 16
 	// largeSubsetSize is used for services above largeService backend servers.
 	largeSubsetSize = 16
 	largeService    = 1000
@@ -37,18 +42,19 @@
 // defaultSlots is the usual number of concurrent requests of a backend server.
 const defaultSlots = 7
 
-// Subset is the part of a service's members that one team uses. It is immutable;
-// the members in it are shared and carry the statistics.
+// Subset is the part of a service's members that one team uses. The members are
+// shared and carry the statistics; only the turn changes.
 type Subset struct {
 	Members []*Member
 	local   Set // members in the zone of this process
 	slots   int64
+	turn    atomic.Uint32 // 0 until the first choice
 }
 
 // NewSubset picks the members of a team's subset of a service by rendezvous
-// hashing: at most 8, or 16 for services above 1,000 backend servers, spread
-// over zones. Every process picks the same, and one member more or less in the
-// service changes at most one pick unless the number of zones changes.
+// hashing, spread over zones: all members of services of up to 16 backend
+// servers, 8 in larger ones, 16 above 1,000 backend servers. Every process picks
+// the same, and one member more or less changes few picks.
 func NewSubset(team, service string, members []*Member, opts Options) *Subset {
 	byID := make(map[string]*Member, len(members))
 	candidates := make([]rendezvous.Member, len(members))
@@ -71,10 +77,14 @@
 }
 
 func size(members int) int {
-	if members > largeService {
+	switch {
+	case members > largeService:
 		return largeSubsetSize
+	case members <= wholeService:
+		return members
+	default:
+		return subsetSize
 	}
-	return subsetSize
 }
 
 // subsetKey prefixes the length of the team, so that no two pairs share a key.
--- a/decide/fairqueue/pop.go
+++ b/decide/fairqueue/pop.go
@@ -52,7 +52,10 @@
 	if t.deficit < t.items[at].cost {
 		return Item{}, false
 	}
-	t.deficit -= t.items[at].cost
+	cost := t.items[at].cost
+	t.deficit -= cost
+	t.served = t.recent(now) + cost
+	t.servedAt = now
 	return q.remove(t, at), true
 }
 
@@ -110,9 +113,8 @@
 }
 
 func (q *Queue) deactivate(t *teamQueue) {
-	delete(q.teams, t.name)
 	at := slices.Index(q.active, t)
 	q.active = slices.Delete(q.active, at, at+1)
-	*t = teamQueue{items: t.items[:0]}
-	q.spare = append(q.spare, t)
+	t.deficit = 0
+	t.visited = false
 }
--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -1,13 +1,16 @@
 package fairqueue
 
 import (
+	"maps"
 	"math"
 	"time"
 )
 
 // Push adds an item. The refusal names the item that was not accepted: the
 // pushed one when its deadline cannot be met, or, when the queue is full, an
-// expired item or else the newest item of the team with the most items.
+// expired item or else the newest item of the team that uses the queue most:
+// queued and served within the last second or so. Looking back lets a team that
+// sends no more than its share keep its bursts.
 func (q *Queue) Push(now time.Time, item Item) Refusal {
 	if expired(item, now) {
 		return Refusal{Item: item, Reason: DeadlinePassed}
@@ -18,6 +21,7 @@
 		return Refusal{Item: item, Reason: DeadlineTooShort}
 	}
 	q.insert(entry)
+	q.forget(now)
 	if q.length <= q.bound {
 		return Refusal{}
 	}
@@ -86,9 +90,9 @@
 }
 
 func (q *Queue) insert(entry queued) {
-	t := q.teams[entry.Team]
-	if t == nil {
-		t = q.activate(entry.Team)
+	t := q.team(entry.Team)
+	if len(t.items) == 0 {
+		q.active = append(q.active, t)
 	}
 	at := len(t.items)
 	for at > 0 && entry.Deadline.Before(t.items[at-1].Deadline) {
@@ -100,23 +104,26 @@
 	q.length++
 }
 
-// activate puts a team at the end of the round.
-func (q *Queue) activate(name string) *teamQueue {
-	t := q.unused()
-	t.name = name
-	q.teams[name] = t
-	q.active = append(q.active, t)
+func (q *Queue) team(name string) *teamQueue {
+	t := q.teams[name]
+	if t == nil {
+		t = &teamQueue{}
+		q.teams[name] = t
+	}
 	return t
 }
 
-func (q *Queue) unused() *teamQueue {
-	last := len(q.spare) - 1
-	if last < 0 {
-		return &teamQueue{}
+// forget drops idle teams when too many are remembered: those with hardly any
+// recent use, and all of them if that is not enough.
+func (q *Queue) forget(now time.Time) {
+	for _, use := range []float64{forgottenUse, math.Inf(1)} {
+		if len(q.teams)-len(q.active) <= maxIdleTeams {
+			return
+		}
+		maps.DeleteFunc(q.teams, func(_ string, t *teamQueue) bool {
+			return len(t.items) == 0 && t.use(now) < use
+		})
 	}
-	t := q.spare[last]
-	q.spare = q.spare[:last]
-	return t
 }
 
 // evict removes one item from a queue that is one item too long.
@@ -128,20 +135,38 @@
 	}
 	victim := q.active[0]
 	for _, t := range q.active[1:] {
-		if t.longerThan(victim) {
+		if t.usesMoreThan(victim, now) {
 			victim = t
 		}
 	}
 	return Refusal{Item: q.remove(victim, victim.newest()), Reason: Full}
 }
 
-// longerThan compares by length, then by the newest item, so that among equals
-// the pushing team yields.
-func (t *teamQueue) longerThan(other *teamQueue) bool {
-	if len(t.items) != len(other.items) {
-		return len(t.items) > len(other.items)
+// usesMoreThan compares by use, then by the newest item, so that among equals the
+// pushing team yields. The newest item itself does not count, or a team of little
+// worth would lose its only item.
+func (t *teamQueue) usesMoreThan(other *teamQueue, now time.Time) bool {
+	mine, theirs := t.items[t.newest()], other.items[other.newest()]
+	use, otherUse := t.use(now)-mine.cost, other.use(now)-theirs.cost
+	if use != otherUse {
+		return use > otherUse
 	}
-	return t.items[t.newest()].seq > other.items[other.newest()].seq
+	return mine.seq > theirs.seq
+}
+
+// use is the cost of the items that the team has queued and was served lately.
+func (t *teamQueue) use(now time.Time) float64 {
+	sum := t.recent(now)
+	for i := range t.items {
+		sum += t.items[i].cost
+	}
+	return sum
+}
+
+// recent is the decayed cost of the items that the team was served.
+func (t *teamQueue) recent(now time.Time) float64 {
+	age := now.Sub(t.servedAt)
+	return t.served * math.Exp2(-float64(age)/float64(serviceHalfLife))
 }
 
 func (t *teamQueue) newest() int {
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -14,6 +14,15 @@
 	// shut out another and a pop takes a bounded number of steps.
 	minWorth = 0.01
 	maxWorth = 100
+	// serviceHalfLife is how fast past service is forgotten. It spans the bursts
+	// of a team that sends at its fair share, and ends the memory of a team's
+	// excess within seconds.
+	serviceHalfLife = time.Second
+	// maxIdleTeams bounds the teams without items that are remembered for what
+	// they were served lately.
+	maxIdleTeams = 64
+	// forgottenUse is the use below which an idle team is forgotten first.
+	forgottenUse = 0.1
 	// quantum is what a team may spend in one round; an item costs 1/worth.
 	quantum = 1.0
 )
@@ -33,7 +42,7 @@
 // The reasons.
 const (
 	Accepted         Reason = iota
-	Full                    // the queue is full and the team has the most items in it
+	Full                    // the queue is full and the team uses most of it
 	DeadlineTooShort        // the deadline cannot be met at the present pace
 	DeadlinePassed          // the deadline has passed
 )
@@ -57,17 +66,17 @@
 	bound  int
 	length int
 	pace   Pace
-	teams  map[string]*teamQueue
-	active []*teamQueue // teams with items in the order of the round; the first has its turn
-	spare  []*teamQueue // emptied teams, kept so that pushing allocates nothing
+	teams  map[string]*teamQueue // with items, or remembered
+	active []*teamQueue          // teams with items in the order of the round; the first has its turn
 	seq    uint64
 }
 
 type teamQueue struct {
-	name    string
-	deficit float64
-	visited bool     // the team got its quantum in the running turn
-	items   []queued // earliest deadline first
+	deficit  float64
+	visited  bool     // the team got its quantum in the running turn
+	items    []queued // earliest deadline first
+	served   float64  // cost of the items popped, halved for each serviceHalfLife
+	servedAt time.Time
 }
 
 type queued struct {
--- a/decide/fairqueue/queue_test.go
+++ b/decide/fairqueue/queue_test.go
@@ -209,6 +209,46 @@
 	}
 }
 
+// Guards against a small team that loses its bursts although it was served less
+// than the others.
+func TestFullQueueRefusesTheTeamServedMostLately(t *testing.T) {
+	q := New(1)
+	for id := range uint64(6) {
+		pushAll(q, Item{ID: id, Team: "large", Deadline: after(900)})
+		q.Pop(start)
+	}
+	pushAll(
+		q,
+		Item{ID: 10, Team: "small", Deadline: after(900)},
+		Item{ID: 11, Team: "small", Deadline: after(900)},
+		Item{ID: 12, Team: "small", Deadline: after(900)},
+		Item{ID: 13, Team: "large", Deadline: after(900)},
+	)
+	if r := q.Push(start, Item{ID: 14, Team: "small", Deadline: after(900)}); r.Item.ID != 13 {
+		t.Errorf("refused %+v, want item 13 of the large team", r)
+	}
+	now := start.Add(10 * serviceHalfLife)
+	q.Expire(now)
+	for id := range uint64(5) {
+		team := []string{"small", "large", "small"}[id%3]
+		if r := q.Push(now, Item{ID: 20 + id, Team: team, Deadline: now.Add(time.Second)}); r.Reason != Accepted && r.Item.Team != "small" {
+			t.Errorf("refused %+v of the large team, whose service is long past", r)
+		}
+	}
+}
+
+// Guards against memory that grows with every team that ever sent.
+func TestIdleTeamsAreForgotten(t *testing.T) {
+	q := New(1)
+	for id := range uint64(1000) {
+		pushAll(q, Item{ID: id, Team: fmt.Sprint(id), Deadline: after(900)})
+		q.Pop(start)
+	}
+	if len(q.teams) > maxIdleTeams+1 {
+		t.Errorf("%d teams are remembered, want at most %d", len(q.teams), maxIdleTeams+1)
+	}
+}
+
 // Guards against work for answers that come too late, and against an outdated
 // pace that refuses everything.
 func TestDeadlineThatCannotBeMetIsRefusedAtOnce(t *testing.T) {
