Stop running requests that can hardly be answered in time

With the sister firm asking for 60% of the slots a quarter of the popped requests was answered too late. Items with less than half of the typical service time left are now treated as expired, while pops are recent enough to trust the pace.

--- a/decide/fairqueue/pop.go
+++ b/decide/fairqueue/pop.go
@@ -6,41 +6,43 @@
 )
 
 // Pop returns the item to run next; false when no item with time left waits.
-// Expired items stay for Expire.
+// Expired items and those that can hardly be answered in time stay for Expire.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	if !q.hasLive(now) {
+	horizon := q.horizon(now)
+	if !q.hasLive(horizon) {
 		return Item{}, false
 	}
 	for {
 		t := q.active[0]
-		if item, ok := q.popTurn(now, t); ok {
+		if item, ok := q.popTurn(now, horizon, t); ok {
+			q.popped = now
 			return item, true
 		}
 		q.endTurn(t)
 	}
 }
 
-func (q *Queue) hasLive(now time.Time) bool {
+func (q *Queue) hasLive(horizon time.Time) bool {
 	for _, t := range q.active {
-		if t.live(now) < len(t.items) {
+		if t.live(horizon) < len(t.items) {
 			return true
 		}
 	}
 	return false
 }
 
-// live returns the index of the first item that has not expired.
-func (t *teamQueue) live(now time.Time) int {
+// live returns the index of the first item whose deadline is after the horizon.
+func (t *teamQueue) live(horizon time.Time) int {
 	for i := range t.items {
-		if !expired(t.items[i].Item, now) {
+		if !expired(t.items[i].Item, horizon) {
 			return i
 		}
 	}
 	return len(t.items)
 }
 
-func (q *Queue) popTurn(now time.Time, t *teamQueue) (Item, bool) {
-	at := t.live(now)
+func (q *Queue) popTurn(now, horizon time.Time, t *teamQueue) (Item, bool) {
+	at := t.live(horizon)
 	if at == len(t.items) {
 		t.deficit = 0
 		return Item{}, false
@@ -66,12 +68,14 @@
 	q.active[len(q.active)-1] = t
 }
 
-// Expire removes and returns the items whose deadline has passed.
+// Expire removes and returns the items whose deadline has passed or is so close
+// that they can hardly be answered in time. They were not run.
 func (q *Queue) Expire(now time.Time) []Item {
 	var items []Item
+	horizon := q.horizon(now)
 	for i := len(q.active) - 1; i >= 0; i-- {
 		t := q.active[i]
-		for len(t.items) > 0 && expired(t.items[0].Item, now) {
+		for len(t.items) > 0 && expired(t.items[0].Item, horizon) {
 			items = append(items, q.remove(t, 0))
 		}
 	}
--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -32,6 +32,16 @@
 	return !now.Before(item.Deadline)
 }
 
+// horizon is the time before which a deadline is useless: now, or later by half of
+// the typical service time, within which hardly any answer arrives. The pace
+// counts only while pops are recent, since without pops it is not measured again.
+func (q *Queue) horizon(now time.Time) time.Time {
+	if now.Sub(q.popped) > q.pace.Service {
+		return now
+	}
+	return now.Add(q.pace.Service / 2)
+}
+
 func cost(item Item) float64 {
 	if item.Worth == 0 {
 		return quantum
@@ -128,8 +138,9 @@
 
 // evict removes one item from a queue that is one item too long.
 func (q *Queue) evict(now time.Time) Refusal {
+	horizon := q.horizon(now)
 	for _, t := range q.active {
-		if expired(t.items[0].Item, now) {
+		if expired(t.items[0].Item, horizon) {
 			return Refusal{Item: q.remove(t, 0), Reason: DeadlinePassed}
 		}
 	}
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -69,6 +69,7 @@
 	teams  map[string]*teamQueue // with items, or remembered
 	active []*teamQueue          // teams with items in the order of the round; the first has its turn
 	seq    uint64
+	popped time.Time // when an item was last popped
 }
 
 type teamQueue struct {
