--- a/decide/ejection/collector.go
+++ b/decide/ejection/collector.go
@@ -39,20 +39,74 @@
 	ownSamples = 8
 )
 
+// counts is a histogram that knows the range of its buckets in use, since most
+// of them are empty.
+type counts struct {
+	n           [Buckets]uint32
+	total       uint32
+	first, last int // valid if total is above 0
+}
+
+func (c *counts) add(bucket int, n uint32) {
+	if c.total == 0 {
+		c.first, c.last = bucket, bucket
+	}
+	c.first, c.last = min(c.first, bucket), max(c.last, bucket)
+	c.n[bucket] += n
+	c.total += n
+}
+
+func (c *counts) clear() {
+	if c.total > 0 {
+		clear(c.n[c.first : c.last+1])
+		c.total = 0
+	}
+}
+
+func (c *counts) moveTo(to *counts) {
+	if c.total == 0 {
+		return
+	}
+	for i := c.first; i <= c.last; i++ {
+		if c.n[i] > 0 {
+			to.add(i, c.n[i])
+		}
+	}
+	c.clear()
+}
+
+// sketch returns nil without samples.
+func (c *counts) sketch() Sketch {
+	if c.total == 0 {
+		return nil
+	}
+	s := make(Sketch, 0, c.last-c.first+2)
+	s = append(s, uint32(c.first))
+	return append(s, c.n[c.first:c.last+1]...)
+}
+
+func (c *counts) median() time.Duration {
+	below := c.total / 2
+	for i, n := range c.n {
+		if below < n {
+			return lowerBound(i)
+		}
+		below -= n
+	}
+	return lowerBound(Buckets - 1)
+}
+
 // Window holds the calls of one class between two reports.
 type Window struct {
 	count    uint32
 	failures uint32
-	timed    uint32 // calls in latency
 	notable  uint32 // calls in latency of ownFactor times the own median or more
-	overdue  uint32 // calls in running
-	latency  [Buckets]uint32
-	running  [Buckets]uint32
+	latency  counts
+	running  counts // calls in progress that are overdue
 }
 
 func (w *Window) addLatency(latency, own time.Duration) {
-	w.latency[bucketOf(latency)]++
-	w.timed++
+	w.latency.add(bucketOf(latency), 1)
 	if own > 0 && latency >= ownFactor*own {
 		w.notable++
 	}
@@ -61,26 +115,33 @@
 // isNotable tells whether the keeper should hear of these calls at once: one
 // failed, or over a third (and not a single one) were slow for this server.
 func (w *Window) isNotable() bool {
-	return w.failures > 0 || w.overdue > 1 || (w.notable > 1 && w.notable*3 > w.timed)
+	return w.failures > 0 || w.running.total > 1 || (w.notable > 1 && w.notable*3 > w.latency.total)
 }
 
 func (w *Window) isEmpty() bool {
-	return w.count == 0 && w.timed == 0 && w.overdue == 0
+	return w.count == 0 && w.latency.total == 0 && w.running.total == 0
 }
 
-// moveTo adds the calls to another window and empties this one.
+// moveTo adds the ended calls to another window and empties this one. Calls in
+// progress are dropped: they will be seen when they end.
 func (w *Window) moveTo(to *Window) {
 	to.count += w.count
 	to.failures += w.failures
-	to.timed += w.timed
-	for i, n := range w.latency {
-		to.latency[i] += n
-	}
-	*w = Window{}
+	w.latency.moveTo(&to.latency)
+	w.clear()
+}
+
+func (w *Window) clear() {
+	w.count, w.failures, w.notable = 0, 0, 0
+	w.latency.clear()
+	w.running.clear()
 }
 
 func (w *Window) report(class string) ClassReport {
-	return ClassReport{Class: class, Count: w.count, Failures: w.failures, Latency: makeSketch(&w.latency), Running: makeSketch(&w.running)}
+	return ClassReport{
+		Class: class, Count: w.count, Failures: w.failures,
+		Latency: w.latency.sketch(), Running: w.running.sketch(),
+	}
 }
 
 // classWindows are the calls of one class: those of quiet intervals that are
@@ -98,6 +159,7 @@
 	Suspect bool      // the health check or the load report is bad
 	Leaving bool      // the host has announced that it stops
 	Ejected bool      // a lease is in force
+	Asked   bool      // the keeper asked for a report
 	Keeper  uint64    // epoch of the keeper; a new keeper gets a report at once
 	Running []Running // calls in progress
 }
@@ -118,6 +180,8 @@
 	last     time.Time // of the last report
 	flags    Report    // the flags of the last report
 	keeper   uint64
+	started  time.Time // of the server, as of the last call of Report
+	life     uint32    // number of its starts
 }
 
 // NewCollector returns a collector for one backend server.
@@ -168,11 +232,14 @@
 // needs now. Call it once in every ReportInterval.
 func (c *Collector) Report(now time.Time, s State) (Report, bool) {
 	r := Report{Service: c.service, Server: c.server, Suspect: s.Suspect, Leaving: s.Leaving}
-	r.Cold = !s.Started.IsZero() && now.Sub(s.Started) < WarmUp
+	c.noteStart(s.Started)
+	if !s.Started.IsZero() && now.Sub(s.Started) < WarmUp {
+		r.Life = c.life
+	}
 	c.observeRunning(now, s.Running)
 	notable := c.anyNotable()
-	due := notable || s.Ejected || s.Keeper != c.keeper || c.last.IsZero() ||
-		r.Cold != c.flags.Cold || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving ||
+	due := notable || s.Ejected || s.Asked || s.Keeper != c.keeper || c.last.IsZero() ||
+		r.Life != c.flags.Life || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving ||
 		now.Sub(c.last) >= c.settings.MaxQuiet
 	if !due {
 		c.keepQuiet()
@@ -184,6 +251,19 @@
 	return r, true
 }
 
+// noteStart drops the calls to an earlier life of the server, which would make
+// a cold server look warm.
+func (c *Collector) noteStart(started time.Time) {
+	if started.Equal(c.started) {
+		return
+	}
+	c.started = started
+	c.life++
+	for _, w := range c.classes {
+		*w = classWindows{class: w.class}
+	}
+}
+
 func (c *Collector) anyNotable() bool {
 	for _, w := range c.classes {
 		if w.present.isNotable() {
@@ -200,14 +280,12 @@
 		w := c.window(call.Class)
 		age := now.Sub(call.Since)
 		if w.own > 0 && age >= SlowFactor*w.own {
-			w.present.running[bucketOf(age)]++
-			w.present.overdue++
+			w.present.running.add(bucketOf(age), 1)
 		}
 	}
 }
 
-// keepQuiet holds the present interval back for a later report. Calls in
-// progress are dropped: they will be seen when they end.
+// keepQuiet holds the present interval back for a later report.
 func (c *Collector) keepQuiet() {
 	for _, w := range c.classes {
 		if !w.present.isEmpty() {
@@ -230,7 +308,7 @@
 		}
 		w.present.moveTo(&w.quiet)
 		w.adapt(now.Sub(c.last))
-		w.quiet = Window{}
+		w.quiet.clear()
 	}
 	return earlier, present
 }
@@ -238,10 +316,10 @@
 // adapt moves the own median toward the median of the calls in quiet, in steps
 // that grow with the time since the last report.
 func (w *classWindows) adapt(since time.Duration) {
-	if w.quiet.timed == 0 || (w.own == 0 && w.quiet.timed < ownSamples) {
+	if w.quiet.latency.total == 0 || (w.own == 0 && w.quiet.latency.total < ownSamples) {
 		return
 	}
-	median := quantile(&w.quiet.latency, w.quiet.timed, 0.5)
+	median := w.quiet.latency.median()
 	if w.own == 0 {
 		w.own = median
 		return
@@ -250,14 +328,3 @@
 	ratio := float64(median) / float64(w.own)
 	w.own = time.Duration(float64(w.own) * math.Pow(ratio, weight))
 }
-
-func quantile(counts *[Buckets]uint32, total uint32, q float64) time.Duration {
-	below := uint32(q * float64(total))
-	for i, n := range counts {
-		if below < n {
-			return lowerBound(i)
-		}
-		below -= n
-	}
-	return lowerBound(Buckets - 1)
-}
--- a/decide/ejection/guard.go
+++ b/decide/ejection/guard.go
@@ -25,7 +25,7 @@
 }
 
 // sentKept is how many sent reports a guard remembers. Only the reports of
-// the last EjectionTerm can still be answered: 15 at the shortest interval.
+// the last EjectionTerm can still be answered: 30 at the shortest interval.
 const sentKept = 32
 
 type sent struct {
@@ -41,6 +41,7 @@
 	ack   uint64
 	sent  [sentKept]sent
 	lease Lease
+	asked bool
 }
 
 // NewGuard returns a guard whose first report has a number above start. A
@@ -55,12 +56,18 @@
 	return g.lease
 }
 
+// Asked tells whether the keeper asked for a report since the last one.
+func (g *Guard) Asked() bool {
+	return g.asked
+}
+
 // Stamp completes a report that is sent now to the keeper of the given epoch.
 // From then on, verdicts of earlier epochs are refused: the keeper counts on
 // what this report says. Epochs must grow from keeper to keeper.
 func (g *Guard) Stamp(now time.Time, epoch uint64, r *Report) {
 	g.epoch = max(g.epoch, epoch)
 	g.seq++
+	g.asked = false
 	g.sent[g.seq%sentKept] = sent{seq: g.seq, at: now}
 	r.Epoch, r.Seq, r.Ack = g.epoch, g.seq, g.ack
 	r.Ejected = g.state(now)
@@ -92,6 +99,10 @@
 	if v.Epoch != g.epoch {
 		return OtherKeeper
 	}
+	if v.Kind == Ask {
+		g.asked = true
+		return Accepted
+	}
 	if v.Seq <= g.ack {
 		return Overtaken
 	}
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -27,7 +27,9 @@
 	classes  map[string]int
 	refs     []reference // by class
 	dirty    bool        // reports came since refs were made
+	hold     time.Time   // no ejections until then
 	scratch  []*track
+	sorted   []float64
 }
 
 // NewJudge returns a judge for a keeper that took over in the given epoch. It
@@ -75,7 +77,7 @@
 	s.seen, s.seq = now, r.Seq
 	s.suspect, s.leaving = r.Suspect, r.Leaving
 	s.learn(now, r)
-	s.start(r.Cold)
+	s.start(r.Life)
 	j.observeInterval(now, s, r.Earlier)
 	j.observeInterval(now, s, r.Classes)
 	s.cold = s.cold && !s.metSiblings(j.refs)
@@ -111,17 +113,22 @@
 	return class, ok
 }
 
-// Decide returns the verdicts to send, at most one for each report and at most
-// one new ejection, so that the next is decided without the server just taken
-// out.
+// Decide returns the verdicts to send. Call it within 10 ms of a report. There
+// is at most one verdict for each report, beside requests for reports, and at
+// most one new ejection, so that the next is decided without the server just
+// taken out.
 func (j *Judge) Decide(now time.Time) []Verdict {
 	for _, s := range j.servers {
 		s.lapse(now)
 	}
 	j.refreshReferences(now)
 	j.restoreCapacity(now)
-	verdicts := j.renew(now)
-	if v, ok := j.ejectWorst(now); ok {
+	worst, mass := j.survey(now)
+	verdicts := append(j.renew(now, mass), j.ask()...)
+	if mass {
+		return verdicts
+	}
+	if v, ok := j.eject(now, worst); ok {
 		verdicts = append(verdicts, v)
 	}
 	return verdicts
@@ -139,7 +146,7 @@
 				j.scratch = append(j.scratch, t)
 			}
 		}
-		j.refs[class] = makeReference(j.scratch)
+		j.refs[class] = makeReference(j.scratch, &j.sorted)
 	}
 }
 
@@ -201,20 +208,20 @@
 }
 
 // renew answers the reports of servers that do not take their full share.
-func (j *Judge) renew(now time.Time) []Verdict {
+func (j *Judge) renew(now time.Time, mass bool) []Verdict {
 	var verdicts []Verdict
 	for _, s := range j.servers {
 		if s.phase == serving || !s.fresh() {
 			continue
 		}
-		changed := j.progress(now, s)
+		changed := j.progress(now, s, mass)
 		verdicts = append(verdicts, s.verdict(now, j.epoch, !changed))
 	}
 	return verdicts
 }
 
 // progress moves an ejection on. It returns whether something changed.
-func (j *Judge) progress(now time.Time, s *server) bool {
+func (j *Judge) progress(now time.Time, s *server, mass bool) bool {
 	switch s.phase {
 	case restoring:
 		return s.restored == 0
@@ -225,7 +232,7 @@
 		s.advance(now)
 		return true
 	}
-	if found := j.examine(s); found.ejects {
+	if found := j.examine(now, s); found.ejects && !mass {
 		s.eject(now, found.reason)
 		return true
 	}
@@ -238,14 +245,8 @@
 
 // examine returns the strongest finding over all classes: a server that fails
 // one class only is gray as well.
-func (j *Judge) examine(s *server) finding {
-	d := demand{nats: needed, calls: badCalls}
-	if s.suspect || s.phase == returning {
-		d.nats = needed / 2
-	}
-	if s.phase == returning {
-		d.calls = probationCalls
-	}
+func (j *Judge) examine(now time.Time, s *server) finding {
+	probation := s.phase == returning
 	var found finding
 	var base float64
 	for class, t := range s.tracks {
@@ -253,40 +254,97 @@
 			continue
 		}
 		classBase := j.refs[class].failureBaseOf()
-		found = stronger(found, t.examine(classBase, d))
+		found = stronger(found, t.examine(now, classBase, s.suspect, probation))
 		base = max(base, classBase)
 	}
 	if base == 0 {
 		return finding{} // no siblings to compare with
 	}
-	return stronger(found, s.all.examine(base, d))
+	return stronger(found, s.all.examine(now, base, s.suspect, probation))
 }
 
-// ejectWorst ejects the server with the strongest evidence, unless so many
-// look bad that the cause lies elsewhere or the floor forbids it.
-func (j *Judge) ejectWorst(now time.Time) (Verdict, bool) {
-	var worst *server
-	var most finding
-	bad, reporting := 0, 0
+// suspect is a server that may be ejected.
+type suspect struct {
+	*server
+	finding
+}
+
+// survey returns the server with the strongest evidence, if it suffices, and
+// whether so many look bad, or did lately, that the cause lies elsewhere. Until
+// the reference has followed such a failure, a server that is only somewhat
+// slower than the others would stand out.
+func (j *Judge) survey(now time.Time) (worst suspect, mass bool) {
+	weak, bad, out, reporting := 0, 0, 0, 0
 	for _, s := range j.servers {
 		if !s.reportedLately(now, j.settings.Lately) {
 			continue
 		}
 		reporting++
-		if s.phase != serving {
-			bad += boolToInt(s.phase == ejected)
+		if s.phase == ejected {
+			out++
 			continue
 		}
-		found := j.examine(s)
+		found := j.examine(now, s)
+		s.noteEvidence(now, found.nats)
+		weak += boolToInt(found.nats >= looksWeak)
 		bad += boolToInt(found.nats >= looksBad)
-		if found.ejects && s.fresh() && (worst == nil || found.nats > most.nats) {
-			worst, most = s, found
+		if s.phase == serving && found.ejects && s.fresh() && found.nats > worst.nats {
+			worst = suspect{s, found}
+		}
+	}
+	limit := MassFailure * float64(reporting)
+	if float64(bad) > limit {
+		j.hold = now.Add(memory)
+	}
+	return worst, float64(weak+out) > limit || now.Before(j.hold)
+}
+
+// ask asks the silent siblings of servers that look bad for a report. Quiet
+// servers report rarely, and a partition may hide that they are bad as well.
+func (j *Judge) ask() []Verdict {
+	var since time.Time
+	for _, s := range j.servers {
+		if s.badSince.After(since) {
+			since = s.badSince
 		}
 	}
-	if worst == nil || float64(bad) > MassFailure*float64(reporting) || !j.floorAllows(now, worst) {
+	if since.IsZero() {
+		return nil
+	}
+	var asks []Verdict
+	for _, s := range j.servers {
+		if s.seen.IsZero() || !s.seen.Before(since) || s.asked == s.seq {
+			continue
+		}
+		s.asked = s.seq
+		asks = append(asks, Verdict{
+			Server: s.state.ID, Kind: Ask, Epoch: j.epoch, Seq: s.seq,
+			Ejected: Ejected{Reason: Compare},
+		})
+	}
+	return asks
+}
+
+// compared tells whether enough siblings have reported since a server looked
+// bad, so that they would be known if they were bad as well.
+func (j *Judge) compared(since time.Time) bool {
+	staying, reported := 0, 0
+	for _, s := range j.servers {
+		if s.isLeaving() {
+			continue
+		}
+		staying++
+		reported += boolToInt(!s.seen.Before(since))
+	}
+	return float64(staying-reported) <= MassFailure*float64(staying)
+}
+
+// eject takes a server out if its siblings are known and the floor allows it.
+func (j *Judge) eject(now time.Time, worst suspect) (Verdict, bool) {
+	if worst.server == nil || !j.compared(worst.badSince) || !j.floorAllows(now, worst.server) {
 		return Verdict{}, false
 	}
-	worst.eject(now, most.reason)
+	worst.server.eject(now, worst.finding.reason)
 	return worst.verdict(now, j.epoch, false), true
 }
 
@@ -322,7 +380,7 @@
 			Healthy:  s.healthy(now, j.settings.Lately),
 			Share:    s.share(),
 			Level:    s.currentLevel(now),
-			Evidence: j.examine(s).nats,
+			Evidence: j.examine(now, s).nats,
 		}
 		if s.phase != serving {
 			all[i].Reason = s.reason
--- a/decide/ejection/message.go
+++ b/decide/ejection/message.go
@@ -14,8 +14,9 @@
 	Seq uint64 `json:"q"`
 	// Ack is the Seq of the last verdict that the exit accepted, of any epoch.
 	Ack uint64 `json:"a,omitempty"`
-	// Cold is true while the server started less than WarmUp ago.
-	Cold bool `json:"w,omitempty"`
+	// Life is the number of the server's start, counted by the exit, while that
+	// was less than WarmUp ago, and 0 afterwards.
+	Life uint32 `json:"w,omitempty"`
 	// Suspect is true while the health check or the load report of the server
 	// is bad.
 	Suspect bool `json:"h,omitempty"`
@@ -57,6 +58,7 @@
 const (
 	Eject  Kind = "eject"  // take the server out, or keep it out
 	Return Kind = "return" // take the given share of traffic again
+	Ask    Kind = "ask"    // report at the next interval, also when quiet
 )
 
 // Reason says why a verdict was given.
@@ -68,6 +70,7 @@
 	Slow      Reason = "slow"      // SlowFactor or more over the siblings' median
 	Recovered Reason = "recovered" // ejection time over, or clean at the last share
 	Capacity  Reason = "capacity"  // the floor of healthy servers needs it back
+	Compare   Reason = "compare"   // a sibling looks bad
 )
 
 // Verdict is the keeper's answer to one report.
--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -40,7 +40,7 @@
 	seq      uint64    // of the last report
 	answered uint64    // report that the last verdict answered
 	cold     bool      // compared leniently, and no part of the healthy capacity
-	wasCold  bool      // Cold of the last report
+	life     uint32    // of the last report, see Report.Life
 	suspect  bool
 	leaving  bool     // as told by its exit
 	tracks   []*track // by class, nil if unknown
@@ -57,6 +57,10 @@
 	// accepted one from here on.
 	restored uint64
 
+	badSince time.Time // first looked bad, zero while it does not
+	badLast  time.Time // last looked bad
+	asked    uint64    // report after which it was asked for another
+
 	level   int
 	leveled time.Time // start of the present level's decay
 }
@@ -108,33 +112,53 @@
 	return s.tracks[class]
 }
 
-// start notes whether the exit calls the server cold. A server that just
-// started loses what was known of its earlier life.
-func (s *server) start(cold bool) {
-	started := cold && !s.wasCold
-	s.cold = cold && (started || s.cold)
-	s.wasCold = cold
+// start notes which life of the server the exit reports as cold, 0 for none. A
+// server that just started loses what was known of its earlier life.
+func (s *server) start(life uint32) {
+	started := life != 0 && life != s.life
+	s.cold = started || (s.cold && life != 0)
+	s.life = life
 	if started {
 		s.tracks = nil
 		s.all.forget()
 	}
 }
 
-// metSiblings tells whether the latency of all classes is near the siblings'.
+// metSiblings tells whether median and upper quartile of all classes are near
+// the siblings'.
 func (s *server) metSiblings(refs []reference) bool {
 	met := false
 	for class, t := range s.tracks {
-		if t == nil || t.timed < referenceCalls || !refs[class].known {
+		if t == nil || !refs[class].known {
 			continue
 		}
-		if t.median > refs[class].median+metSteps {
+		if t.timed < referenceCalls {
 			return false
 		}
+		for rank := range 2 {
+			if t.levels[rank] > refs[class].levels[rank]+metSteps {
+				return false
+			}
+		}
 		met = true
 	}
 	return met
 }
 
+// noteEvidence keeps since when the server looks bad. Single good intervals
+// within currentSpan do not end that.
+func (s *server) noteEvidence(now time.Time, nats float64) {
+	if nats >= looksBad {
+		if s.badSince.IsZero() {
+			s.badSince = now
+		}
+		s.badLast = now
+	}
+	if now.Sub(s.badLast) > currentSpan {
+		s.badSince = time.Time{}
+	}
+}
+
 // lapse ends a decision whose lease has ended without renewal.
 func (s *server) lapse(now time.Time) {
 	if s.phase != serving && !now.Before(s.until) {
--- a/decide/ejection/settings.go
+++ b/decide/ejection/settings.go
@@ -17,10 +17,11 @@
 	Lately time.Duration
 }
 
-// Today returns the settings for a few dozen backend servers, where frequent
-// reports cost little.
+// Today returns the settings for a few dozen backend servers. An interval of
+// 100 ms costs little, since it applies only to servers with something notable.
+// At 200 ms a gray server is not told from a burst of 300 ms within 1 s.
 func Today() Settings {
-	return Settings{ReportInterval: 200 * time.Millisecond, MaxQuiet: time.Second, Lately: 3 * time.Second}
+	return Settings{ReportInterval: 100 * time.Millisecond, MaxQuiet: time.Second, Lately: 3 * time.Second}
 }
 
 // AtScale returns the settings for about 11 backend servers on a node with
--- a/decide/ejection/sketch.go
+++ b/decide/ejection/sketch.go
@@ -39,22 +39,6 @@
 	return time.Duration((subSize+sub)<<octave) * time.Microsecond
 }
 
-// makeSketch copies the counts in use.
-func makeSketch(counts *[Buckets]uint32) Sketch {
-	first, last := Buckets, -1
-	for i, n := range counts {
-		if n > 0 {
-			first, last = min(first, i), i
-		}
-	}
-	if last < 0 {
-		return nil
-	}
-	s := make(Sketch, 0, last-first+2)
-	s = append(s, uint32(first))
-	return append(s, counts[first:last+1]...)
-}
-
 // each calls f for every bucket of the range. Buckets outside of the range are
 // left out, since a report may come from a faulty peer.
 func (s Sketch) each(f func(bucket int, n uint32)) {
--- a/decide/ejection/track.go
+++ b/decide/ejection/track.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// intervalsKept bounds the sliding windows: 13 s at an interval of 200 ms,
-	// 64 s at 1 s, which is at least 400 calls at the loads of the design.
-	intervalsKept = 64
+	// intervalsKept covers windowAge at the shortest interval.
+	intervalsKept = 100
 	// memory is the time after which the weight of a call in the picture of
 	// the siblings has fallen to 1/e. It must outlast MaxQuiet.
 	memory = 15 * time.Second
@@ -23,7 +22,7 @@
 	failures uint32
 	timed    uint32
 	slow     uint32 // at least SlowFactor times the siblings' median
-	far      uint32 // at least SlowFactor times the siblings' upper quartile
+	ranks    uint32 // sum of the ranks among the siblings' calls, see rankShares
 }
 
 func (t *tally) add(o tally) {
@@ -31,19 +30,18 @@
 	t.failures += o.failures
 	t.timed += o.timed
 	t.slow += o.slow
-	t.far += o.far
+	t.ranks += o.ranks
 }
 
 // addSketch counts the calls of a sketch.
 func (t *tally) addSketch(s Sketch, lim limits) {
 	s.each(func(bucket int, n uint32) {
 		t.timed += n
-		if bucket >= lim.slow {
+		rank := lim.rank(bucket)
+		t.ranks += rank * n
+		if rank > 0 {
 			t.slow += n
 		}
-		if bucket >= lim.far {
-			t.far += n
-		}
 	})
 }
 
@@ -103,8 +101,7 @@
 	failures float64
 	timed    float64
 	latency  [Buckets]float64
-	median   int // bucket
-	quartile int // bucket of the upper quartile
+	levels   limits // buckets of the quantiles of rankShares
 }
 
 // add takes in one summary and returns its interval.
@@ -124,7 +121,7 @@
 	t.failures += float64(ended.failures)
 	t.timed += float64(ended.timed)
 	latency.each(func(bucket int, n uint32) { t.latency[bucket] += float64(n) })
-	t.median, t.quartile = t.quantiles()
+	t.levels = t.quantiles()
 }
 
 func (t *track) decay(now time.Time) {
@@ -138,17 +135,17 @@
 	}
 }
 
-func (t *track) quantiles() (median, quartile int) {
-	var sum float64
-	median = -1
+// quantiles returns the buckets that hold the quantiles of rankShares.
+func (t *track) quantiles() limits {
+	var levels limits
+	var below float64
+	rank := 0
 	for i, n := range t.latency {
-		sum += n
-		if median < 0 && sum >= t.timed/2 {
-			median = i
-		}
-		if sum >= t.timed*3/4 {
-			return median, i
+		below += n
+		for rank < len(levels) && t.timed-below <= t.timed*tailShares[rank] {
+			levels[rank] = i
+			rank++
 		}
 	}
-	return median, Buckets - 1
+	return levels
 }
--- a/internal/measure/ejection.go
+++ b/internal/measure/ejection.go
@@ -83,8 +83,8 @@
 	detectionToday   = 3.0 // seconds, 99 in 100, at today's load
 	detectionAtScale = 5.0 // seconds, 99 in 100, at 9 requests/s for each server
 	// deliveryDelay is added to every detection: the keeper decides at most
-	// 50 ms after a report, and both messages cross zones.
-	deliveryDelay = 0.055
+	// 10 ms after a report, and both messages cross zones.
+	deliveryDelay = 0.015
 	// detectionGiveUp ends a run without detection; it counts with this time.
 	detectionGiveUp = 60.0
 )
--- a/internal/measure/ejection_hour.go
+++ b/internal/measure/ejection_hour.go
@@ -47,9 +47,9 @@
 	policy    simPolicy
 	rng       *rand.Rand
 	next      []float64 // time of the next event, by kind
-	lastBurst []float64
-	rightful  []span // by server: while an ejection is right
-	caught    []bool // by server: this gray failure was ejected
+	disturbed []float64 // by server: time of the last burst or pause
+	rightful  []span    // by server: while an ejection is right
+	caught    []bool    // by server: this gray failure was ejected
 	newKeeper float64
 	result    hourResult
 }
@@ -57,7 +57,7 @@
 func newEjectionHour(rng *rand.Rand, spec serviceSpec, load ejectionLoad, p simPolicy) *ejectionHour {
 	h := &ejectionHour{
 		world: newSimWorld(rng, spec, load), policy: p, rng: rng,
-		next: make([]float64, len(hourEvents)), lastBurst: make([]float64, spec.servers),
+		next: make([]float64, len(hourEvents)), disturbed: make([]float64, spec.servers),
 		rightful: make([]span, spec.servers), caught: make([]bool, spec.servers),
 	}
 	for i, e := range hourEvents {
@@ -88,6 +88,9 @@
 	switch {
 	case !h.rightful[server].holds(t):
 		h.result.wrongful++
+		if DebugWrongful != nil {
+			DebugWrongful(h, server)
+		}
 	case !h.caught[server] && h.world.servers[server].gray.holds(t):
 		h.caught[server] = true
 		h.result.caught++
@@ -104,33 +107,41 @@
 	return i, &h.world.servers[i]
 }
 
-// burstGap is the least time between two bursts of loss of one server. Two
+// noiseGap is the least time between two bursts or pauses of one server. Two
 // within a second are not told from a gray failure, nor should they be.
-const burstGap = 10.0
+const noiseGap = 10.0
+
+// pickQuiet returns a server without a recent burst or pause, and the moment
+// within the interval at which the next one begins.
+func (h *ejectionHour) pickQuiet(t float64) (s *simServer, from float64, ok bool) {
+	i, s := h.pick()
+	if t < h.disturbed[i]+noiseGap {
+		return nil, 0, false
+	}
+	h.disturbed[i] = t
+	return s, t + h.world.interval*h.rng.Float64(), true
+}
 
 // lossBurst lets most calls of one server fail for up to 300 ms.
 func (h *ejectionHour) lossBurst(t float64) {
-	i, s := h.pick()
-	if t < h.lastBurst[i]+burstGap {
-		return
+	if s, from, ok := h.pickQuiet(t); ok {
+		s.burst = span{from, from + h.between(0.1, 0.3)}
+		s.loss = h.between(0.5, 1)
 	}
-	h.lastBurst[i] = t
-	from := t + h.world.interval*h.rng.Float64()
-	s.burst = span{from, from + h.between(0.1, 0.3)}
-	s.loss = h.between(0.5, 1)
 }
 
 // serverPause stops one server for up to 500 ms, as a garbage collector does.
 func (h *ejectionHour) serverPause(t float64) {
-	_, s := h.pick()
-	from := t + h.world.interval*h.rng.Float64()
-	s.pause = span{from, from + h.between(0.05, 0.5)}
+	if s, from, ok := h.pickQuiet(t); ok {
+		s.pause = span{from, from + h.between(0.05, 0.5)}
+	}
 }
 
 // exitPause stops one exit process, which sees what happened meanwhile late.
 func (h *ejectionHour) exitPause(t float64) {
-	_, s := h.pick()
-	s.frozen = span{t, t + h.between(0.2, 10)}
+	if s, from, ok := h.pickQuiet(t); ok {
+		s.frozen = span{from, from + h.between(0.2, 10)}
+	}
 }
 
 // coldStart restarts one server after a planned stop.
@@ -227,3 +238,5 @@
 		s.gray, s.grayKind = span{from, t + length}, kind
 	}
 }
+
+var DebugWrongful func(h *ejectionHour, server int)
--- a/internal/measure/ejection_policy.go
+++ b/internal/measure/ejection_policy.go
@@ -86,6 +86,7 @@
 	state := ejection.State{
 		Suspect: s.suspect.holds(t),
 		Ejected: p.guards[i].Lease().Share(now) < 1,
+		Asked:   p.guards[i].Asked(),
 		Keeper:  p.epoch,
 		Running: s.running(t),
 	}
--- a/internal/measure/ejection_world.go
+++ b/internal/measure/ejection_world.go
@@ -16,14 +16,15 @@
 	// slotWait is how long a call waits for a slot before its entry goes
 	// elsewhere.
 	slotWait = 0.25
-	// callTimeout is after how long a call fails.
+	// callTimeout is after how long a call fails if its server or exit is
+	// paused. Slow calls alone never take so long that callers give up.
 	callTimeout = 2.0
 	// backgroundFailures is the failure ratio of a healthy server.
 	backgroundFailures = 0.005
 	// latencySpread is the standard deviation of the logarithm of the latency.
 	latencySpread = 0.5
 	// pendingIntervals bounds how far ahead a call can complete, in intervals.
-	pendingIntervals = 64
+	pendingIntervals = 128
 )
 
 // serviceSpec is one service of a deployment.
@@ -83,9 +84,10 @@
 
 // simServer is one backend server with what happens to it.
 type simServer struct {
-	speed   float64 // factor on latency, servers differ a little
-	slots   [ejectionSlots]simSlot
-	pending [pendingIntervals][]simCall
+	speed    float64 // factor on latency, servers differ a little
+	slots    [ejectionSlots]simSlot
+	pending  [pendingIntervals][]simCall
+	progress []ejection.Running // reused by running
 
 	gray     span
 	grayKind grayKind
@@ -207,6 +209,9 @@
 }
 
 func (w *simWorld) arrive(s *simServer, t float64) {
+	if s.frozen.holds(t) {
+		return // a paused exit starts no call
+	}
 	draw := w.rng.Uint64()
 	c := simCall{class: uint8(draw & 1)}
 	if s.down.holds(t) {
@@ -220,10 +225,9 @@
 		return
 	}
 	latency := w.latency(s, begin, draw>>1)
-	if latency > callTimeout {
-		latency, c.outcome = callTimeout, ejection.Failure
-	}
-	if w.fails(s, t, c.class) {
+	stalled := stall(s.pause, begin, latency) + stall(s.frozen, begin, latency)
+	latency += stalled
+	if w.fails(s, t, begin+latency, c.class) || (stalled > 0 && latency > callTimeout) {
 		c.outcome = ejection.Failure
 	}
 	s.slots[slot] = simSlot{begin, begin + latency, c.class}
@@ -242,12 +246,13 @@
 
 // running returns the calls in progress.
 func (s *simServer) running(t float64) []ejection.Running {
-	var calls []ejection.Running
+	calls := s.progress[:0]
 	for _, slot := range s.slots {
 		if slot.begin <= t && slot.end > t {
 			calls = append(calls, ejection.Running{Class: simClasses[slot.class], Since: simTime(slot.begin)})
 		}
 	}
+	s.progress = calls
 	return calls
 }
 
@@ -262,7 +267,7 @@
 	if s.gray.holds(begin) && s.grayKind == graySlow {
 		latency *= 10
 	}
-	return latency + stall(s.pause, begin, latency) + stall(s.frozen, begin, latency)
+	return latency
 }
 
 // stall returns how much of a pause a call sits through.
@@ -273,12 +278,14 @@
 	return pause.to - max(begin, pause.from)
 }
 
-func (w *simWorld) fails(s *simServer, t float64, class uint8) bool {
+// fails decides by the begin of a call whether a gray server fails it, and by
+// its end whether a burst loses its answer.
+func (w *simWorld) fails(s *simServer, begin, end float64, class uint8) bool {
 	ratio := backgroundFailures
-	if s.burst.holds(t) {
+	if s.burst.holds(end) {
 		ratio = s.loss
 	}
-	if s.gray.holds(t) {
+	if s.gray.holds(begin) {
 		switch {
 		case s.grayKind == grayHalf:
 			ratio = 0.5
