--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -1,13 +1,16 @@
 package fairqueue
 
 import (
+	"maps"
 	"math"
 	"time"
 )
 
 // Push adds an item. The refusal names the item that was not accepted: the
 // pushed one when its deadline cannot be met, or, when the queue is full, an
-// expired item or else the newest item of the team with the most items.
+// expired item or else the newest item of the team that uses the queue most:
+// queued and served lately. Looking back lets a team that sends no more than its
+// share keep its bursts.
 func (q *Queue) Push(now time.Time, item Item) Refusal {
 	if expired(item, now) {
 		return Refusal{Item: item, Reason: DeadlinePassed}
@@ -18,6 +21,7 @@
 		return Refusal{Item: item, Reason: DeadlineTooShort}
 	}
 	q.insert(entry)
+	q.forget()
 	if q.length <= q.bound {
 		return Refusal{}
 	}
@@ -28,6 +32,16 @@
 	return !now.Before(item.Deadline)
 }
 
+// horizon is the time before which a deadline is useless: now, or later by half of
+// the typical service time, within which hardly any answer arrives. The pace
+// counts only while pops are recent, since without pops it is not measured again.
+func (q *Queue) horizon(now time.Time) time.Time {
+	if now.Sub(q.popped) > q.pace.Service {
+		return now
+	}
+	return now.Add(q.pace.Service / 2)
+}
+
 func cost(item Item) float64 {
 	if item.Worth == 0 {
 		return quantum
@@ -86,9 +100,9 @@
 }
 
 func (q *Queue) insert(entry queued) {
-	t := q.teams[entry.Team]
-	if t == nil {
-		t = q.activate(entry.Team)
+	t := q.team(entry.Team)
+	if len(t.items) == 0 {
+		q.active = append(q.active, t)
 	}
 	at := len(t.items)
 	for at > 0 && entry.Deadline.Before(t.items[at-1].Deadline) {
@@ -100,48 +114,69 @@
 	q.length++
 }
 
-// activate puts a team at the end of the round.
-func (q *Queue) activate(name string) *teamQueue {
-	t := q.unused()
-	t.name = name
-	q.teams[name] = t
-	q.active = append(q.active, t)
+func (q *Queue) team(name string) *teamQueue {
+	t := q.teams[name]
+	if t == nil {
+		t = &teamQueue{}
+		q.teams[name] = t
+	}
 	return t
 }
 
-func (q *Queue) unused() *teamQueue {
-	last := len(q.spare) - 1
-	if last < 0 {
-		return &teamQueue{}
+// forget drops idle teams when too many are remembered: those with hardly any
+// recent use, and all of them if that is not enough.
+func (q *Queue) forget() {
+	for _, use := range []float64{forgottenUse, math.Inf(1)} {
+		if len(q.teams)-len(q.active) <= maxIdleTeams {
+			return
+		}
+		maps.DeleteFunc(q.teams, func(_ string, t *teamQueue) bool {
+			return len(t.items) == 0 && q.use(t) < use
+		})
 	}
-	t := q.spare[last]
-	q.spare = q.spare[:last]
-	return t
 }
 
 // evict removes one item from a queue that is one item too long.
 func (q *Queue) evict(now time.Time) Refusal {
+	horizon := q.horizon(now)
 	for _, t := range q.active {
-		if expired(t.items[0].Item, now) {
+		if expired(t.items[0].Item, horizon) {
 			return Refusal{Item: q.remove(t, 0), Reason: DeadlinePassed}
 		}
 	}
 	victim := q.active[0]
 	for _, t := range q.active[1:] {
-		if t.longerThan(victim) {
+		if q.usesMore(t, victim) {
 			victim = t
 		}
 	}
 	return Refusal{Item: q.remove(victim, victim.newest()), Reason: Full}
 }
 
-// longerThan compares by length, then by the newest item, so that among equals
-// the pushing team yields.
-func (t *teamQueue) longerThan(other *teamQueue) bool {
-	if len(t.items) != len(other.items) {
-		return len(t.items) > len(other.items)
+// usesMore compares by use, then by the newest item, so that among equals the
+// pushing team yields. The newest item itself does not count, or a team of little
+// worth would lose its only item.
+func (q *Queue) usesMore(t, other *teamQueue) bool {
+	mine, theirs := t.items[t.newest()], other.items[other.newest()]
+	use, otherUse := q.use(t)-mine.cost, q.use(other)-theirs.cost
+	if use != otherUse {
+		return use > otherUse
 	}
-	return t.items[t.newest()].seq > other.items[other.newest()].seq
+	return mine.seq > theirs.seq
+}
+
+// use is the cost of the items that the team has queued and was served lately.
+func (q *Queue) use(t *teamQueue) float64 {
+	sum := q.recent(t)
+	for i := range t.items {
+		sum += t.items[i].cost
+	}
+	return sum
+}
+
+// recent is the decayed cost of the items that the team was served.
+func (q *Queue) recent(t *teamQueue) float64 {
+	return t.served * math.Exp2(-float64(q.pops-t.servedAt)/q.memory)
 }
 
 func (t *teamQueue) newest() int {
