--- a/cmd/ragwortyard/measure.go
+++ b/cmd/ragwortyard/measure.go
@@ -16,6 +16,8 @@
 	Seed  uint64   `default:"1" help:"Seed; the same seed gives the same figures."`
 	JSON  bool     `help:"Print JSON lines instead of a table."`
 	List  bool     `help:"Print the names of the cases and stop."`
+
+	Report string `type:"path" help:"Directory to write MEASURES.md and its plots to."`
 }
 
 // Run prints the figures and fails when a target is missed.
@@ -33,6 +35,11 @@
 	if err := c.write(os.Stdout, rows); err != nil {
 		return err
 	}
+	if c.Report != "" {
+		if err := measure.WriteReport(c.Report, c.Seed, rows); err != nil {
+			return err
+		}
+	}
 	if missed := measure.Missed(rows); missed > 0 {
 		return fmt.Errorf("%d targets missed", missed)
 	}
@@ -53,17 +60,7 @@
 	fmt.Fprintln(table, "CASE\tDEPLOYMENT\tFAULT\tPOLICY\tMETRIC\tVALUE\tUNIT\tTARGET\tRESULT")
 	for _, r := range rows {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%.6g\t%s\t%s\t%s\n",
-			r.Case, r.Deployment, r.Fault, r.Policy, r.Metric, r.Value, r.Unit, r.Target, verdict(r))
+			r.Case, r.Deployment, r.Fault, r.Policy, r.Metric, r.Value, r.Unit, r.Target, r.Verdict())
 	}
 	return table.Flush()
 }
-
-func verdict(r measure.Row) string {
-	switch {
-	case r.Target == "":
-		return "-"
-	case r.Pass:
-		return "met"
-	}
-	return "MISSED"
-}
