quota: count tokens at hand before asking for a waiting request

Cause: with a keeper in the same process the grant arrives before the waiting request is settled, and NeedAsk asked again for the same request until all eight slots were full. Found while measuring the bytes of quota messages. Change: tokens at hand count against the shortfall. The capacity command gets the quota messages of one process as a slope.

--- a/decide/quota/holder.go
+++ b/decide/quota/holder.go
@@ -395,10 +395,17 @@
 	}
 }
 
-// shortfall counts the waiting requests for which no token is on its way. An
-// ask that is late no longer counts as on its way.
+// shortfall counts the waiting requests for which no token is at hand or on its
+// way. An ask that is late no longer counts as on its way. A keeper in the same
+// process answers before the requests are settled, so tokens at hand count.
 func (h *Holder) shortfall(since time.Duration) int {
+	if len(h.waiters) == 0 {
+		return 0
+	}
 	need := len(h.waiters)
+	for slot := range h.slots {
+		need -= h.share.left(slot, since)
+	}
 	for i := range h.parts {
 		ask := h.parts[i].ask
 		if ask.seq != 0 && since < ask.sent+hedgeAfter {
--- /dev/null
+++ b/internal/capacity/quota.go
@@ -0,0 +1,100 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/quota"
+)
+
+// holderSizes are the numbers of teams whose requests reach one process.
+var holderSizes = []int{1, 10, 100, 1_000}
+
+// remoteKeeper names the same other process as the keeper of every shard.
+type remoteKeeper struct{}
+
+// Target returns the keeper.
+func (remoteKeeper) Target(uint32) (string, bool) { return hostID(1), true }
+
+// OnKeeper does nothing.
+func (remoteKeeper) OnKeeper(uint32, string) {}
+
+// OnMiss does nothing.
+func (remoteKeeper) OnMiss(uint32, string, string) {}
+
+// quotaTraffic counts the messages of the holders of one process.
+type quotaTraffic struct {
+	holders *quota.Holders
+	count   messageCount
+}
+
+func (q *quotaTraffic) add(request, reply any) {
+	a, _ := json.Marshal(request)
+	b, _ := json.Marshal(reply)
+	q.count.Messages++
+	q.count.Bytes += len(a) + len(b) + envelopeBytes
+}
+
+// pump carries out what a holder wants; the keeper grants everything at once.
+func (q *quotaTraffic) pump(now time.Time, h *quota.Holder) {
+	for ask, ok := h.NeedAsk(now); ok; ask, ok = h.NeedAsk(now) {
+		grant := quota.Grant{Key: ask.Key, Holder: ask.Holder, Seq: ask.Seq, Tokens: ask.Need + ask.Extra, Version: 1}
+		q.add(ask, grant)
+		h.OnGrant(now, grant)
+	}
+	for back, ok := h.NeedReturn(now); ok; back, ok = h.NeedReturn(now) {
+		q.add(back, struct{}{})
+	}
+	h.Settle(now)
+}
+
+// quotaSlope measures the messages for tokens of one process that serves
+// goalRequests/goalHosts requests a second of a growing number of teams.
+func quotaSlope() []Slope {
+	rate := Slope{Name: "quota messages at 104 requests/s", Per: "teams at the process", Unit: "B/s"}
+	each := Slope{Name: "quota messages for each request", Per: "teams at the process", Unit: ""}
+	for _, teams := range holderSizes {
+		count := measureQuota(teams, measuredSeconds)
+		requests := float64(goalRequests) / goalHosts * measuredSeconds
+		rate.add(teams, float64(count.Bytes)/measuredSeconds)
+		each.add(teams, float64(count.Messages)/requests)
+	}
+	return []Slope{rate, each}
+}
+
+func measureQuota(teams, seconds int) messageCount {
+	const step = 5 * time.Millisecond
+	start := time.Unix(1_800_000_000, 0)
+	r := rand.New(rand.NewPCG(1, uint64(teams)))
+	q := &quotaTraffic{holders: quota.NewHolders(quota.HolderID{Host: hostID(0), Incarnation: 1}, "zone-0", remoteKeeper{})}
+	for i := range teams {
+		q.holders.SetLimit(start, fmt.Sprintf("team-%05d", i), quota.Limit{Rate: 1e6, Burst: 1e6, Version: 1})
+	}
+	gap := func() time.Duration {
+		return time.Duration(r.ExpFloat64() * goalHosts / goalRequests * float64(time.Second))
+	}
+	next, end := start.Add(gap()), start.Add(time.Duration(seconds)*time.Second)
+	var due []*quota.Holder
+	for now := start; now.Before(end); now = now.Add(step) {
+		for ; next.Before(now); next = next.Add(gap()) {
+			q.request(now, fmt.Sprintf("team-%05d", r.IntN(teams)))
+		}
+		due = q.holders.Due(now, due[:0])
+		for _, h := range due {
+			q.pump(now, h)
+		}
+	}
+	return q.count
+}
+
+// request spends a token of a team and asks for one if there is none at hand.
+func (q *quotaTraffic) request(now time.Time, team string) {
+	h := q.holders.Get(team)
+	q.holders.Attend(team)
+	if h.Take(now) == quota.AskFirst {
+		h.Join(now, 1, now.Add(time.Second))
+	}
+	q.pump(now, h)
+}
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -22,6 +22,7 @@
 	slopes = append(slopes, nodeSlopes()...)
 	slopes = append(slopes, routingSlopes()...)
 	slopes = append(slopes, ledgerSlope())
+	slopes = append(slopes, quotaSlope()...)
 	rpc, err := rpcSlopes()
 	if err != nil {
 		return nil, err
