rendezvous: rank in linear time and follow host lists by their changes

Cause: a changed host list sorted all members for each of 256 ledger shards on the control goroutine. Found with the new capacity slope of one replaced host. Ruled out: the placement of leases alone, which already ranked only the changed members; 56% of the time were in the ledger, 84% in sorting. Change: Rank keeps the best of each zone instead of sorting all; Ranking, the incremental form that the lease placement had, moved here and serves the ledger too. The picks stay the same (TestRankEqualsSorting).

--- a/control/claims.go
+++ b/control/claims.go
@@ -125,7 +125,7 @@
 
 func (s *claimsStage) want(now time.Time, e ClaimWanted, out *Output) {
 	shard := ledger.ShardOf(e.Claim.Team, e.Claim.Key, rendezvous.ShardCount)
-	holders := ledger.HoldersOf(shard, s.state.Members)
+	holders := s.holder.HoldersOf(shard)
 	claim := e.Claim
 	claim.Holders = ledger.SetID(holders)
 	c := &openClaim{
--- a/decide/ledger/holder.go
+++ b/decide/ledger/holder.go
@@ -60,14 +60,26 @@
 // HoldersOf returns the holders of a shard: HolderCount in different zones as far
 // as possible, or all members of a smaller fleet.
 func HoldersOf(shard uint32, members []rendezvous.Member) []string {
-	// The mix separates the ledger's ranking from that of other roles.
+	return idsOf(rendezvous.Rank(shardKey(shard), members, HolderCount))
+}
+
+// HoldersOf returns the holders of a shard among the members that were set.
+func (h *Holder) HoldersOf(shard uint32) []string {
+	return idsOf(h.ranking.Of(shard))
+}
+
+// shardKey separates the ledger's ranking from that of other roles.
+func shardKey(shard uint32) uint64 {
 	const salt = 0x6c65646765720000
-	ranked := rendezvous.Rank(salt^uint64(shard), members, HolderCount)
-	holders := make([]string, len(ranked))
-	for i, m := range ranked {
-		holders[i] = m.ID
+	return salt ^ uint64(shard)
+}
+
+func idsOf(members []rendezvous.Member) []string {
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
 	}
-	return holders
+	return ids
 }
 
 // SetID identifies a set of holders, whatever their order. It is never 0.
@@ -85,6 +97,7 @@
 // Holder holds the records of the shards of one process.
 type Holder struct {
 	opt     Options
+	ranking *rendezvous.Ranking // of the members
 	window  time.Duration // how long a record is kept
 	start   time.Time
 	started bool // members were set before
@@ -107,13 +120,14 @@
 		o.MaxRecords = DefaultMaxRecords
 	}
 	return &Holder{
-		opt:    o,
-		window: withDrift(o.Window + ClaimTimeout),
-		start:  start,
-		shards: make(map[uint32]*shard),
-		seq:    o.Seed,
-		expiry: make(map[int64][]slot),
-		swept:  -1,
+		opt:     o,
+		ranking: rendezvous.NewRanking(o.Shards, HolderCount, shardKey),
+		window:  withDrift(o.Window + ClaimTimeout),
+		start:   start,
+		shards:  make(map[uint32]*shard),
+		seq:     o.Seed,
+		expiry:  make(map[int64][]slot),
+		swept:   -1,
 	}
 }
 
--- a/decide/ledger/sync.go
+++ b/decide/ledger/sync.go
@@ -58,8 +58,8 @@
 
 // SetMembers sets the members of the fleet and returns the asks that follow.
 func (h *Holder) SetMembers(now time.Time, members []rendezvous.Member) []Action {
-	for number := range h.opt.Shards {
-		set := HoldersOf(number, members)
+	for _, number := range h.ranking.SetMembers(members) {
+		set := h.HoldersOf(number)
 		if slices.Contains(set, h.opt.Self) {
 			h.hold(now, number, set)
 		} else if h.shards[number] != nil {
--- /dev/null
+++ b/decide/rendezvous/ranking_test.go
@@ -0,0 +1,102 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// rankBySorting is the plain form of Rank.
+func rankBySorting(key uint64, members []Member, n int) []Member {
+	h := newHasher(key)
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{member: i, score: h.score(m.ID)}
+	}
+	sort.Slice(all, func(i, j int) bool { return compare(members, all[i], all[j]) < 0 })
+	seen := make(map[string]int)
+	rounds := make([]int, len(members))
+	for _, s := range all {
+		zone := members[s.member].Zone
+		rounds[s.member] = seen[zone]
+		seen[zone]++
+	}
+	sort.SliceStable(all, func(i, j int) bool { return rounds[all[i].member] < rounds[all[j].member] })
+	var picked []Member
+	for _, s := range all[:min(n, len(all))] {
+		picked = append(picked, members[s.member])
+	}
+	return picked
+}
+
+// Guards against a selection that differs from ranking all members: processes
+// of an earlier version would choose other keepers.
+func TestRankEqualsSorting(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := drawMembers(t)
+		key := rapid.Uint64().Draw(t, "key")
+		n := rapid.IntRange(0, 12).Draw(t, "n")
+		got, want := Rank(key, members, n), rankBySorting(key, members, n)
+		if !slices.Equal(got, want) {
+			t.Fatalf("ranked %v, want %v", got, want)
+		}
+	})
+}
+
+// drawMembers draws a fleet with zones of unlike sizes.
+func drawMembers(t *rapid.T) []Member {
+	zones := rapid.IntRange(1, 5).Draw(t, "zones")
+	var members []Member
+	for i := range rapid.IntRange(0, 40).Draw(t, "hosts") {
+		zone := rapid.IntRange(0, zones-1).Draw(t, "zone")
+		members = append(members, Member{ID: fmt.Sprintf("host-%d", i), Zone: fmt.Sprintf("z%d", zone)})
+	}
+	return members
+}
+
+// Guards against a ranking that follows changes of the list differently from one
+// made of the newest list, as a process that has just started makes it.
+func TestRankingFollowsTheList(t *testing.T) {
+	key := func(shard uint32) uint64 { return uint64(shard) * 0x9E3779B97F4A7C15 }
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 9).Draw(t, "n")
+		r := NewRanking(8, n, key)
+		members := drawMembers(t)
+		for step := range rapid.IntRange(1, 6).Draw(t, "steps") {
+			before := make([][]Member, 8)
+			for shard := range before {
+				before[shard] = r.Of(uint32(shard))
+			}
+			changed := r.SetMembers(members)
+			for shard := range uint32(8) {
+				if want := rankBySorting(key(shard), members, n); !slices.Equal(r.Of(shard), want) {
+					t.Fatalf("step %d: shard %d has %v, want %v", step, shard, r.Of(shard), want)
+				}
+				moved := !slices.Equal(before[shard], r.Of(shard))
+				if moved != slices.Contains(changed, shard) {
+					t.Fatalf("step %d: shard %d moved %v, reported %v", step, shard, moved, changed)
+				}
+			}
+			members = mutate(t, members)
+		}
+	})
+}
+
+// mutate removes, adds or moves one member.
+func mutate(t *rapid.T, members []Member) []Member {
+	next := slices.Clone(members)
+	id := fmt.Sprintf("host-%d", rapid.IntRange(0, 60).Draw(t, "host"))
+	zone := fmt.Sprintf("z%d", rapid.IntRange(0, 5).Draw(t, "new zone"))
+	at := slices.IndexFunc(next, func(m Member) bool { return m.ID == id })
+	switch {
+	case at < 0:
+		return append(next, Member{ID: id, Zone: zone})
+	case rapid.Bool().Draw(t, "move"):
+		next[at].Zone = zone
+		return next
+	}
+	return slices.Delete(next, at, at+1)
+}
--- a/decide/rendezvous/rendezvous.go
+++ b/decide/rendezvous/rendezvous.go
@@ -4,8 +4,9 @@
 package rendezvous
 
 import (
+	"cmp"
 	"encoding/binary"
-	"sort"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -30,58 +31,96 @@
 	return uint32(Hash(key) % ShardCount)
 }
 
+// scored is a member with its score for a key.
 type scored struct {
-	member Member
+	member int // index in the list
 	score  uint64
-	round  int // rank of the member within its zone
 }
 
 // Rank returns the n best members for a key, best first. It takes the best
 // member of each zone, in the order of their scores, then the second best of
 // each zone, and so on. Fewer than n members are returned when there are fewer.
+// The time is linear in the number of members: a changed host list ranks
+// hundreds of keys over thousands of members on the control goroutine.
 func Rank(key uint64, members []Member, n int) []Member {
-	all := scoreMembers(key, members)
-	assignRounds(all)
-	sort.SliceStable(all, func(i, j int) bool { return all[i].round < all[j].round })
-	if n > len(all) {
-		n = len(all)
+	n = min(n, len(members))
+	if n <= 0 {
+		return nil
 	}
-	picked := make([]Member, n)
-	for i := range picked {
-		picked[i] = all[i].member
+	zones := bestOfZones(key, members, n)
+	picked := make([]Member, 0, n)
+	var round []scored
+	for i := 0; len(picked) < n; i++ {
+		round = round[:0]
+		for _, best := range zones {
+			if i < len(best) {
+				round = append(round, best[i])
+			}
+		}
+		slices.SortFunc(round, func(a, b scored) int { return compare(members, a, b) })
+		for _, s := range round[:min(len(round), n-len(picked))] {
+			picked = append(picked, members[s.member])
+		}
 	}
 	return picked
 }
 
-func scoreMembers(key uint64, members []Member) []scored {
-	all := make([]scored, len(members))
-	var buf [8]byte
-	binary.LittleEndian.PutUint64(buf[:], key)
-	var digest xxhash.Digest
-	for i, m := range members {
-		digest.Reset()
-		_, _ = digest.Write(buf[:])
-		_, _ = digest.WriteString(m.ID)
-		all[i] = scored{member: m, score: digest.Sum64()}
+// bestOfZones returns the n best members of each zone, best first.
+func bestOfZones(key uint64, members []Member, n int) [][]scored {
+	var zones [][]scored
+	indexes := make(map[string]int)
+	h := newHasher(key)
+	for i := range members {
+		zone, ok := indexes[members[i].Zone]
+		if !ok {
+			zone = len(zones)
+			indexes[members[i].Zone] = zone
+			zones = append(zones, make([]scored, 0, n))
+		}
+		zones[zone] = insert(members, zones[zone], scored{member: i, score: h.score(members[i].ID)})
 	}
-	sort.Slice(all, func(i, j int) bool { return higher(all[i], all[j]) })
-	return all
+	return zones
 }
 
-// higher orders by score; equal scores fall back to the identifier, so that
-// every process ranks alike.
-func higher(a, b scored) bool {
-	if a.score != b.score {
-		return a.score > b.score
+// insert adds a member to a list of bounded capacity if it is among the best.
+func insert(members []Member, best []scored, s scored) []scored {
+	if len(best) == cap(best) {
+		if compare(members, s, best[len(best)-1]) >= 0 {
+			return best
+		}
+		best = best[:len(best)-1]
+	}
+	at := len(best)
+	for at > 0 && compare(members, s, best[at-1]) < 0 {
+		at--
 	}
-	return a.member.ID < b.member.ID
+	return slices.Insert(best, at, s)
 }
 
-func assignRounds(all []scored) {
-	seen := make(map[string]int)
-	for i := range all {
-		zone := all[i].member.Zone
-		all[i].round = seen[zone]
-		seen[zone]++
+// compare orders the best first; equal scores fall back to the identifier, so
+// that every process ranks alike.
+func compare(members []Member, a, b scored) int {
+	if a.score != b.score {
+		return cmp.Compare(b.score, a.score)
 	}
+	return cmp.Compare(members[a.member].ID, members[b.member].ID)
+}
+
+// hasher scores members for one key.
+type hasher struct {
+	key    [8]byte
+	digest xxhash.Digest
+}
+
+func newHasher(key uint64) *hasher {
+	h := &hasher{}
+	binary.LittleEndian.PutUint64(h.key[:], key)
+	return h
+}
+
+func (h *hasher) score(id string) uint64 {
+	h.digest.Reset()
+	_, _ = h.digest.Write(h.key[:])
+	_, _ = h.digest.WriteString(id)
+	return h.digest.Sum64()
 }
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -133,7 +133,8 @@
 	Heap      float64       // MB
 	Traffic   map[string]*messageCount
 	Seconds   int
-	Kept      int // shards that the process keeps
+	Kept      int     // shards that the process keeps
+	Change    float64 // ms for a host list with one host replaced
 }
 
 // average returns the bytes that a kind of message costs a process in each
@@ -172,8 +173,10 @@
 	p.traffic = make(map[string]*messageCount)
 	before := processorTime()
 	p.run(loop, warm, warm.Add(time.Duration(seconds)*time.Second))
+	processor := (processorTime() - before) / time.Duration(seconds)
 	return nodeCost{
-		Processor: (processorTime() - before) / time.Duration(seconds),
+		Processor: processor,
+		Change:    timeOfHostChange(loop, n, warm.Add(time.Duration(seconds)*time.Second)),
 		Heap:      heap,
 		Traffic:   p.traffic,
 		Seconds:   seconds,
@@ -181,6 +184,22 @@
 	}
 }
 
+// timeOfHostChange returns the time that the loop takes for a host list in which
+// one host is replaced by another, in ms.
+func timeOfHostChange(loop *control.Loop, n int, now time.Time) float64 {
+	var lists []control.HostsRead
+	for round := range rounds {
+		hosts := hostsOf(n)
+		hosts[n-1].ID = fmt.Sprintf("host-new-%d", round)
+		lists = append(lists, control.HostsRead{Version: uint64(round) + 2, Hosts: hosts})
+	}
+	round := 0
+	return timeOf(func() {
+		loop.Step(now, lists[round])
+		round++
+	}) / 1e3
+}
+
 // run steps the loop through virtual time. Replies arrive at once: the time on
 // the way costs nothing.
 func (p *peers) run(loop *control.Loop, from, to time.Time) {
--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -82,6 +82,7 @@
 // nodeSlopes runs the control loop of one process among a growing fleet.
 func nodeSlopes() []Slope {
 	processor := Slope{Name: "control loop, idle: processor time", Per: "hosts", Unit: "us/s"}
+	change := Slope{Name: "control loop: one host replaced", Per: "hosts", Unit: "ms"}
 	heap := Slope{Name: "control loop: heap for hosts and backend servers", Per: "hosts", Unit: "MB"}
 	traffic := make(map[string]*Slope)
 	total := Slope{Name: "control messages, idle: all kinds", Per: "hosts", Unit: "B/s"}
@@ -90,6 +91,7 @@
 		cost := measureNode(n, measuredSeconds)
 		processor.add(n, float64(cost.Processor.Microseconds()))
 		heap.add(n, cost.Heap)
+		change.add(n, cost.Change)
 		if cost.Kept > 0 {
 			kept.add(n, float64(cost.Traffic[leaseKind].Bytes)/float64(cost.Seconds)/float64(cost.Kept))
 		}
@@ -106,7 +108,7 @@
 		}
 		total.add(n, sum)
 	}
-	slopes := []Slope{processor, heap, total, kept}
+	slopes := []Slope{processor, change, heap, total, kept}
 	return append(slopes, sorted(traffic)...)
 }
 
