--- a/decide/ledger/holder.go
+++ b/decide/ledger/holder.go
@@ -98,7 +98,7 @@
 type Holder struct {
 	opt     Options
 	ranking *rendezvous.Ranking // of the members
-	window  time.Duration // how long a record is kept
+	window  time.Duration       // how long a record is kept
 	start   time.Time
 	started bool // members were set before
 	shards  map[uint32]*shard
