quarantine: keep a request that crashed a backend server alone, then refuse it

Cause: a request that crashes its backend server and is sent again took down one server after the other; decide/quarantine held types only and nothing was wired. Change: Tracker, Table and Gate decide in decide/quarantine; control/crashes.go applies the crashes of local backend servers at once, reports them to the keeper of the fingerprint's shard (crash.report) and spreads standings (crash.spread: four random peers for each change, and a comparison with one random peer each second). The hop carries Ragwort-Fingerprint and Ragwort-Suspect; filters/quarantine refuses condemned fingerprints in both chains; filters/queue runs suspects alone and checks the standing when a request starts; filters/send tells a crash from a cut answer by opening a new connection. A crash under a suspect is excused in the ejection evidence. Before: no protection.

--- a/control/assemble.go
+++ b/control/assemble.go
@@ -43,6 +43,7 @@
 		quotas,
 		&handoverStage{state: state, leases: leases, keeper: quotas.keeper, next: o.Self.Started},
 		newClaimsStage(state, o.Window),
+		newCrashesStage(state, source),
 		judges,
 		health,
 		&statusStage{state: state},
--- a/control/publish.go
+++ b/control/publish.go
@@ -33,6 +33,8 @@
 		Controls:  p.controls,
 		Locals:    p.buildLocals(),
 		Ejections: p.state.Ejections,
+
+		Quarantine: p.state.Quarantine,
 	}
 }
 
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/decide/balance"
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/decide/retry"
 )
 
@@ -26,6 +27,8 @@
 	Controls  map[string]string         // control address by host
 	Locals    map[string]*Local         // backend servers of this host by identifier
 	Ejections map[string]ejection.Lease // of the backend servers of this host
+	// Quarantine holds the fingerprints that are suspect or condemned.
+	Quarantine *quarantine.Table
 }
 
 // startTime is how long a starting process waits before it calls itself ready:
--- a/control/state.go
+++ b/control/state.go
@@ -7,6 +7,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/balance"
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
 
@@ -57,6 +58,9 @@
 	Ejections map[string]ejection.Lease
 	Draining  map[string]bool
 
+	// Written by the quarantine stage.
+	Quarantine *quarantine.Table
+
 	// Set up by the leases stage.
 	Leases Leases
 
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -3,14 +3,53 @@
 //
 // A fingerprint that was in flight in a crash is suspect and runs only alone.
 // If a server crashes while it runs alone, it is condemned and refused for a
-// time; if it completes alone, it is cleared. So at most one more server
-// crashes, beside those that ran copies already, and the requests that were in
-// flight by chance recover.
+// time; if it completes alone, it is cleared.
+//
+// # Bound
+//
+// Let the news of a crash reach every exit within a lag of L. Between two times
+// at which a fingerprint is forgotten or cleared, it crashes at most
+//
+//	2 + (copies that started before L had passed since the first crash)
+//	  + (copies that started before L had passed since the first crash alone)
+//
+// servers: the first crash makes it suspect, the first crash alone condemns it,
+// and the other crashes are those of copies that were in flight at one of these
+// moments or that an exit started before it had the news. An exit knows of the
+// crashes of its own backend servers at once. A condemned fingerprint stays
+// suspect for SuspectTime after CondemnTime has passed, so that each further
+// round costs one crash and no other request is in flight with it.
+//
+// # Without the keeper
+//
+// Each exit applies the crashes that it sees, and each process spreads the
+// standings that it holds, so suspects and condemned fingerprints stay guarded
+// without the keeper of their shard. The keeper alone clears suspects, and it
+// joins two crashes of which the exits did not know of each other's. While a
+// shard has no keeper, its suspects therefore run alone for longer, and such a
+// pair of crashes leaves the fingerprint suspect, which costs one crash more.
+// Standings are lost when every process of the fleet restarts within
+// SuspectTime. A process that has just started lacks them until its first
+// exchange with a peer.
 package quarantine
 
 import "time"
 
-// Fingerprint identifies requests with the same effect on a backend server.
+const (
+	// CondemnTime is how long a condemned fingerprint is refused. Its caller
+	// has time to be corrected, and a wrongly condemned one is back soon.
+	CondemnTime = 5 * time.Minute
+	// SuspectTime is how long a fingerprint stays suspect after its last crash
+	// or after the end of its condemnation.
+	SuspectTime = 5 * time.Minute
+	// MaxEntries bounds the standings that a process holds, to about 100 KB. A
+	// crash names at most as many fingerprints as its server has slots, so this
+	// is room for over a hundred crashes within SuspectTime.
+	MaxEntries = 1024
+)
+
+// Fingerprint identifies requests with the same effect on a backend server; 0
+// stands for a request that is not tracked.
 type Fingerprint uint64
 
 // Standing is what the fleet knows about a fingerprint.
@@ -23,92 +62,58 @@
 	Condemned                 // is refused
 )
 
-// Crash is the part of a crash that concerns one fingerprint. It goes to the
-// keeper of the fingerprint's shard.
-type Crash struct {
-	ID          uint64      `json:"i"` // the same in every copy of the report of one crash
-	Fingerprint Fingerprint `json:"f"`
-	Alone       bool        `json:"a,omitempty"` // nothing else was in flight
+// String returns the name used in logs.
+func (s Standing) String() string {
+	switch s {
+	case Clear:
+		return "clear"
+	case Suspect:
+		return "suspect"
+	default:
+		return "condemned"
+	}
 }
 
-// Entry is the standing of one fingerprint, as keepers spread it.
-type Entry struct {
-	Fingerprint Fingerprint   `json:"f"`
-	Standing    Standing      `json:"s"`
-	Left        time.Duration `json:"t"` // until the standing ends
-	// Version orders the entries of one fingerprint.
-	Version uint64 `json:"v"`
+// record is the standing of one fingerprint.
+type record struct {
+	standing Standing
+	alone    bool   // the last crash happened while it ran alone as a suspect
+	version  uint64 // orders the records of one fingerprint
+	crash    uint64 // identifier of the last crash
+	until    time.Time
 }
 
-// Tracker holds the standings of fingerprints. Keepers decide with it and all
-// processes hold what the keepers spread.
-type Tracker struct{}
-
-// NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{} }
-
-// OnCrash records a crash with all the fingerprints that were in flight on the
-// server and returns the entries that changed.
-func (t *Tracker) OnCrash(now time.Time, id uint64, inFlight []Fingerprint) []Entry { return nil }
-
-// OnReport records the part of a crash that concerns one fingerprint. It
-// returns false when nothing changed.
-func (t *Tracker) OnReport(now time.Time, c Crash) (Entry, bool) { return Entry{}, false }
-
-// OnClean records that a fingerprint completed alone. It returns false when
-// nothing changed.
-func (t *Tracker) OnClean(now time.Time, f Fingerprint) (Entry, bool) { return Entry{}, false }
-
-// OnEntry takes in an entry that a keeper spread. It returns false when the
-// tracker knew it or knows better.
-func (t *Tracker) OnEntry(now time.Time, e Entry) bool { return false }
-
-// State returns the standing of a fingerprint.
-func (t *Tracker) State(now time.Time, f Fingerprint) Standing { return Clear }
-
-// Entries returns all entries in force, sorted by fingerprint.
-func (t *Tracker) Entries(now time.Time) []Entry { return nil }
-
-// Expire forgets entries that have ended.
-func (t *Tracker) Expire(now time.Time) {}
-
-// Split returns the crash as one part for each fingerprint.
-func Split(id uint64, inFlight []Fingerprint) []Crash { return nil }
-
-// Admission is whether a request may start on a backend server.
-type Admission uint8
-
-// The admissions.
-const (
-	Start  Admission = iota // start now
-	Wait                    // ask again when a request ends
-	Refuse                  // not run: the fingerprint is condemned
-)
-
-// Gate keeps suspects alone on one backend server and notices when that server
-// crashes. The server's dispatcher owns it.
-type Gate struct{}
-
-// End is how a request on a backend server ended.
-type End uint8
-
-// The ends.
-const (
-	Answered End = iota // the whole answer, whatever its status
-	Cut                 // the connection was reset or closed before the end
-	Other               // timeout, canceled by the caller
-)
-
-// Enter asks to start a request.
-func (g *Gate) Enter(f Fingerprint, s Standing) Admission { return Start }
+// lifetime returns how long a record of a standing is kept. A cleared one is
+// kept as long as a suspect, so that it outlives the older records that slower
+// peers still spread.
+func (s Standing) lifetime() time.Duration {
+	if s == Condemned {
+		return CondemnTime + SuspectTime
+	}
+	return SuspectTime
+}
 
-// Leave records the end of a request. clean is true when a suspect completed
-// alone. crash lists what was in flight when the server crashed, nil if it did
-// not.
-func (g *Gate) Leave(now time.Time, f Fingerprint, end End) (clean bool, crash []Fingerprint) {
-	return false, nil
+// at returns the standing at a moment.
+func (r record) at(now time.Time) Standing {
+	left := r.until.Sub(now)
+	switch {
+	case left <= 0:
+		return Clear
+	case r.standing == Condemned && left <= SuspectTime:
+		return Suspect
+	}
+	return r.standing
 }
 
-// OnRefused records that the server refused a new connection. It returns what
-// was in flight when the server crashed, nil if it did not.
-func (g *Gate) OnRefused(now time.Time) (crash []Fingerprint) { return nil }
+// follows tells whether r replaces an earlier record of its fingerprint.
+// Records of the same version come from decisions that did not know of each
+// other; the stricter one counts.
+func (r record) follows(old record) bool {
+	if r.version != old.version {
+		return r.version > old.version
+	}
+	if r.standing != old.standing {
+		return r.standing > old.standing
+	}
+	return r.alone && !old.alone
+}
--- a/filters/forward/run.go
+++ b/filters/forward/run.go
@@ -94,6 +94,7 @@
 		case a := <-r.results:
 			r.forget(a)
 			r.observe(a)
+			r.suspect(a)
 			return a
 		case <-timer:
 			timer = nil
@@ -103,10 +104,11 @@
 }
 
 // hedgeTimer fires when a hedge may be considered. Only requests that may run
-// twice get one.
+// twice get one. A suspect gets none, since it would run on two backend servers
+// at once.
 func (r *run) hedgeTimer() (<-chan time.Time, func()) {
 	after, ok := r.policy.HedgeAfter()
-	if !ok || !r.req.Class.Idempotent || !r.replayable() || len(r.pending) != 1 {
+	if !ok || !r.req.Class.Idempotent || !r.replayable() || len(r.pending) != 1 || r.req.Suspect {
 		return nil, func() {}
 	}
 	timer := time.NewTimer(time.Until(r.pending[0].sent.Add(after)))
@@ -146,6 +148,15 @@
 	}
 }
 
+// suspect makes the further attempts run alone when an exit lost its connection
+// to the backend server: the request may have crashed it, and the next attempt
+// starts before the news of the crash can reach the next exit.
+func (r *run) suspect(a *attempt) {
+	if a.answer.Path == fleet.PathOK && a.answer.Result.Code == pipeline.CodeConnectionLost {
+		r.req.Suspect = true
+	}
+}
+
 func (r *run) observe(a *attempt) {
 	if o, ok := a.observation(); ok {
 		r.filter.ObservePath(o)
--- a/filters/queue/dispatcher.go
+++ b/filters/queue/dispatcher.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/concurrency"
 	"github.com/ragwortyard/ragwortyard/decide/fairqueue"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -25,40 +27,67 @@
 	queue    *fairqueue.Queue
 	limiter  *concurrency.Limiter
 	enters   chan *ticket
-	leaves   chan concurrency.Sample
+	leaves   chan departure
 	cancels  chan uint64
 	load     atomic.Pointer[Load]
 	ids      atomic.Uint64
 	service  time.Duration // smoothed time that a request holds a slot
-	alone    []*ticket     // suspects of a crash, which run with nothing else in flight
-	exposed  *ticket       // the suspect that is running alone
+	gate     *quarantine.Gate
+	alone    []*ticket // suspects of a crash, which run with nothing else in flight
+	owed     int       // queued requests that run before the next suspect
+	options  Options
 	finished chan struct{}
 }
 
+// Options connect a dispatcher with the control state.
+type Options struct {
+	Slots int
+	// Standing returns what the fleet knows of a fingerprint.
+	Standing func(now time.Time, f quarantine.Fingerprint) quarantine.Subject
+	// Report takes what was seen of suspects and crashes. It must not block.
+	Report func([]quarantine.Report)
+}
+
 // verdict is the answer to a ticket.
 type verdict struct {
-	code pipeline.Code // CodeOK grants a slot
+	code  pipeline.Code // CodeOK grants a slot
+	alone bool          // the request runs as a suspect
 }
 
 // ticket is one request that wants a slot.
 type ticket struct {
-	item    fairqueue.Item
-	alone   bool
-	verdict chan verdict
+	item        fairqueue.Item
+	fingerprint quarantine.Fingerprint
+	suspect     bool // as the entry says, maybe ahead of the news
+	verdict     chan verdict
+}
+
+// departure is the end of a request that held a slot.
+type departure struct {
+	id     uint64
+	sample concurrency.Sample
+	end    quarantine.End
 }
 
 // backlog lets requests hand over tickets without waiting for the dispatcher in
 // the usual case.
 const backlog = 64
 
-// NewDispatcher returns a dispatcher for a backend server with the given slots.
-func NewDispatcher(slots int) *Dispatcher {
+// maxAlone bounds the suspects that wait for one backend server. Each of them
+// needs the server for itself, so a longer wait than for a few is better spent
+// at another server.
+const maxAlone = 4
+
+// NewDispatcher returns a dispatcher for one backend server.
+func NewDispatcher(o Options) *Dispatcher {
 	d := &Dispatcher{
-		queue:    fairqueue.New(slots),
-		limiter:  concurrency.New(time.Now(), slots),
+		queue:    fairqueue.New(o.Slots),
+		limiter:  concurrency.New(time.Now(), o.Slots),
 		enters:   make(chan *ticket, backlog),
-		leaves:   make(chan concurrency.Sample, backlog),
+		leaves:   make(chan departure, backlog),
 		cancels:  make(chan uint64, backlog),
+		gate:     quarantine.NewGate(rand.Uint64()),
+		options:  o,
 		finished: make(chan struct{}),
 	}
 	d.publishLoad()
@@ -82,8 +111,8 @@
 			return
 		case t := <-d.enters:
 			d.enter(time.Now(), t)
-		case s := <-d.leaves:
-			d.leave(time.Now(), s)
+		case l := <-d.leaves:
+			d.leave(time.Now(), l)
 		case id := <-d.cancels:
 			d.cancel(id)
 		case <-timer.C:
@@ -114,17 +143,27 @@
 }
 
 func (d *Dispatcher) enter(now time.Time, t *ticket) {
-	if t.alone {
-		d.alone = append(d.alone, t)
+	if t.suspect {
+		d.waitAlone(t)
 		return
 	}
 	refusal := d.queue.Push(now, t.item)
 	if refusal.Reason != fairqueue.Accepted {
-		refused := refusal.Item.Payload.(*ticket)
-		refused.verdict <- verdict{refusalCode(refusal.Reason)}
+		refusal.Item.Payload.(*ticket).refuse(refusalCode(refusal.Reason))
+	}
+}
+
+// waitAlone puts a suspect behind the others.
+func (d *Dispatcher) waitAlone(t *ticket) {
+	if len(d.alone) >= maxAlone {
+		t.refuse(pipeline.CodeSuspectBusy)
+		return
 	}
+	d.alone = append(d.alone, t)
 }
 
+func (t *ticket) refuse(code pipeline.Code) { t.verdict <- verdict{code: code} }
+
 func refusalCode(reason fairqueue.Reason) pipeline.Code {
 	switch reason {
 	case fairqueue.Full:
@@ -140,9 +179,19 @@
 // held; about the last 16 requests count.
 const serviceSmoothing = 16
 
-func (d *Dispatcher) leave(now time.Time, s concurrency.Sample) {
-	d.limiter.Release(now, s)
-	d.exposed = nil
+func (d *Dispatcher) leave(now time.Time, l departure) {
+	if d.gate.Exposed() {
+		d.owed = d.limiter.Limit()
+	}
+	if reports := d.gate.Leave(now, l.id, l.end); len(reports) > 0 {
+		d.options.Report(reports)
+	}
+	d.limiter.Release(now, l.sample)
+	d.learn(l.sample)
+}
+
+// learn takes a completed request into the pace of the queue.
+func (d *Dispatcher) learn(s concurrency.Sample) {
 	if s.Outcome != concurrency.Completed {
 		return
 	}
@@ -155,13 +204,13 @@
 
 func (d *Dispatcher) cancel(id uint64) {
 	if item, ok := d.queue.Remove(id); ok {
-		item.Payload.(*ticket).verdict <- verdict{pipeline.CodeDeadlinePassed}
+		item.Payload.(*ticket).refuse(pipeline.CodeDeadlinePassed)
 		return
 	}
 	for i, t := range d.alone {
 		if t.item.ID == id {
 			d.alone = append(d.alone[:i], d.alone[i+1:]...)
-			t.verdict <- verdict{pipeline.CodeDeadlinePassed}
+			t.refuse(pipeline.CodeDeadlinePassed)
 			return
 		}
 	}
@@ -170,35 +219,69 @@
 // dispatch grants free slots and refuses what has expired.
 func (d *Dispatcher) dispatch(now time.Time) {
 	for _, item := range d.queue.Expire(now) {
-		item.Payload.(*ticket).verdict <- verdict{pipeline.CodeDeadlinePassed}
+		item.Payload.(*ticket).refuse(pipeline.CodeDeadlinePassed)
 	}
 	d.expireAlone(now)
-	if d.exposed != nil {
-		return
-	}
-	if len(d.alone) > 0 {
-		d.dispatchAlone(now)
-		return
-	}
-	for d.queue.Len() > 0 && d.limiter.Acquire(now) {
-		item, ok := d.queue.Pop(now)
-		if !ok {
-			d.limiter.Release(now, concurrency.Sample{Outcome: concurrency.Ignored})
+	for !d.gate.Exposed() {
+		d.owed = min(d.owed, d.queue.Len())
+		dispatch := d.dispatchNext
+		if len(d.alone) > 0 && d.owed == 0 {
+			dispatch = d.dispatchAlone
+		}
+		if !dispatch(now) {
 			return
 		}
-		item.Payload.(*ticket).verdict <- verdict{pipeline.CodeOK}
 	}
 }
 
-// dispatchAlone runs the first suspect once nothing else is in flight. While a
-// suspect waits, no other request gets a slot, so it waits for one service time.
-func (d *Dispatcher) dispatchAlone(now time.Time) {
+// dispatchNext grants a slot to the next request of the queue; false when none
+// was taken from it.
+func (d *Dispatcher) dispatchNext(now time.Time) bool {
+	if d.queue.Len() == 0 || !d.limiter.Acquire(now) {
+		return false
+	}
+	item, ok := d.queue.Pop(now)
+	if !ok {
+		d.limiter.Release(now, concurrency.Sample{Outcome: concurrency.Ignored})
+		return false
+	}
+	d.owed = max(d.owed-1, 0)
+	d.start(now, item.Payload.(*ticket))
+	return true
+}
+
+// dispatchAlone grants the first suspect a slot once nothing else is in flight.
+// While a suspect waits for that, no other request gets a slot. After it, as
+// many queued requests as the server runs at once come before the next suspect,
+// so that a row of suspects leaves the others half of the time or more.
+func (d *Dispatcher) dispatchAlone(now time.Time) bool {
 	if d.limiter.InFlight() > 0 || !d.limiter.Acquire(now) {
-		return
+		return false
 	}
-	d.exposed = d.alone[0]
+	t := d.alone[0]
 	d.alone = d.alone[1:]
-	d.exposed.verdict <- verdict{pipeline.CodeOK}
+	t.suspect = true
+	d.start(now, t)
+	return true
+}
+
+// start lets a request that has a slot run as its standing demands at this
+// moment: the news of a crash may have come while it waited.
+func (d *Dispatcher) start(now time.Time, t *ticket) {
+	subject := d.options.Standing(now, t.fingerprint)
+	if t.suspect {
+		subject.Standing = max(subject.Standing, quarantine.Suspect)
+	}
+	switch d.gate.Enter(t.item.ID, subject) {
+	case quarantine.Start:
+		t.verdict <- verdict{code: pipeline.CodeOK, alone: subject.Standing == quarantine.Suspect}
+		return
+	case quarantine.Wait:
+		d.waitAlone(t)
+	case quarantine.Refuse:
+		t.refuse(pipeline.CodeQuarantined)
+	}
+	d.limiter.Release(now, concurrency.Sample{Outcome: concurrency.Ignored})
 }
 
 func (d *Dispatcher) expireAlone(now time.Time) {
@@ -208,7 +291,7 @@
 			kept = append(kept, t)
 			continue
 		}
-		t.verdict <- verdict{pipeline.CodeDeadlinePassed}
+		t.refuse(pipeline.CodeDeadlinePassed)
 	}
 	d.alone = kept
 }
@@ -228,9 +311,9 @@
 		if !ok {
 			break
 		}
-		item.Payload.(*ticket).verdict <- verdict{pipeline.CodeBackendLeaving}
+		item.Payload.(*ticket).refuse(pipeline.CodeBackendLeaving)
 	}
 	for _, t := range d.alone {
-		t.verdict <- verdict{pipeline.CodeBackendLeaving}
+		t.refuse(pipeline.CodeBackendLeaving)
 	}
 }
--- a/filters/queue/queue.go
+++ b/filters/queue/queue.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragwortyard/ragwortyard/decide/concurrency"
 	"github.com/ragwortyard/ragwortyard/decide/fairqueue"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -13,9 +14,6 @@
 // request completes.
 type Filter struct {
 	Dispatcher *Dispatcher
-	// Suspect tells whether a request is suspected of having crashed a backend
-	// server and must run with nothing else in flight.
-	Suspect func(*pipeline.Request) bool
 }
 
 // Name returns "queue".
@@ -24,7 +22,11 @@
 // Handle returns once the request holds a slot or is refused.
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	d := f.Dispatcher
-	t := &ticket{alone: f.Suspect(req), verdict: make(chan verdict, 1)}
+	t := &ticket{
+		fingerprint: quarantine.Fingerprint(req.Fingerprint),
+		suspect:     req.Suspect,
+		verdict:     make(chan verdict, 1),
+	}
 	t.item = fairqueue.Item{
 		ID:       d.ids.Add(1),
 		Team:     req.Principal.Team,
@@ -35,13 +37,18 @@
 	if refusal := d.submit(ctx, t); refusal != nil {
 		return refusal
 	}
-	code := d.await(ctx, t)
-	if code != pipeline.CodeOK {
-		return f.refuse(code)
+	v := d.await(ctx, t)
+	if v.code != pipeline.CodeOK {
+		return f.refuse(v.code)
 	}
+	req.Suspect = v.alone
 	granted := time.Now()
 	req.OnComplete(func(c pipeline.Completion) {
-		d.release(concurrency.Sample{Class: req.Class.Name, Latency: time.Since(granted), Outcome: sampleOutcome(c)})
+		d.release(departure{
+			id:     t.item.ID,
+			sample: concurrency.Sample{Class: req.Class.Name, Latency: time.Since(granted), Outcome: sampleOutcome(c)},
+			end:    runEnd(req.RunEnd),
+		})
 	})
 	return nil
 }
@@ -60,10 +67,10 @@
 // await returns the verdict of the dispatcher. When the caller goes away first,
 // it withdraws the ticket and still waits for the verdict, since a slot may have
 // been granted at the same moment.
-func (d *Dispatcher) await(ctx context.Context, t *ticket) pipeline.Code {
+func (d *Dispatcher) await(ctx context.Context, t *ticket) verdict {
 	select {
 	case v := <-t.verdict:
-		return v.code
+		return v
 	case <-d.finished:
 		return d.afterEnd(t)
 	case <-ctx.Done():
@@ -76,27 +83,27 @@
 	select {
 	case v := <-t.verdict:
 		if v.code == pipeline.CodeOK {
-			d.release(concurrency.Sample{Outcome: concurrency.Ignored})
+			d.release(departure{id: t.item.ID, sample: concurrency.Sample{Outcome: concurrency.Ignored}})
 		}
 	case <-d.finished:
 	}
-	return pipeline.CodeDeadlinePassed
+	return verdict{code: pipeline.CodeDeadlinePassed}
 }
 
 // afterEnd returns the verdict that was given before the dispatcher ended, or a
 // refusal.
-func (d *Dispatcher) afterEnd(t *ticket) pipeline.Code {
+func (d *Dispatcher) afterEnd(t *ticket) verdict {
 	select {
 	case v := <-t.verdict:
-		return v.code
+		return v
 	default:
-		return pipeline.CodeBackendLeaving
+		return verdict{code: pipeline.CodeBackendLeaving}
 	}
 }
 
-func (d *Dispatcher) release(s concurrency.Sample) {
+func (d *Dispatcher) release(l departure) {
 	select {
-	case d.leaves <- s:
+	case d.leaves <- l:
 	case <-d.finished:
 	}
 }
@@ -107,6 +114,20 @@
 	return result
 }
 
+// runEnd maps the end of a run to what the gate learns from it.
+func runEnd(e pipeline.RunEnd) quarantine.End {
+	switch e {
+	case pipeline.RunWhole:
+		return quarantine.Answered
+	case pipeline.RunCut:
+		return quarantine.Cut
+	case pipeline.RunDied:
+		return quarantine.Refused
+	default:
+		return quarantine.Other
+	}
+}
+
 // sampleOutcome maps the end of a request to what the limiter learns from it.
 func sampleOutcome(c pipeline.Completion) concurrency.Outcome {
 	switch {
--- a/filters/send/send.go
+++ b/filters/send/send.go
@@ -51,6 +51,9 @@
 type Filter struct {
 	Addr      string // "ip:port" of the backend server
 	Transport http.RoundTripper
+	// Reachable tells whether the backend server accepts a new connection. It is
+	// asked after a connection broke, to tell a crash from a cut answer.
+	Reachable func(addr string) bool
 	// Started takes each call that is sent, Observe each one that has ended.
 	// They must not block.
 	Started func(call uint64, class string, at time.Time)
@@ -77,6 +80,9 @@
 	if err != nil {
 		defer cancel()
 		code, end := failure(ctx, req, connected, latency)
+		if code == pipeline.CodeConnectionLost {
+			f.noteCut(req)
+		}
 		f.Observe(Observation{Call: call, Request: req, Ending: end, Latency: latency})
 		return pipeline.Refuse(code, "")
 	}
@@ -87,7 +93,11 @@
 		ContentLength: resp.ContentLength,
 	}
 	httpsend.AttachBody(result, resp)
+	framed := !unframed(resp)
 	req.OnComplete(func(c pipeline.Completion) {
+		if framed && ctx.Err() == nil {
+			f.noteEnd(req, c)
+		}
 		cancel()
 		f.Observe(Observation{Call: call, Request: req, Ending: ending(c), Latency: latency})
 	})
@@ -95,13 +105,32 @@
 		_ = resp.Body.Close()
 		return pipeline.Refuse(pipeline.CodeShed, "")
 	}
-	if unframed(resp) {
+	if !framed {
 		_ = resp.Body.Close()
 		return pipeline.Refuse(pipeline.CodeAnswerCut, "the answer has no length, so its end cannot be verified")
 	}
 	return result
 }
 
+// noteEnd records how the backend server ended a request that it answered at
+// least in part.
+func (f *Filter) noteEnd(req *pipeline.Request, c pipeline.Completion) {
+	switch {
+	case c.Code == pipeline.CodeAnswerCut:
+		f.noteCut(req)
+	case c.Code == pipeline.CodeOK:
+		req.RunEnd = pipeline.RunWhole
+	}
+}
+
+// noteCut records that the connection was lost during the run.
+func (f *Filter) noteCut(req *pipeline.Request) {
+	req.RunEnd = pipeline.RunDied
+	if f.Reachable(f.Addr) {
+		req.RunEnd = pipeline.RunCut
+	}
+}
+
 func setHeaders(h http.Header, req *pipeline.Request) {
 	left := max(time.Until(req.Deadline).Milliseconds(), 1)
 	h[HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
--- a/fleet/headers.go
+++ b/fleet/headers.go
@@ -23,6 +23,8 @@
 	headerClass      = "Ragwort-Class"
 	headerBackend    = "Ragwort-Backend"
 	headerTimeout    = "Ragwort-Timeout-Us"
+	headerPrint      = "Ragwort-Fingerprint" // hexadecimal; a peer of an older build sends none
+	headerSuspect    = "Ragwort-Suspect"     // "1": run alone
 	headerOutcome    = "Ragwort-Outcome"
 	headerCode       = "Ragwort-Code"
 	headerDetail     = "Ragwort-Detail"
@@ -51,6 +53,10 @@
 	set(headerClass, req.Class.Name)
 	set(headerBackend, backend)
 	set(headerTimeout, strconv.FormatInt(timeout.Microseconds(), 10))
+	set(headerPrint, strconv.FormatUint(req.Fingerprint, 16))
+	if req.Suspect {
+		set(headerSuspect, "1")
+	}
 }
 
 // HopRequest is a request that arrived from another process.
@@ -88,6 +94,8 @@
 		Service:       r.Header.Get(headerService),
 		Class:         pipeline.Class{Name: r.Header.Get(headerClass)},
 		Header:        applicationHeader(r.Header),
+		Fingerprint:   decodeFingerprint(r.Header.Get(headerPrint)),
+		Suspect:       r.Header.Get(headerSuspect) == "1",
 	}
 	if hop.Request.ID == "" || hop.Request.Service == "" || hop.Backend == "" {
 		return nil, pipeline.Refuse(pipeline.CodeBadHop, "")
@@ -96,6 +104,16 @@
 	return hop, nil
 }
 
+// decodeFingerprint reads a fingerprint. A missing or malformed one is 0, which
+// is not tracked, since a peer of another build must not lose its requests.
+func decodeFingerprint(value string) uint64 {
+	fingerprint, err := strconv.ParseUint(value, 16, 64)
+	if err != nil {
+		return 0
+	}
+	return fingerprint
+}
+
 func takeBody(r *http.Request, req *pipeline.Request) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return
--- a/node/calls.go
+++ b/node/calls.go
@@ -5,9 +5,26 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
+	"github.com/ragwortyard/ragwortyard/filters/queue"
 	"github.com/ragwortyard/ragwortyard/filters/send"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
+// dispatcherOptions connects the dispatcher of a local backend server with the
+// control loop.
+func (n *Node) dispatcherOptions(local control.Local) queue.Options {
+	return queue.Options{
+		Slots: local.Slots,
+		Standing: func(now time.Time, f quarantine.Fingerprint) quarantine.Subject {
+			return n.loop.Snapshot().Quarantine.Subject(now, f)
+		},
+		Report: func(reports []quarantine.Report) {
+			n.loop.Post(control.ExposureEnded{Backend: local.ID, Reports: reports})
+		},
+	}
+}
+
 // callStarted returns the function that takes the calls sent to a local backend
 // server.
 func (n *Node) callStarted(local control.Local) func(uint64, string, time.Time) {
@@ -24,16 +41,19 @@
 			Backend: local.ID,
 			Call:    o.Call,
 			Class:   o.Request.Class.Name,
-			Outcome: ejectionOutcome(o.Ending),
+			Outcome: ejectionOutcome(o),
 			Latency: o.Latency,
 		})
 	}
 }
 
 // ejectionOutcome maps the end of a call to what it says of the health of the
-// backend server.
-func ejectionOutcome(e send.Ending) ejection.Outcome {
-	switch e {
+// backend server. A crash under a suspect counts against the suspect.
+func ejectionOutcome(o send.Observation) ejection.Outcome {
+	if o.Request.Suspect && o.Request.RunEnd == pipeline.RunDied {
+		return ejection.Excused
+	}
+	switch o.Ending {
 	case send.Served:
 		return ejection.Success
 	case send.Shed:
--- a/node/exits.go
+++ b/node/exits.go
@@ -9,6 +9,7 @@
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/filters/admit"
 	"github.com/ragwortyard/ragwortyard/filters/eject"
+	"github.com/ragwortyard/ragwortyard/filters/quarantine"
 	"github.com/ragwortyard/ragwortyard/filters/queue"
 	"github.com/ragwortyard/ragwortyard/filters/send"
 	"github.com/ragwortyard/ragwortyard/filters/validate"
@@ -76,15 +77,19 @@
 
 func (e *exits) start(ctx context.Context, local control.Local) *exit {
 	ctx, stop := context.WithCancel(ctx)
-	x := &exit{local: local, dispatcher: queue.NewDispatcher(local.Slots), stop: stop}
+	x := &exit{local: local, dispatcher: queue.NewDispatcher(e.node.dispatcherOptions(local)), stop: stop}
 	check := &validate.Filter{Snapshot: e.node.loop.Snapshot, Backend: local.ID}
 	x.chain = pipeline.Chain{
 		check,
+		&quarantine.Filter{Snapshot: e.node.loop.Snapshot},
 		&eject.Filter{Snapshot: e.node.loop.Snapshot, Backend: local.ID},
 		&admit.Filter{Shares: e.node.shares, Submit: e.node.loop.Submit, Post: e.node.loop.Post},
-		&queue.Filter{Dispatcher: x.dispatcher, Suspect: e.node.suspect},
+		&queue.Filter{Dispatcher: x.dispatcher},
 		check,
-		&send.Filter{Addr: local.Addr, Transport: e.transport, Started: e.node.callStarted(local), Observe: e.node.callEnded(local)},
+		&send.Filter{
+			Addr: local.Addr, Transport: e.transport, Reachable: httpsend.Reachable,
+			Started: e.node.callStarted(local), Observe: e.node.callEnded(local),
+		},
 	}
 	go x.dispatcher.Run(ctx)
 	go e.node.probe(ctx, local)
--- a/node/messages.go
+++ b/node/messages.go
@@ -8,6 +8,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/lease"
 	"github.com/ragwortyard/ragwortyard/decide/ledger"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/decide/quota"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
 	"github.com/ragwortyard/ragwortyard/fleet"
@@ -35,6 +36,8 @@
 	fleet.Register[ledger.Finish, control.Ack](r, "ledger.finish")
 	fleet.Register[ledger.Release, control.Ack](r, "ledger.release")
 	fleet.Register[ledger.SyncAsk, ledger.Export](r, "ledger.export")
+	fleet.Register[quarantine.Report, quarantine.ReportAnswer](r, "crash.report")
+	fleet.Register[quarantine.Spread, quarantine.SpreadAnswer](r, "crash.spread")
 	return r
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/ragwortyard/ragwortyard/filters/fingerprint"
 	"github.com/ragwortyard/ragwortyard/filters/forward"
 	"github.com/ragwortyard/ragwortyard/filters/observe"
+	"github.com/ragwortyard/ragwortyard/filters/quarantine"
 	"github.com/ragwortyard/ragwortyard/filters/route"
 	"github.com/ragwortyard/ragwortyard/fleet"
 	"github.com/ragwortyard/ragwortyard/httpfront"
@@ -128,6 +129,7 @@
 		&authenticate.Filter{Snapshot: n.loop.Snapshot},
 		buffer.Filter{},
 		fingerprint.Filter{},
+		&quarantine.Filter{Snapshot: n.loop.Snapshot},
 		&claim.Filter{Submit: n.loop.Submit, Post: n.loop.Post, NewID: n.ids.next},
 		&route.Filter{Snapshot: n.loop.Snapshot},
 		&forward.Filter{
@@ -209,9 +211,6 @@
 	return pipeline.Refuse(pipeline.CodeStopping, "")
 }
 
-// suspect tells whether a request must run alone.
-func (n *Node) suspect(*pipeline.Request) bool { return false }
-
 // Listeners are the open ports of a process.
 type Listeners struct {
 	Callers, Traffic, Control, Operator net.Listener
--- a/node/operator.go
+++ b/node/operator.go
@@ -61,12 +61,19 @@
 		"ragwortyard_control_calls_failed_total":     func() float64 { return float64(n.traffic.Failed.Load()) },
 		"ragwortyard_config_version":                 func() float64 { return float64(configVersion(n.loop.Snapshot())) },
 		"ragwortyard_keys_trusted":                   func() float64 { return boolGauge(n.Ready()) },
+		"ragwortyard_quarantine_suspects":            func() float64 { suspects, _ := n.standings(); return float64(suspects) },
+		"ragwortyard_quarantine_condemned":           func() float64 { _, condemned := n.standings(); return float64(condemned) },
 	}
 	for name, read := range gauges {
 		n.metrics.NewGauge(name, read)
 	}
 }
 
+// standings returns how many fingerprints are suspect and condemned.
+func (n *Node) standings() (suspects, condemned int) {
+	return n.loop.Snapshot().Quarantine.Counts(time.Now())
+}
+
 func configVersion(s *control.Snapshot) uint64 {
 	if s.Config == nil {
 		return 0
--- a/node/outbound.go
+++ b/node/outbound.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/path"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
 )
 
@@ -72,6 +74,10 @@
 		o.logEjection(c)
 	case control.ConfigLog:
 		o.logConfig(c)
+	case control.CrashLog:
+		o.logCrash(c)
+	case control.StandingLog:
+		o.logStanding(c)
 	}
 }
 
@@ -128,3 +134,25 @@
 		zap.String("reason", string(c.Verdict.Reason)),
 		zap.Float64("share", c.Verdict.Share))
 }
+
+func (o *outbound) logCrash(c control.CrashLog) {
+	o.node.metrics.GetOrCreateCounter(`ragwortyard_backend_crashes_total`).Inc()
+	inFlight := make([]string, len(c.InFlight))
+	for i, r := range c.InFlight {
+		inFlight[i] = formatFingerprint(r.Fingerprint)
+	}
+	o.node.log.Warn("backend server crashed; the requests in flight are suspect",
+		zap.String("backend", c.Backend), zap.Strings("fingerprints", inFlight))
+}
+
+func (o *outbound) logStanding(c control.StandingLog) {
+	standing := c.Entry.Standing.String()
+	o.node.metrics.GetOrCreateCounter(fmt.Sprintf(`ragwortyard_quarantine_decisions_total{standing=%q}`, standing)).Inc()
+	o.node.log.Warn("quarantine standing decided",
+		zap.String("fingerprint", formatFingerprint(c.Entry.Fingerprint)), zap.String("standing", standing))
+}
+
+// formatFingerprint writes a fingerprint as it stands in the header of a hop.
+func formatFingerprint(f quarantine.Fingerprint) string {
+	return strconv.FormatUint(uint64(f), 16)
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -66,11 +66,28 @@
 	IdempotencyKey string
 	FirstSend      bool    // the caller states that it never sent this idempotency key before
 	Targets        Targets // set by the route filter
-	Fingerprint    uint64  // identifies requests with the same effect on a backend server
+	Fingerprint    uint64  // identifies requests with the same effect on a backend server; 0 when unknown
+	// Suspect says that the request must run alone on its backend server, since
+	// it or one like it may have crashed another.
+	Suspect bool
+	// RunEnd is how the backend server ended the request, set by the filter that
+	// sent it.
+	RunEnd RunEnd
 
 	hooks []func(Completion)
 }
 
+// RunEnd is how a backend server ended a request that was sent to it.
+type RunEnd uint8
+
+// The ends of a run.
+const (
+	RunNone   RunEnd = iota // not sent, refused because of load, timed out or canceled
+	RunWhole                // the whole answer, whatever its status
+	RunCut                  // the connection was lost before the end of the answer
+	RunDied                 // as RunCut, and the backend server refused a new connection
+)
+
 // Completion describes how a request ended, after the last byte of its answer
 // was delivered or given up.
 type Completion struct {
