quarantine: prove the bound on crashes and make standings converge

Change: records of one generation only grow from clear to suspect to condemned, only a clearance begins the next one, and two records of one generation are merged; two crashes, one of them alone, condemn wherever they meet.

--- a/control/crashes.go
+++ b/control/crashes.go
@@ -105,7 +105,7 @@
 func (s *crashesStage) observe(now time.Time, e ExposureEnded, out *Output) {
 	var crashed []quarantine.Report
 	for _, r := range e.Reports {
-		if r.Crash != 0 {
+		if !r.Clean {
 			crashed = append(crashed, r)
 			s.decide(now, r, out)
 		}
@@ -198,8 +198,8 @@
 func (s *crashesStage) merge(now time.Time, entries []quarantine.Entry) []quarantine.Entry {
 	var changed []quarantine.Entry
 	for _, entry := range entries {
-		if s.tracker.OnEntry(now, entry) {
-			changed = append(changed, entry)
+		if next, ok := s.tracker.OnEntry(now, entry); ok {
+			changed = append(changed, next)
 		}
 	}
 	return changed
--- a/decide/quarantine/gate.go
+++ b/decide/quarantine/gate.go
@@ -27,7 +27,8 @@
 type Subject struct {
 	Fingerprint Fingerprint
 	Standing    Standing
-	Version     uint64
+	Version     uint64 // generation of the record; 0 without one
+	Crash       uint64 // the last crash known
 }
 
 // cutWindow is the time within which cut calls count as cut at once. The kernel
@@ -53,7 +54,8 @@
 // has canceled it.
 type Gate struct {
 	running []call // at most the slots of the server
-	crashes uint64 // source of the identifiers of crashes
+	seed    uint64
+	crashes uint64 // noticed so far
 
 	cut   []call // calls cut in the running incident
 	cutAt time.Time
@@ -62,7 +64,7 @@
 // NewGate returns a gate. The seed makes the identifiers of its crashes unique
 // in the fleet.
 func NewGate(seed uint64) *Gate {
-	return &Gate{crashes: seed}
+	return &Gate{seed: seed}
 }
 
 // Enter asks to start a request; id is unique among those in flight.
@@ -103,7 +105,7 @@
 		g.addCut(now, c)
 	}
 	if end == Refused || g.allCut() {
-		return g.crash()
+		return g.crash(now)
 	}
 	return nil
 }
@@ -122,7 +124,13 @@
 	if c.subject.Standing != Suspect || c.subject.Fingerprint == 0 {
 		return nil
 	}
-	return []Report{{Fingerprint: c.subject.Fingerprint, Alone: true, Version: c.subject.Version}}
+	return []Report{{
+		Fingerprint: c.subject.Fingerprint,
+		Clean:       true,
+		Alone:       true,
+		Version:     c.subject.Version,
+		Crash:       c.subject.Crash,
+	}}
 }
 
 func (g *Gate) addCut(now time.Time, c call) {
@@ -158,9 +166,9 @@
 
 // crash reports all calls of the incident. Those still in flight are marked, so
 // that their ends report nothing further.
-func (g *Gate) crash() []Report {
+func (g *Gate) crash(now time.Time) []Report {
 	g.crashes++
-	id := mix(g.crashes)
+	id := g.crashID(now)
 	var reports []Report
 	for _, c := range g.cut {
 		reports = appendReport(reports, id, c)
@@ -175,6 +183,14 @@
 	return reports
 }
 
+// crashID returns an identifier that grows with time, so that the highest of
+// several is the last crash, as far as the clocks agree. Its low bits tell
+// crashes of the same millisecond apart.
+func (g *Gate) crashID(now time.Time) uint64 {
+	const low = 20 // bits; a millisecond of a fleet has few crashes
+	return uint64(now.UnixMilli())<<low | mix(g.seed+g.crashes)&(1<<low-1)
+}
+
 func appendReport(reports []Report, id uint64, c call) []Report {
 	f := c.subject.Fingerprint
 	if f == 0 {
@@ -185,5 +201,10 @@
 			return reports
 		}
 	}
-	return append(reports, Report{Crash: id, Fingerprint: f, Alone: c.subject.Standing == Suspect, Version: c.subject.Version})
+	return append(reports, Report{
+		Fingerprint: f,
+		Alone:       c.subject.Standing == Suspect,
+		Version:     c.subject.Version,
+		Crash:       id,
+	})
 }
--- a/decide/quarantine/messages.go
+++ b/decide/quarantine/messages.go
@@ -9,11 +9,14 @@
 // Report is what an exit saw of one fingerprint: a crash while it was in flight,
 // or its completion alone. It goes to the keeper of the fingerprint's shard.
 type Report struct {
-	Crash       uint64      `json:"i,omitempty"` // identifies the crash; 0 reports a completion alone
 	Fingerprint Fingerprint `json:"f"`
+	Clean       bool        `json:"c,omitempty"` // it completed; otherwise the server crashed
 	Alone       bool        `json:"a,omitempty"` // it ran alone as a suspect
-	Version     uint64      `json:"v,omitempty"` // of the record that the exit knew when the request started
-	Tries       uint8       `json:"-"`           // of sending the report
+	Version     uint64      `json:"v,omitempty"` // generation of the suspicion that the exit knew when the request started
+	// Crash identifies the crash, or the last one that the exit knew of when a
+	// request started that completed.
+	Crash uint64 `json:"i,omitempty"`
+	Tries uint8  `json:"-"` // of sending the report
 }
 
 // ReportAnswer tells whether the receiver keeps the fingerprint's shard.
@@ -26,9 +29,9 @@
 type Entry struct {
 	Fingerprint Fingerprint   `json:"f"`
 	Standing    Standing      `json:"s"`
-	Alone       bool          `json:"a,omitempty"` // the last crash happened while it ran alone as a suspect
+	Alone       bool          `json:"a,omitempty"` // a crash happened while it ran alone as a suspect
 	Left        time.Duration `json:"t"`           // until the entry is forgotten
-	Version     uint64        `json:"v"`           // orders the entries of one fingerprint
+	Version     uint64        `json:"v"`           // generation; a clearance begins the next one
 	Crash       uint64        `json:"i,omitempty"` // identifies the last crash
 }
 
--- a/decide/quarantine/quarantine.go
+++ b/decide/quarantine/quarantine.go
@@ -22,12 +22,11 @@
 //
 // # Without the keeper
 //
-// Each exit applies the crashes that it sees, and each process spreads the
-// standings that it holds, so suspects and condemned fingerprints stay guarded
-// without the keeper of their shard. The keeper alone clears suspects, and it
-// joins two crashes of which the exits did not know of each other's. While a
-// shard has no keeper, its suspects therefore run alone for longer, and such a
-// pair of crashes leaves the fingerprint suspect, which costs one crash more.
+// Each exit applies the crashes that it sees, each process spreads the standings
+// that it holds, and what two processes know is joined wherever it meets. So
+// suspects and condemned fingerprints stay guarded without the keeper of their
+// shard. Only the keeper clears suspects, since the reports of all their crashes
+// go to it: while a shard has no keeper, its suspects run alone for longer.
 // Standings are lost when every process of the fleet restarts within
 // SuspectTime. A process that has just started lacks them until its first
 // exchange with a peer.
@@ -74,11 +73,13 @@
 	}
 }
 
-// record is the standing of one fingerprint.
+// record is the standing of one fingerprint. Records of one generation grow only:
+// from clear to suspect to condemned. A clearance begins the next generation, so
+// that processes end with the same record in whatever order they hear of it.
 type record struct {
+	version  uint64 // the generation, from 1
 	standing Standing
-	alone    bool   // the last crash happened while it ran alone as a suspect
-	version  uint64 // orders the records of one fingerprint
+	alone    bool   // a crash happened while it ran alone as a suspect
 	crash    uint64 // identifier of the last crash
 	until    time.Time
 }
@@ -105,15 +106,38 @@
 	return r.standing
 }
 
-// follows tells whether r replaces an earlier record of its fingerprint.
-// Records of the same version come from decisions that did not know of each
-// other; the stricter one counts.
-func (r record) follows(old record) bool {
-	if r.version != old.version {
-		return r.version > old.version
+// same tells whether two records say the same, whenever they end.
+func (r record) same(other record) bool {
+	r.until = other.until
+	return r == other
+}
+
+// merge returns what two records of one fingerprint say together. The stricter
+// standing of the later generation counts; two crashes, one of them alone,
+// condemn.
+func (r record) merge(now time.Time, other record) record {
+	if r.version != other.version {
+		if r.version > other.version {
+			return r
+		}
+		return other
+	}
+	merged := r
+	if other.standing > r.standing {
+		merged = other
 	}
-	if r.standing != old.standing {
-		return r.standing > old.standing
+	if r.standing == other.standing && other.crash > r.crash {
+		merged.until = other.until
 	}
-	return r.alone && !old.alone
+	merged.alone = r.alone || other.alone
+	merged.crash = max(r.crash, other.crash)
+	if merged.standing == Suspect && other.standing == r.standing && r.crash != other.crash && merged.alone {
+		merged.condemn(now)
+	}
+	return merged
+}
+
+func (r *record) condemn(now time.Time) {
+	r.standing = Condemned
+	r.until = now.Add(Condemned.lifetime())
 }
--- a/decide/quarantine/tracker.go
+++ b/decide/quarantine/tracker.go
@@ -31,11 +31,11 @@
 
 // OnReport records a report. It returns false when nothing changed.
 func (t *Tracker) OnReport(now time.Time, r Report) (Entry, bool) {
-	if r.Fingerprint == 0 {
+	switch {
+	case r.Fingerprint == 0:
 		return Entry{}, false
-	}
-	if r.Crash == 0 {
-		return t.OnClean(now, r.Fingerprint, r.Version)
+	case r.Clean:
+		return t.OnClean(now, r)
 	}
 	return t.onCrash(now, r)
 }
@@ -58,58 +58,62 @@
 func (t *Tracker) onCrash(now time.Time, r Report) (Entry, bool) {
 	old := t.records[r.Fingerprint]
 	standing := old.at(now)
-	if old.crash == r.Crash || standing == Condemned {
+	if standing == Condemned || (standing == Suspect && old.crash == r.Crash) {
 		return Entry{}, false
 	}
-	earlier := standing == Suspect || r.Version > 0
-	alone := r.Alone || (standing == Suspect && old.alone)
-	next := record{standing: Suspect, alone: alone, crash: r.Crash, version: max(old.version, r.Version) + 1}
-	if earlier && alone {
-		next.standing = Condemned
+	next := record{version: max(old.version, r.Version, 1), standing: Suspect, alone: r.Alone, crash: r.Crash}
+	next.until = now.Add(next.standing.lifetime())
+	switch {
+	case old.standing == Condemned && standing == Suspect:
+		next.version++ // a further condemnation must be told from the one that ended
+		next.condemn(now)
+	case r.Alone && r.Version > 0:
+		next.condemn(now)
+	case standing == Suspect:
+		next = old.merge(now, next)
 	}
-	return t.set(now, r.Fingerprint, next), true
+	return t.put(now, r.Fingerprint, next), true
 }
 
-// OnClean records that a fingerprint completed alone, in a run that started
-// under the given version. A crash since then keeps it suspect. It returns false
-// when nothing changed.
-func (t *Tracker) OnClean(now time.Time, f Fingerprint, version uint64) (Entry, bool) {
-	old := t.records[f]
-	if old.at(now) != Suspect || old.version != version {
+// OnClean records that a fingerprint completed alone. A crash of which the exit
+// did not know when the request started keeps it suspect. It returns false when
+// nothing changed.
+func (t *Tracker) OnClean(now time.Time, r Report) (Entry, bool) {
+	old := t.records[r.Fingerprint]
+	if old.at(now) != Suspect || old.version != r.Version || old.crash != r.Crash {
 		return Entry{}, false
 	}
-	return t.set(now, f, record{standing: Clear, crash: old.crash, version: version + 1}), true
-}
-
-func (t *Tracker) set(now time.Time, f Fingerprint, r record) Entry {
-	r.until = now.Add(r.standing.lifetime())
-	t.put(now, f, r)
-	return r.entry(now, f)
+	next := record{version: old.version + 1, standing: Clear, crash: old.crash, until: now.Add(Clear.lifetime())}
+	return t.put(now, r.Fingerprint, next), true
 }
 
-// OnEntry takes in an entry that a peer spread. It returns false when the
-// tracker knew it or knows better.
-func (t *Tracker) OnEntry(now time.Time, e Entry) bool {
+// OnEntry takes in an entry that a peer spread. It returns the entry to pass on,
+// and false when the tracker knew it or knows better.
+func (t *Tracker) OnEntry(now time.Time, e Entry) (Entry, bool) {
 	if e.Fingerprint == 0 || e.Standing > Condemned || e.Left < minLeft {
-		return false
+		return Entry{}, false
 	}
-	next := record{standing: e.Standing, alone: e.Alone, version: e.Version, crash: e.Crash}
+	next := record{version: e.Version, standing: e.Standing, alone: e.Alone, crash: e.Crash}
 	next.until = now.Add(min(e.Left, e.Standing.lifetime()))
-	if old, ok := t.records[e.Fingerprint]; ok && !next.follows(old) {
-		return false
+	old, known := t.records[e.Fingerprint]
+	if known && now.Before(old.until) {
+		next = old.merge(now, next)
 	}
-	t.put(now, e.Fingerprint, next)
-	return true
+	if known && next.same(old) {
+		return Entry{}, false
+	}
+	return t.put(now, e.Fingerprint, next), true
 }
 
-// put stores a record. A full tracker first forgets what ended, then the record
-// of the least strict standing that ends first.
-func (t *Tracker) put(now time.Time, f Fingerprint, r record) {
+// put stores a record and returns its entry. A full tracker first forgets what
+// ended, then the record of the least strict standing that ends first.
+func (t *Tracker) put(now time.Time, f Fingerprint, r record) Entry {
 	if _, ok := t.records[f]; !ok && len(t.records) >= MaxEntries {
 		t.Expire(now)
 		t.evict(now)
 	}
 	t.records[f] = r
+	return r.entry(now, f)
 }
 
 func (t *Tracker) evict(now time.Time) {
@@ -161,7 +165,7 @@
 	var digest uint64
 	for f, r := range t.records {
 		if r.until.Sub(now) >= minLeft {
-			digest ^= mix(mix(mix(uint64(f))+r.version) + uint64(r.standing)<<1 + boolBit(r.alone))
+			digest ^= mix(mix(mix(mix(uint64(f))+r.version)+r.crash) + uint64(r.standing)<<1 + boolBit(r.alone))
 		}
 	}
 	return digest
@@ -200,14 +204,17 @@
 	records map[Fingerprint]record
 }
 
-// Subject returns the standing of a fingerprint at the moment of use with the
-// version of its record.
+// Subject returns what is known of a fingerprint at the moment of use.
 func (t *Table) Subject(now time.Time, f Fingerprint) Subject {
 	if t == nil || f == 0 {
 		return Subject{Fingerprint: f}
 	}
 	r := t.records[f]
-	return Subject{Fingerprint: f, Standing: r.at(now), Version: r.version}
+	standing := r.at(now)
+	if standing == Clear {
+		return Subject{Fingerprint: f}
+	}
+	return Subject{Fingerprint: f, Standing: standing, Version: r.version, Crash: r.crash}
 }
 
 // Counts returns how many fingerprints are suspect and condemned.
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -82,10 +82,10 @@
 
 // The ends of a run.
 const (
-	RunNone   RunEnd = iota // not sent, refused because of load, timed out or canceled
-	RunWhole                // the whole answer, whatever its status
-	RunCut                  // the connection was lost before the end of the answer
-	RunDied                 // as RunCut, and the backend server refused a new connection
+	RunNone  RunEnd = iota // not sent, refused because of load, timed out or canceled
+	RunWhole               // the whole answer, whatever its status
+	RunCut                 // the connection was lost before the end of the answer
+	RunDied                // as RunCut, and the backend server refused a new connection
 )
 
 // Completion describes how a request ended, after the last byte of its answer
