bench: measure the latency that two processes add

Cause: nothing measured the latency, allocations and processor time that the way through entry and exit adds to a request. Change: the command bench starts an entry and an exit as processes and calls a stand-in directly and through them in one run; internal/demo starts fleets of processes too. Before: not measured.

--- /dev/null
+++ b/cmd/ragwortyard/bench.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/pprof"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/ragwortyard/ragwortyard/internal/bench"
+)
+
+// benchCommand measures the latency that the processes add.
+type benchCommand struct {
+	Rates     []float64     `default:"1,100,1000" help:"Requests a second on each path, open loop; one load for each."`
+	Workers   int           `default:"4" help:"Workers of the closed loop at full speed."`
+	Time      time.Duration `default:"20s" help:"Time of each load."`
+	Seed      uint64        `default:"1" help:"Seed of the order of calls."`
+	InProcess bool          `help:"Run entry and exit inside this process; their cost is then not known apart from the caller's."`
+	Profile   string        `type:"path" help:"File to write a processor profile of this process to; with --in-process it covers entry and exit."`
+	JSON      bool          `help:"Print JSON instead of a table."`
+}
+
+// Run runs the loads and prints the figures.
+func (c *benchCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log, err := newLogger("error")
+	if err != nil {
+		return err
+	}
+	options := bench.Options{Rates: c.Rates, Workers: c.Workers, Time: c.Time, Seed: c.Seed, Log: log}
+	if !c.InProcess {
+		if options.Binary, err = os.Executable(); err != nil {
+			return eris.Wrap(err, "cannot find the binary to start")
+		}
+	}
+	if c.Profile != "" {
+		file, err := os.Create(c.Profile)
+		if err != nil {
+			return eris.Wrap(err, "cannot write the profile")
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return err
+		}
+		defer pprof.StopCPUProfile()
+	}
+	report, err := bench.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(report)
+	}
+	return printBench(os.Stdout, report)
+}
+
+func printBench(w io.Writer, report *bench.Report) error {
+	kind := "caller and stand-in in this process; entry and exit are two processes of their own"
+	if !report.Processes {
+		kind = "caller, stand-in, entry and exit in one process"
+	}
+	fmt.Fprintf(w, "%s\n%s, %d processors; latencies in microseconds\n\n", kind, runtime.Version(), runtime.NumCPU())
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "LOAD\tCALLS\tFAILED\tPER SECOND\tDIRECT P50\tP99\tP999\tTHROUGH P50\tP99\tP999\tADDED P50\tP99\tP999\tALLOCS\tBYTES\tCPU US\tGC/1000\t")
+	for _, r := range report.Loads {
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.0f\t", r.Load, r.Calls, r.Failed, r.PerSecond)
+		for _, q := range []bench.Quantiles{r.Direct, r.Through, r.Added} {
+			fmt.Fprintf(table, "%.0f\t%.0f\t%.0f\t", q.P50, q.P99, q.P999)
+		}
+		if r.Cost == nil {
+			fmt.Fprintln(table, "-\t-\t-\t-\t")
+			continue
+		}
+		fmt.Fprintf(table, "%.0f\t%.0f\t%.0f\t%.2f\t\n", r.Cost.Allocs, r.Cost.Bytes, r.Cost.CPUMicros, r.Cost.GCs)
+	}
+	return table.Flush()
+}
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -24,10 +24,10 @@
 	ID       string
 	Zone     string
 	Service  string
-	Backend  *fakes.Backend
+	Backend  *fakes.Backend // nil for a process without backend servers
 	Settings node.Settings
-	node     *node.Node
 	open     *node.Listeners
+	ready    func() bool
 	cancel   context.CancelFunc
 	done     chan error
 }
@@ -35,6 +35,9 @@
 // CallersURL returns the address at which the process takes callers.
 func (m *Member) CallersURL() string { return "http://" + m.Settings.CallersAddr }
 
+// OperatorURL returns the address of metrics, health, readiness and status.
+func (m *Member) OperatorURL() string { return "http://" + m.Settings.OperatorAddr }
+
 // Stop stops the process gracefully and waits for it.
 func (m *Member) Stop() error {
 	m.cancel()
@@ -46,6 +49,7 @@
 	Name       string
 	Servers    int
 	Time       fakes.ServiceTime
+	NoLog      bool // the backend servers keep no request log
 	Idempotent bool
 	Worth      float64
 }
@@ -59,6 +63,12 @@
 	Seed     uint64
 	// Adjust changes the settings of each process; nil leaves them.
 	Adjust func(*node.Settings)
+	// Entries is the number of processes without backend servers; they come
+	// first in Members.
+	Entries int
+	// Binary is a ragwortyard binary that runs each member as a process of its
+	// own; empty runs all members in this process.
+	Binary string
 }
 
 // Fleet is a running fleet on loopback.
@@ -147,9 +157,16 @@
 }
 
 func (f *Fleet) addMembers() error {
+	for i := range f.spec.Entries {
+		m, err := f.newMember(fmt.Sprintf("host-entry-%d", i))
+		if err != nil {
+			return err
+		}
+		f.Members = append(f.Members, m)
+	}
 	for _, s := range f.spec.Services {
 		for i := range s.Servers {
-			m, err := f.newMember(s, i)
+			m, err := f.newExit(s, i)
 			if err != nil {
 				return err
 			}
@@ -159,28 +176,32 @@
 	return nil
 }
 
-func (f *Fleet) newMember(s ServiceSpec, i int) (*Member, error) {
+func (f *Fleet) newExit(s ServiceSpec, i int) (*Member, error) {
 	backend, err := fakes.NewBackend(fakes.BackendOptions{
 		ID:           fmt.Sprintf("%s-%d", s.Name, i),
 		Time:         s.Time,
 		Seed:         f.spec.Seed + uint64(len(f.Members)),
 		ProbeTime:    25 * time.Millisecond,
 		RestartAfter: time.Second,
+		NoLog:        s.NoLog,
 	})
 	if err != nil {
 		return nil, err
 	}
-	open, err := openListeners()
+	m, err := f.newMember(fmt.Sprintf("host-%s-%d", s.Name, i))
 	if err != nil {
 		return nil, err
 	}
-	m := &Member{
-		open:    open,
-		ID:      fmt.Sprintf("host-%s-%d", s.Name, i),
-		Zone:    f.spec.Zones[len(f.Members)%len(f.spec.Zones)],
-		Service: s.Name,
-		Backend: backend,
+	m.Service, m.Backend = s.Name, backend
+	return m, nil
+}
+
+func (f *Fleet) newMember(id string) (*Member, error) {
+	open, err := openListeners()
+	if err != nil {
+		return nil, err
 	}
+	m := &Member{open: open, ID: id, Zone: f.spec.Zones[len(f.Members)%len(f.spec.Zones)]}
 	m.Settings = node.Settings{
 		ID: m.ID, Zone: m.Zone,
 		CallersAddr: open.Callers.Addr().String(), TrafficAddr: open.Traffic.Addr().String(),
@@ -216,25 +237,31 @@
 func (f *Fleet) hostEntries() []fakes.Host {
 	var hosts []fakes.Host
 	for _, m := range f.Members {
-		hosts = append(hosts, fakes.Host{
+		host := fakes.Host{
 			ID: m.ID, Zone: m.Zone, State: "live",
 			Traffic: m.Settings.TrafficAddr,
 			Control: m.Settings.ControlAddr,
-			Backends: []fakes.HostBackend{{
+		}
+		if m.Backend != nil {
+			host.Backends = []fakes.HostBackend{{
 				ID: m.Backend.ID(), Service: m.Service, Slots: 7, Address: m.Backend.Address(),
-			}},
-		})
+			}}
+		}
+		hosts = append(hosts, host)
 	}
 	return hosts
 }
 
 func (f *Fleet) start(ctx context.Context, m *Member) error {
+	if f.spec.Binary != "" {
+		return f.startProcess(ctx, m)
+	}
 	n, err := node.New(m.Settings, node.HTTPPlatform(m.Settings.ConfigURL, m.Settings.HostsURL), f.log)
 	if err != nil {
 		return err
 	}
 	ctx, m.cancel = context.WithCancel(ctx)
-	m.node = n
+	m.ready = n.Ready
 	m.done = make(chan error, 1)
 	go func() { m.done <- n.Serve(ctx, m.open) }()
 	return nil
@@ -247,7 +274,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for _, m := range f.Members {
-		if err := waitUntil(ctx, m.node.Ready); err != nil {
+		if err := waitUntil(ctx, m.ready); err != nil {
 			return eris.Wrapf(err, "%s did not become ready", m.ID)
 		}
 	}
@@ -270,14 +297,18 @@
 	return nil
 }
 
-// Close ends everything, without waiting for running requests.
+// Close ends everything without waiting for running requests; processes that
+// were started from a binary are waited for.
 func (f *Fleet) Close() {
 	for _, m := range f.Members {
 		if m.cancel != nil {
 			m.cancel()
 		}
-		m.Backend.Close()
+		if m.Backend != nil {
+			m.Backend.Close()
+		}
 	}
+	f.waitProcesses()
 	f.Hosts.Close()
 	f.Config.Close()
 }
--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -37,6 +37,7 @@
 	ColdStart    time.Duration // after a start, work is slower for this time
 	ColdFactor   float64       // slowness at the start, falling to 1; default 10
 	RestartAfter time.Duration // time from a crash to the next start
+	NoLog        bool          // keep no request log, for long runs at high rates
 }
 
 // Behavior is what a test changes while the server runs. The zero value is a
@@ -296,7 +297,9 @@
 		Header:     r.Header.Clone(),
 		Body:       body,
 	}
-	b.log = append(b.log, record)
+	if !b.options.NoLog {
+		b.log = append(b.log, record)
+	}
 	return record
 }
 
