control: plan the ledger's next tick only when it may have changed

Cause: the claims stage asked the ledger for its next tick after every event; that walks the peers of every shard held, and traffic posts three events for each request. Put off at each event, the tick also came only with the ticks of other stages. Change: the tick is planned after a tick, a change of members and messages of the ledger.

--- a/control/claims.go
+++ b/control/claims.go
@@ -105,13 +105,22 @@
 	case Tick:
 		s.tick(now, out)
 	}
-	s.next = s.holder.Next(now)
 }
 
 func (s *claimsStage) followMembers(now time.Time, out *Output) {
 	if s.version != s.state.HostVersion {
 		s.version = s.state.HostVersion
 		s.apply(s.holder.SetMembers(now, s.state.Members), out)
+		s.next = s.holder.Next(now)
+	}
+}
+
+// attend plans the next tick after a message that may have given the holder
+// something to ask for. Events of traffic do not, and Next looks at every shard,
+// so it is not called for each of them.
+func (s *claimsStage) attend(now time.Time) {
+	if next := s.holder.Next(now); next.Before(s.next) {
+		s.next = next
 	}
 }
 
@@ -203,6 +212,7 @@
 		e.Answer(Ack{})
 	case ledger.SyncAsk:
 		e.Answer(s.holder.Export(now, m))
+		s.attend(now)
 	}
 }
 
@@ -218,11 +228,15 @@
 		}
 	case ledger.Export:
 		s.apply(s.holder.Import(now, reply), out)
+		s.attend(now)
 	}
 }
 
 func (s *claimsStage) tick(now time.Time, out *Output) {
-	s.apply(s.holder.Tick(now), out)
+	if !now.Before(s.next) {
+		s.apply(s.holder.Tick(now), out)
+		s.next = s.holder.Next(now)
+	}
 	for attempt, c := range s.open {
 		s.settle(now, attempt, c, out)
 	}
