--- a/decide/spread/fresh.go
+++ b/decide/spread/fresh.go
@@ -7,10 +7,10 @@
 	if len(s.peers) == 0 {
 		return nil
 	}
-	peer := s.nextPeer()
+	peer, zone := s.nextPeer()
 	seq, action := s.newAsk(now, peer, s.doc.Stamp)
-	s.recent = append(s.recent, sample{seq: seq, peer: peer, sent: now})
-	if len(s.recent) > AgreeAsks {
+	s.recent = append(s.recent, sample{seq: seq, zone: zone, sent: now})
+	if len(s.recent) > AgreeAsks+1 {
 		s.recent = s.recent[1:]
 	}
 	actions := []Action{action}
@@ -21,17 +21,33 @@
 	return actions
 }
 
-// nextPeer returns a random peer other than the last AgreeAsks-1, so that
-// AgreeAsks asks in a row go to different peers and a small group that is cut off
-// cannot confirm itself. In a small fleet it goes round.
-func (s *Spreader) nextPeer() string {
+// nextPeer returns a random peer of the next zone. Zones are asked in proportion to
+// their peers and evenly in time (smooth weighted round robin), so that the loss of
+// a zone costs no more of any AgreeAsks asks than its share.
+func (s *Spreader) nextPeer() (peer, zone string) {
+	best := &s.zones[0]
+	for i := range s.zones {
+		z := &s.zones[i]
+		z.credit += len(z.ids)
+		if z.credit > best.credit {
+			best = z
+		}
+	}
+	best.credit -= len(s.peers)
+	return s.pickIn(best), best.zone
+}
+
+// pickIn returns a random peer of a zone other than those asked lately, so that
+// AgreeAsks asks in a row go to different peers. In a small fleet it goes round.
+func (s *Spreader) pickIn(z *zonePeers) string {
+	lately := (len(z.ids)*(AgreeAsks-1) + len(s.peers) - 1) / len(s.peers)
 	i := 0
-	if choice := len(s.peers) - (AgreeAsks - 1); choice > 1 {
+	if choice := len(z.ids) - lately; choice > 1 {
 		i = s.opt.Rand.IntN(choice)
 	}
-	peer := s.peers[i]
-	copy(s.peers[i:], s.peers[i+1:])
-	s.peers[len(s.peers)-1] = peer
+	peer := z.ids[i]
+	copy(z.ids[i:], z.ids[i+1:])
+	z.ids[len(z.ids)-1] = peer
 	return peer
 }
 
@@ -188,16 +204,36 @@
 }
 
 // agreeing counts the asks that were answered in time with the document in force.
+// Of one zone among several it counts at most AgreeNeeded-1.
 func (s *Spreader) agreeing(now time.Time) int {
-	count := 0
-	for _, a := range s.recent {
+	byZone := make(map[string]int, len(s.zones))
+	for _, a := range s.settled() {
 		if a.agreed && now.Sub(a.sent) <= CurrentFor {
-			count++
+			byZone[a.zone]++
+		}
+	}
+	count := 0
+	for _, n := range byZone {
+		if len(s.zones) > 1 {
+			n = min(n, AgreeNeeded-1)
 		}
+		count += n
 	}
 	return count
 }
 
+// settled returns the last AgreeAsks asks. The newest counts once it is answered or
+// another is sent, since its answer may be on the way.
+func (s *Spreader) settled() []sample {
+	if len(s.recent) <= AgreeAsks {
+		return s.recent
+	}
+	if s.recent[AgreeAsks].agreed {
+		return s.recent[1:]
+	}
+	return s.recent[:AgreeAsks]
+}
+
 // Freshness describes how far the document in force can be relied on.
 func (s *Spreader) Freshness(now time.Time) Freshness {
 	return Freshness{
--- a/decide/spread/spread.go
+++ b/decide/spread/spread.go
@@ -8,7 +8,9 @@
 package spread
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
@@ -46,7 +48,9 @@
 	StartTimeout = time.Second
 
 	// AgreeAsks and AgreeNeeded are the rule for a service that is away: so many of
-	// the last asks were answered with the document in force.
+	// the last asks were answered with the document in force. Of the answers from
+	// one zone AgreeNeeded-1 count, since the processes of a zone that is cut off
+	// would otherwise confirm each other.
 	AgreeAsks   = 7
 	AgreeNeeded = 4
 	// MinReaders and ProcessesPerReader give the number of readers. A confirmation
@@ -100,16 +104,17 @@
 type Freshness struct {
 	Stamp     Stamp
 	Confirmed time.Time // latest time at which the service is known to have had nothing newer; zero if never
-	Agreeing  int       // of the last AgreeAsks asks, those that a peer answered in time with the same document
+	Agreeing  int       // of the last AgreeAsks asks, those answered in time with the same document, at most AgreeNeeded-1 for each zone
 	Current   bool
 }
 
 // Spreader holds the document in force at one process.
 type Spreader struct {
 	opt     Options
-	peers   []string // members without self, those asked last at the end
-	readers []string // readers without self
-	reader  bool     // this process is a reader
+	peers   []string    // members without self
+	zones   []zonePeers // the peers by zone
+	readers []string    // readers without self
+	reader  bool        // this process is a reader
 
 	started  bool
 	ready    bool
@@ -120,7 +125,7 @@
 	seq    uint64
 	asks   map[uint64]ask       // waiting for an answer
 	reads  map[uint64]time.Time // waiting for the service, with the time of sending
-	recent []sample             // the last AgreeAsks periodic asks, oldest first
+	recent []sample             // the last AgreeAsks+1 periodic asks, oldest first
 
 	confirmed time.Time
 	newerAt   time.Time // when a newer document was last heard of
@@ -145,11 +150,18 @@
 // sample is the outcome of one periodic ask.
 type sample struct {
 	seq    uint64
-	peer   string
+	zone   string
 	sent   time.Time
 	agreed bool
 }
 
+// zonePeers are the peers in one zone.
+type zonePeers struct {
+	zone   string
+	ids    []string // those asked last at the end
+	credit int      // the zone with the most is asked next
+}
+
 type part struct {
 	digest string
 	bytes  []byte
@@ -178,7 +190,7 @@
 			s.peers = append(s.peers, m.ID)
 		}
 	}
-	s.opt.Rand.Shuffle(len(s.peers), func(i, j int) { s.peers[i], s.peers[j] = s.peers[j], s.peers[i] })
+	s.zones = s.groupByZone(members)
 	s.readers, s.reader = nil, false
 	for _, m := range rendezvous.Rank(rendezvous.Hash(readersKey), members, readerCount(len(members))) {
 		if m.ID == s.opt.Self {
@@ -189,6 +201,22 @@
 	}
 }
 
+// groupByZone starts with random credits, so that not all processes ask the same
+// zone at the same time.
+func (s *Spreader) groupByZone(members []rendezvous.Member) []zonePeers {
+	byZone := make(map[string][]string)
+	for _, m := range members {
+		if m.ID != s.opt.Self {
+			byZone[m.Zone] = append(byZone[m.Zone], m.ID)
+		}
+	}
+	var zones []zonePeers
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		zones = append(zones, zonePeers{zone: zone, ids: byZone[zone], credit: s.opt.Rand.IntN(len(s.peers))})
+	}
+	return zones
+}
+
 func readerCount(members int) int {
 	return max(MinReaders, (members+ProcessesPerReader-1)/ProcessesPerReader)
 }
@@ -236,7 +264,7 @@
 	s.nextRead = now.Add(s.jitter(ReadInterval))
 	actions := []Action{s.read(now)}
 	for range min(StartPeers, len(s.peers)) {
-		peer := s.nextPeer()
+		peer, _ := s.nextPeer()
 		seq, a := s.newAsk(now, peer, s.doc.Stamp)
 		s.asks[seq] = ask{peer: peer, sent: now, start: true}
 		actions = append(actions, a)
--- a/decide/spread/spread_test.go
+++ b/decide/spread/spread_test.go
@@ -102,6 +102,21 @@
 	return ids
 }
 
+// zoneOf returns all processes in the zone of one.
+func (w *world) zoneOf(id string) []string {
+	zone := make(map[string]string)
+	for _, m := range w.Members {
+		zone[m.ID] = m.Zone
+	}
+	var ids []string
+	for _, m := range w.Members {
+		if m.Zone == zone[id] {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
 // isolate cuts a group off from the service and from all others, at least in the
 // direction towards the group.
 func (w *world) isolate(group []string, bothWays bool) {
@@ -197,14 +212,17 @@
 	}
 }
 
-// Guards against a small group that is cut off and confirms itself, or goes on with
-// an old confirmation.
+// Guards against a small group or a zone that is cut off and confirms itself, or goes
+// on with an old confirmation.
 func TestCutOffProcessesStopBeingCurrent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 8)
 		w.away = rapid.Bool().Draw(t, "away")
 		w.Net.Run(3 * time.Second)
 		group := w.some(rapid.IntRange(1, 3).Draw(t, "group"))
+		if rapid.Bool().Draw(t, "whole zone") {
+			group = w.zoneOf(group[0])
+		}
 		w.isolate(group, rapid.Bool().Draw(t, "both ways"))
 		w.Net.Run(inForce)
 		for range 100 {
@@ -218,14 +236,23 @@
 	})
 }
 
-// Guards against a fleet that refuses all keys because the service is away, and
-// against readers that are lost together.
+// Guards against a fleet that refuses all keys because the service is away, also when
+// a zone is lost as well, and against readers that are lost together.
 func TestFleetStaysCurrent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, 2)
-		lose := rapid.SampledFrom([]string{"service", "readers"}).Draw(t, "lost")
-		w.away = lose == "service"
+		lose := rapid.SampledFrom([]string{"service", "readers", "service and a zone"}).Draw(t, "lost")
+		minHosts := 2
+		if lose == "service and a zone" {
+			minHosts = 8 // fewer are left with less than 4 peers
+		}
+		w := newWorld(t, minHosts)
+		w.away = lose != "readers"
 		w.Net.Run(inForce) // time to change from confirmations to agreement
+		if lose == "service and a zone" {
+			for _, id := range w.zoneOf(w.some(1)[0]) {
+				w.Stop(id)
+			}
+		}
 		if lose == "readers" {
 			for _, m := range w.Members {
 				w.Net.Cut(m.ID, simnet.ServiceName, true)
@@ -237,9 +264,9 @@
 			w.requireConverged()
 		}
 		for range 100 {
-			for _, m := range w.Members {
-				if !w.Spreader[m.ID].Current(w.Net.Now()) {
-					t.Fatalf("%s is not current without %s: %+v", m.ID, lose, w.Spreader[m.ID].Freshness(w.Net.Now()))
+			for id, s := range w.Spreader {
+				if !s.Current(w.Net.Now()) {
+					t.Fatalf("%s is not current without %s: %+v", id, lose, s.Freshness(w.Net.Now()))
 				}
 			}
 			w.Net.Run(50 * time.Millisecond)
@@ -359,6 +386,9 @@
 	if !s.Current(now) {
 		t.Fatalf("%+v, want current by agreement", s.Freshness(now))
 	}
+	if until := s.CurrentUntil(now); !s.Current(until) || s.Current(until.Add(1)) {
+		t.Fatalf("current until %v after the last answer, want the last moment of agreement", until.Sub(now))
+	}
 	if s.Current(now.Add(spread.CurrentFor)) {
 		t.Fatal("current by answers from before a pause")
 	}
--- a/decide/spread/until.go
+++ b/decide/spread/until.go
@@ -1,9 +1,6 @@
 package spread
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // CurrentUntil returns the time until which Current stays true without further
 // messages, so that a holder of this value can check it by itself. It is zero
@@ -24,13 +21,11 @@
 	if s.agreeing(now) < AgreeNeeded {
 		return time.Time{}
 	}
-	var sent []time.Time
-	for _, a := range s.recent {
-		if a.agreed {
-			sent = append(sent, a.sent)
+	for _, a := range s.recent { // oldest first
+		end := a.sent.Add(CurrentFor)
+		if !end.Before(now) && s.agreeing(end.Add(1)) < AgreeNeeded {
+			return end
 		}
 	}
-	slices.SortFunc(sent, time.Time.Compare)
-	// With AgreeNeeded answers left, the oldest of them ends the agreement.
-	return sent[max(len(sent)-AgreeNeeded, 0)].Add(CurrentFor)
+	return time.Time{}
 }
