control: rebuild only the routes that a host list changes; end leaving on a restart

Cause: every host list rebuilt the routes of all 31,000 backend servers and threw away the subsets of all teams. A member that restarted in place, without a new host list, stayed marked as leaving and got no work, since no action told the stage of its new incarnation. Change: hosts are compared with the list before; statistics and services of unchanged hosts stay. membership emits Returned for a member that leaves no more.

--- a/control/hosts.go
+++ b/control/hosts.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/ragwortyard/ragwortyard/decide/balance"
 	"github.com/ragwortyard/ragwortyard/decide/membership"
 )
 
@@ -68,6 +67,7 @@
 		return
 	}
 	s.state.HostVersion = e.Version
+	before := s.state.Hosts
 	s.state.Hosts = make(map[string]Host, len(e.Hosts))
 	list := membership.HostList{Version: e.Version}
 	for _, h := range e.Hosts {
@@ -75,36 +75,14 @@
 		list.Hosts = append(list.Hosts, membership.Host{ID: h.ID, Zone: h.Zone, Leaving: h.Leaving})
 	}
 	s.apply(s.table.OnHostList(now, list), out)
+	leaving := s.state.View.Leaving
 	s.state.View = s.table.View()
 	s.state.Members = s.state.View.Members
-	s.updateTargets(now)
-	out.Publish()
-}
-
-// updateTargets keeps the statistics of backend servers that stay and adds the
-// new ones.
-func (s *hostsStage) updateTargets(now time.Time) {
-	targets := make(map[string]*balance.Member)
-	for _, h := range s.state.Hosts {
-		for _, b := range h.Backends {
-			m, known := s.state.Targets[b.ID]
-			if !known || m.Host != h.ID {
-				m = balance.NewMember(now, b.ID, h.ID, h.Zone)
-			}
-			targets[b.ID] = m
-		}
-	}
-	s.state.Targets = targets
-	s.markLeaving()
-}
-
-func (s *hostsStage) markLeaving() {
-	for _, h := range s.state.Hosts {
-		leaving := h.Leaving || s.state.View.Leaving[h.ID]
-		for _, b := range h.Backends {
-			s.state.Targets[b.ID].SetLeaving(leaving || b.Leaving)
-		}
+	s.updateTargets(now, before)
+	if !maps.Equal(leaving, s.state.View.Leaving) {
+		s.markLeaving()
 	}
+	out.Publish()
 }
 
 func (s *hostsStage) answer(now time.Time, e PeerAsked, out *Output) {
@@ -161,7 +139,7 @@
 		for _, peer := range a.To {
 			s.state.call(out, peer, a.Leaving)
 		}
-	case membership.Suspected, membership.Cleared, membership.LeftSoon:
+	case membership.Suspected, membership.Cleared, membership.LeftSoon, membership.Returned:
 		s.state.View = s.table.View()
 		s.markLeaving()
 		out.Publish()
--- a/control/publish.go
+++ b/control/publish.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -38,10 +39,22 @@
 	}
 }
 
+// buildServices returns the services with those rebuilt whose hosts changed. The
+// others stay, with the subsets that traffic has made of them.
 func (p *publisher) buildServices() map[string]*Service {
-	services := make(map[string]*Service)
+	services := maps.Clone(p.services)
+	if services == nil {
+		services = make(map[string]*Service)
+	}
+	stale := p.state.StaleServices
+	for name := range stale {
+		delete(services, name)
+	}
 	for _, h := range p.state.Hosts {
 		for _, b := range h.Backends {
+			if !stale[b.Service] {
+				continue
+			}
 			service, ok := services[b.Service]
 			if !ok {
 				service = p.newService(b.Service)
@@ -51,6 +64,7 @@
 			service.Addrs[h.ID] = h.TrafficAddr
 		}
 	}
+	clear(stale)
 	return services
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -49,6 +49,9 @@
 	Members     []rendezvous.Member // hosts without those that the list says are leaving
 	View        membership.View
 	Targets     map[string]*balance.Member // by backend server
+	// StaleServices are those whose hosts changed since the last snapshot. The
+	// publisher empties it.
+	StaleServices map[string]bool
 
 	// Written by the configuration stage.
 	Config    *config.Config
@@ -74,6 +77,8 @@
 		Self:    self,
 		Hosts:   make(map[string]Host),
 		Targets: make(map[string]*balance.Member),
+
+		StaleServices: make(map[string]bool),
 	}
 }
 
--- a/decide/balance/member.go
+++ b/decide/balance/member.go
@@ -97,6 +97,11 @@
 	m.leaving.Store(leaving)
 }
 
+// Leaving tells whether the backend server takes no new work.
+func (m *Member) Leaving() bool {
+	return m.leaving.Load()
+}
+
 // SetPath records the state of the path to the member's exit.
 func (m *Member) SetPath(s path.State) {
 	m.path.Store(uint32(s))
--- a/decide/membership/action.go
+++ b/decide/membership/action.go
@@ -38,6 +38,10 @@
 // LeftSoon says that a member announced that it leaves; it gets no new work.
 type LeftSoon struct{ ID string }
 
+// Returned says that a member that was leaving has started again; it takes new
+// work.
+type Returned struct{ ID string }
+
 // Changed says that the member set for rendezvous changed with the host list.
 type Changed struct{ Version uint64 }
 
@@ -48,4 +52,5 @@
 func (Suspected) isAction()   {}
 func (Cleared) isAction()     {}
 func (LeftSoon) isAction()    {}
+func (Returned) isAction()    {}
 func (Changed) isAction()     {}
--- a/decide/membership/evidence.go
+++ b/decide/membership/evidence.go
@@ -116,8 +116,11 @@
 			actions = append(actions, Cleared{ID: after.ID})
 		}
 	}
-	if after.Leaving && !before.Leaving {
+	switch {
+	case after.Leaving && !before.Leaving:
 		actions = append(actions, LeftSoon{ID: after.ID})
+	case before.Leaving && !after.Leaving:
+		actions = append(actions, Returned{ID: after.ID})
 	}
 	return actions
 }
