cmd: collect garbage from a heap of 64 MiB on

Cause: the live heap of a process is about 5 MB, so the runtime collected every 60 requests; collections delay the requests that run and empty the pools of net/http. Change: serve sets the growth of the heap after each collection such that the next starts at 64 MiB or at twice the live heap; GOGC in the environment wins.

--- a/cmd/ragwortyard/serve.go
+++ b/cmd/ragwortyard/serve.go
@@ -25,6 +25,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	keepHeapFloor()
 	n, err := node.New(c.Settings, node.HTTPPlatform(c.ConfigURL, c.HostsURL), log)
 	if err != nil {
 		return err
