forward: read the result of a running attempt nowhere but in its goroutine

Cause: the race detector, over the new allocation test, found that hedge() reads the result of an attempt that its goroutine may be writing.

--- a/filters/forward/run.go
+++ b/filters/forward/run.go
@@ -40,7 +40,7 @@
 	for {
 		ended := r.wait()
 		r.keep(ended)
-		switch r.policy.Next(time.Now(), r.describe(ended)) {
+		switch r.policy.Next(time.Now(), r.describe(ended, ended.result)) {
 		case retry.RetryElsewhere:
 			if r.start() {
 				continue
@@ -77,12 +77,12 @@
 // copyRequest returns the request of one attempt with its own identifier and
 // body.
 func (r *run) copyRequest() *pipeline.Request {
-	sent := *r.req
+	sent := r.req.Copy()
 	sent.ID = r.filter.NewID()
 	if r.req.Payload != nil {
 		sent.Body = bytes.NewReader(r.req.Payload)
 	}
-	return &sent
+	return sent
 }
 
 // wait returns the next attempt that ends; meanwhile it may start a hedge.
@@ -115,14 +115,16 @@
 
 func (r *run) hedge() {
 	first := r.pending[0]
-	if r.policy.Next(time.Now(), r.describe(first)) == retry.Hedge {
+	if r.policy.Next(time.Now(), r.describe(first, retry.Pending)) == retry.Hedge {
 		r.start()
 	}
 }
 
-func (r *run) describe(a *attempt) retry.Attempt {
+// describe takes the result apart from the attempt, since the goroutine of a
+// running attempt may be writing it.
+func (r *run) describe(a *attempt, result retry.Result) retry.Attempt {
 	return retry.Attempt{
-		Result:     a.result,
+		Result:     result,
 		Started:    r.started,
 		Running:    len(r.pending),
 		Idempotent: r.req.Class.Idempotent,
