--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -100,12 +100,16 @@
 
 // observation returns what the attempt says of the path; false when nothing.
 func (a *attempt) observation() (path.Observation, bool) {
-	events := map[fleet.PathError]path.Event{
-		fleet.PathRefused: path.ConnectFailed,
-		fleet.PathSilent:  path.Silent,
-		fleet.PathBroken:  path.Reset,
-		fleet.PathCrossed: path.Reset,
+	observation := path.Observation{Peer: a.target.Host}
+	switch a.answer.Path {
+	case fleet.PathRefused:
+		observation.Event = path.ConnectFailed
+	case fleet.PathSilent:
+		observation.Event = path.Silent
+	case fleet.PathBroken, fleet.PathCrossed:
+		observation.Event = path.Reset
+	default:
+		return path.Observation{}, false
 	}
-	event, ok := events[a.answer.Path]
-	return path.Observation{Peer: a.target.Host, Event: event}, ok
+	return observation, true
 }
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -68,7 +68,19 @@
 	Targets        Targets // set by the route filter
 	Fingerprint    uint64  // identifies requests with the same effect on a backend server
 
-	hooks []func(Completion)
+	hooks     []func(Completion)
+	hookSpace [hookCount]func(Completion) // first storage of hooks
+}
+
+// hookCount is the number of hooks that a request keeps without allocating; the
+// filters of a chain register at most four.
+const hookCount = 4
+
+// Copy returns a copy without the hooks, which run once for the original.
+func (r *Request) Copy() *Request {
+	c := *r
+	c.hooks, c.hookSpace = nil, [hookCount]func(Completion){}
+	return &c
 }
 
 // Completion describes how a request ended, after the last byte of its answer
@@ -84,6 +96,9 @@
 // OnComplete registers a hook that runs once when the request has ended. Hooks
 // run in the reverse order of registration.
 func (r *Request) OnComplete(hook func(Completion)) {
+	if r.hooks == nil {
+		r.hooks = r.hookSpace[:0]
+	}
 	r.hooks = append(r.hooks, hook)
 }
 
