--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -74,7 +74,19 @@
 	// sent it.
 	RunEnd RunEnd
 
-	hooks []func(Completion)
+	hooks     []func(Completion)
+	hookSpace [hookCount]func(Completion) // first storage of hooks
+}
+
+// hookCount is the number of hooks that a request keeps without allocating; the
+// filters of a chain register at most four.
+const hookCount = 4
+
+// Copy returns a copy without the hooks, which run once for the original.
+func (r *Request) Copy() *Request {
+	c := *r
+	c.hooks, c.hookSpace = nil, [hookCount]func(Completion){}
+	return &c
 }
 
 // RunEnd is how a backend server ended a request that was sent to it.
@@ -101,6 +113,9 @@
 // OnComplete registers a hook that runs once when the request has ended. Hooks
 // run in the reverse order of registration.
 func (r *Request) OnComplete(hook func(Completion)) {
+	if r.hooks == nil {
+		r.hooks = r.hookSpace[:0]
+	}
 	r.hooks = append(r.hooks, hook)
 }
 
