--- a/filters/forward/run.go
+++ b/filters/forward/run.go
@@ -30,6 +30,7 @@
 	pending []*attempt
 	started int
 	best    *attempt // the most telling answer so far
+	lost    int      // attempts whose exit lost its connection to the backend server
 }
 
 // settle starts attempts until the policy gives up or one is answered.
@@ -40,6 +41,9 @@
 	for {
 		ended := r.wait()
 		r.keep(ended)
+		if r.lost >= maxLost {
+			return r.finish()
+		}
 		switch r.policy.Next(time.Now(), r.describe(ended)) {
 		case retry.RetryElsewhere:
 			if r.start() {
@@ -94,7 +98,7 @@
 		case a := <-r.results:
 			r.forget(a)
 			r.observe(a)
-			r.suspect(a)
+			r.noteLost(a)
 			return a
 		case <-timer:
 			timer = nil
@@ -148,11 +152,17 @@
 	}
 }
 
-// suspect makes the further attempts run alone when an exit lost its connection
+// maxLost is the number of attempts that may lose the backend server. The second
+// of them ran alone, so a third would most likely crash one more server before
+// the news of the others can stop it.
+const maxLost = 2
+
+// noteLost makes the further attempts run alone when an exit lost its connection
 // to the backend server: the request may have crashed it, and the next attempt
 // starts before the news of the crash can reach the next exit.
-func (r *run) suspect(a *attempt) {
+func (r *run) noteLost(a *attempt) {
 	if a.answer.Path == fleet.PathOK && a.answer.Result.Code == pipeline.CodeConnectionLost {
+		r.lost++
 		r.req.Suspect = true
 	}
 }
--- a/internal/httpsend/reachable.go
+++ b/internal/httpsend/reachable.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"syscall"
 	"time"
 )
 
@@ -14,7 +16,8 @@
 )
 
 // Reachable tells whether a server on this host accepts connections. It tries a
-// few times and returns false at the first refusal.
+// few times and returns false at the first refusal. A connection that only takes
+// too long shows a busy host, not a dead server.
 func Reachable(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), ConnectTimeout)
 	defer cancel()
@@ -23,10 +26,12 @@
 			pause(reachablePause)
 		}
 		conn, err := Dial(ctx, addr)
-		if err != nil {
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
 			return false
+		case err == nil:
+			_ = conn.Close()
 		}
-		_ = conn.Close()
 	}
 	return true
 }
