--- a/internal/capacity/run.go
+++ b/internal/capacity/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/balance"
 	"github.com/ragwortyard/ragwortyard/decide/ledger"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
@@ -26,7 +27,7 @@
 	slopes = append(slopes, changes...)
 	slopes = append(slopes, nodeSlopes()...)
 	slopes = append(slopes, routingSlopes()...)
-	slopes = append(slopes, ledgerSlope())
+	slopes = append(slopes, ledgerSlope(), ledgerMessages())
 	slopes = append(slopes, quotaSlope()...)
 	rpc, err := rpcSlopes()
 	if err != nil {
@@ -178,3 +179,16 @@
 	}
 	return s
 }
+
+// ledgerMessages returns the bytes of the claim and the end of one request with
+// an idempotency key, for fleets with one to three holders.
+func ledgerMessages() Slope {
+	s := Slope{Name: "ledger: messages for one request with a key", Per: "holders", Unit: "B"}
+	claim := ledger.Claim{Team: "team-00001", Key: "5f2b6f0e-visit-4711", Attempt: "k3x9-1a2b3c", Request: 1 << 62, Holders: 1 << 62}
+	finish := ledger.Finish{Team: claim.Team, Key: claim.Key, Attempt: claim.Attempt, Request: claim.Request, Status: 200}
+	reply := ledger.ClaimReply{Holder: hostID(1), Attempt: claim.Attempt, Result: ledger.Granted}
+	for holders := 1; holders <= ledger.HolderCount; holders++ {
+		s.add(holders, float64(holders*(sizeOf(claim, reply)+sizeOf(finish, control.Ack{}))))
+	}
+	return s
+}
