control, queue: test the news of crashes and the waiting of suspects

Cause: the stage that spreads standings, the dispatcher, the hop header and the excuse of a crash had no tests of their own; operators could not tell which request stands behind a fingerprint. The process that sees a crash logs each request that was in flight. 5004 carries Retry-After.

--- a/control/crashes.go
+++ b/control/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/quarantine"
@@ -20,7 +21,7 @@
 	// One that finds no difference takes about 300 bytes.
 	exchangeInterval = time.Second
 	// answerEntries bounds the entries of one answer, to about 10 KB. A longer
-	// table is sent in parts, each from a random place on.
+	// table is sent in parts.
 	answerEntries = 128
 	// reportTries bounds the sends of a report while the keeper is looked for:
 	// the three first ranks, and once more after a hint.
@@ -213,13 +214,14 @@
 	return quarantine.SpreadAnswer{Entries: s.part(s.tracker.Entries(now))}
 }
 
-// part returns at most answerEntries entries from a random place on.
+// part returns at most answerEntries entries from a random place on, and from the
+// first one again after the last.
 func (s *crashesStage) part(entries []quarantine.Entry) []quarantine.Entry {
 	if len(entries) <= answerEntries {
 		return entries
 	}
-	start := s.random.IntN(len(entries) - answerEntries + 1)
-	return entries[start : start+answerEntries]
+	start := s.random.IntN(len(entries))
+	return slices.Concat(entries[start:], entries[:start])[:answerEntries]
 }
 
 func (s *crashesStage) takeReply(now time.Time, e PeerReplied, out *Output) {
--- a/decide/quarantine/gate.go
+++ b/decide/quarantine/gate.go
@@ -27,8 +27,9 @@
 type Subject struct {
 	Fingerprint Fingerprint
 	Standing    Standing
-	Version     uint64 // generation of the record; 0 without one
-	Crash       uint64 // the last crash known
+	Version     uint64        // generation of the record; 0 without one
+	Crash       uint64        // the last crash known
+	Refused     time.Duration // until a condemnation ends
 }
 
 // cutWindow is the time within which cut calls count as cut at once. The kernel
--- a/decide/quarantine/quarantine_test.go
+++ b/decide/quarantine/quarantine_test.go
@@ -112,6 +112,9 @@
 			t.Errorf("after %v: %v, want %v", c.after, got, c.want)
 		}
 	}
+	if left := tracker.Table().Subject(epoch.Add(time.Minute), guilty).Refused; left != quarantine.CondemnTime-time.Minute {
+		t.Errorf("refused for %v after a minute", left)
+	}
 	end := epoch.Add(quarantine.CondemnTime + quarantine.SuspectTime)
 	if !tracker.Expire(end) || len(tracker.Entries(end)) != 0 || tracker.Digest(end) != 0 {
 		t.Error("ended records are kept")
--- a/decide/quarantine/tracker.go
+++ b/decide/quarantine/tracker.go
@@ -214,7 +214,11 @@
 	if standing == Clear {
 		return Subject{Fingerprint: f}
 	}
-	return Subject{Fingerprint: f, Standing: standing, Version: r.version, Crash: r.crash}
+	subject := Subject{Fingerprint: f, Standing: standing, Version: r.version, Crash: r.crash}
+	if standing == Condemned {
+		subject.Refused = r.until.Sub(now) - SuspectTime
+	}
+	return subject
 }
 
 // Counts returns how many fingerprints are suspect and condemned.
--- a/filters/quarantine/quarantine.go
+++ b/filters/quarantine/quarantine.go
@@ -26,7 +26,9 @@
 	subject := f.Snapshot().Quarantine.Subject(time.Now(), quarantine.Fingerprint(req.Fingerprint))
 	switch subject.Standing {
 	case quarantine.Condemned:
-		return pipeline.Refuse(pipeline.CodeQuarantined, "")
+		refusal := pipeline.Refuse(pipeline.CodeQuarantined, "")
+		refusal.RetryAfter = subject.Refused
+		return refusal
 	case quarantine.Suspect:
 		req.Suspect = true
 	}
--- /dev/null
+++ b/filters/queue/queue_test.go
@@ -0,0 +1,121 @@
+package queue
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// serviceTime is how long a request of these tests holds its slot.
+const serviceTime = 10 * time.Millisecond
+
+// server is a dispatcher with the standings that a test sets and a log of what
+// runs. It is used inside a synctest bubble.
+type server struct {
+	t         *testing.T
+	filter    Filter
+	standings map[quarantine.Fingerprint]quarantine.Standing
+	events    chan string
+	codes     chan string
+}
+
+func newServer(t *testing.T, slots int) *server {
+	s := &server{
+		t:         t,
+		standings: make(map[quarantine.Fingerprint]quarantine.Standing),
+		events:    make(chan string, 1000),
+		codes:     make(chan string, 1000),
+	}
+	s.filter.Dispatcher = NewDispatcher(Options{
+		Slots: slots,
+		Standing: func(_ time.Time, f quarantine.Fingerprint) quarantine.Subject {
+			return quarantine.Subject{Fingerprint: f, Standing: s.standings[f]}
+		},
+		Report: func([]quarantine.Report) {},
+	})
+	go s.filter.Dispatcher.Run(t.Context())
+	return s
+}
+
+// send hands in a request; it runs for serviceTime.
+func (s *server) send(f uint64, suspect bool) {
+	req := &pipeline.Request{
+		Fingerprint: f, Suspect: suspect,
+		Deadline: time.Now().Add(time.Minute),
+		Class:    pipeline.Class{Worth: 1},
+	}
+	go func() {
+		if refusal := s.filter.Handle(s.t.Context(), req); refusal != nil {
+			s.codes <- fmt.Sprint(refusal.Code)
+			return
+		}
+		kind := "o"
+		if req.Suspect {
+			kind = "s"
+		}
+		s.events <- kind + "+"
+		time.Sleep(serviceTime)
+		s.events <- kind + "-"
+		req.Complete(pipeline.Completion{Outcome: pipeline.Answered, Status: 200})
+	}()
+	synctest.Wait()
+}
+
+// log returns the starts and ends of suspects (s) and others (o) in order.
+func (s *server) log() string {
+	time.Sleep(time.Second)
+	synctest.Wait()
+	var all []string
+	for len(s.events) > 0 {
+		all = append(all, <-s.events)
+	}
+	return strings.Join(all, " ")
+}
+
+// Guards against a suspect that shares its backend server, and against others
+// that never run while suspects keep coming.
+func TestSuspectsRunAloneAndInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, 2)
+		s.send(1, false)
+		s.send(9, true)
+		s.send(8, true)
+		for f := range uint64(4) {
+			s.send(f, false)
+		}
+		const want = "o+ o- s+ s- o+ o+ o- o- s+ s- o+ o+ o- o-"
+		if got := s.log(); got != want {
+			t.Errorf("got  %s\nwant %s", got, want)
+		}
+	})
+}
+
+// Guards against a request that became suspect or condemned while it waited and
+// starts all the same, and against suspects that pile up at one backend server.
+func TestStandingCountsWhenTheRequestStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, 1)
+		s.send(1, false)
+		s.send(2, false)
+		s.send(3, false)
+		s.standings[2], s.standings[3] = quarantine.Suspect, quarantine.Condemned
+		if got, want := s.log(), "o+ o- s+ s-"; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if code := <-s.codes; code != fmt.Sprint(pipeline.CodeQuarantined) {
+			t.Errorf("the condemned request got code %s", code)
+		}
+		for range maxAlone + 3 {
+			s.send(2, true)
+		}
+		s.log()
+		if n := len(s.codes); n != 2 {
+			t.Errorf("%d suspects were sent elsewhere, want 2", n)
+		}
+	})
+}
--- a/node/calls.go
+++ b/node/calls.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/quarantine"
@@ -37,6 +39,7 @@
 // backend server.
 func (n *Node) callEnded(local control.Local) func(send.Observation) {
 	return func(o send.Observation) {
+		n.logVictim(local, o.Request)
 		n.loop.Post(control.CallEnded{
 			Backend: local.ID,
 			Call:    o.Call,
@@ -47,6 +50,23 @@
 	}
 }
 
+// logVictim names a request that was in flight when the backend server died, so
+// that operators find the one behind a condemned fingerprint. The query may hold
+// personal data and is left out.
+func (n *Node) logVictim(local control.Local, req *pipeline.Request) {
+	if req.RunEnd != pipeline.RunDied {
+		return
+	}
+	n.log.Warn("request was in flight when the backend server crashed",
+		zap.String("backend", local.ID),
+		zap.String("fingerprint", formatFingerprint(quarantine.Fingerprint(req.Fingerprint))),
+		zap.String("team", req.Principal.Team),
+		zap.String("route", req.Route),
+		zap.String("method", req.Method),
+		zap.String("path", req.Path),
+		zap.Bool("alone", req.Suspect))
+}
+
 // ejectionOutcome maps the end of a call to what it says of the health of the
 // backend server. A crash under a suspect counts against the suspect.
 func ejectionOutcome(o send.Observation) ejection.Outcome {
--- /dev/null
+++ b/node/calls_test.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/ragwortyard/ragwortyard/decide/ejection"
+	"github.com/ragwortyard/ragwortyard/filters/send"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Guards against a crashing request that gets healthy backend servers ejected,
+// and against a suspect that hides the failures of a bad one.
+func TestCrashUnderASuspectIsExcused(t *testing.T) {
+	for _, c := range []struct {
+		suspect bool
+		end     pipeline.RunEnd
+		want    ejection.Outcome
+	}{
+		{true, pipeline.RunDied, ejection.Excused},
+		{true, pipeline.RunCut, ejection.Failure},
+		{true, pipeline.RunNone, ejection.Failure},
+		{false, pipeline.RunDied, ejection.Failure},
+	} {
+		o := send.Observation{Request: &pipeline.Request{Suspect: c.suspect, RunEnd: c.end}, Ending: send.Crashed}
+		if got := ejectionOutcome(o); got != c.want {
+			t.Errorf("suspect %t, end %d: %d, want %d", c.suspect, c.end, got, c.want)
+		}
+	}
+}
