--- a/decide/quota/holder_ask_test.go
+++ b/decide/quota/holder_ask_test.go
@@ -7,13 +7,6 @@
 	"github.com/ragwortyard/ragwortyard/decide/quota"
 )
 
-// oneKeeper names one process as the keeper of every shard.
-type oneKeeper struct{}
-
-func (oneKeeper) Target(uint32) (string, bool)  { return "keeper", true }
-func (oneKeeper) OnKeeper(uint32, string)       {}
-func (oneKeeper) OnMiss(uint32, string, string) {}
-
 // Guards against asking again for a waiting request whose token has arrived but
 // is not settled yet: with a keeper in the same process that took a token of
 // every free slot for each request, and kept them from other processes.
