control: be ready when the shards of the local witness have keepers

Cause: a process called itself ready 3 s after its start, whether or not its teams could get tokens; on a starved machine the first requests were refused. Change: it is ready once every shard that it is a witness of has a keeper, or after 5 s.

--- a/control/leases.go
+++ b/control/leases.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
 
 // leaseTick is the time between two looks at the leases. The candidate asks for
@@ -102,6 +103,29 @@
 		}
 		s.state.call(out, request.Witness, request)
 	}
+	s.noteKeepers(now, out)
+}
+
+// noteKeepers notes once that all shards of which this process is a witness have
+// a keeper. From then on its teams find tokens.
+func (s *leasesStage) noteKeepers(now time.Time, out *Output) {
+	if s.state.KeepersKnown || s.state.HostVersion == 0 {
+		return
+	}
+	for shard := range uint32(rendezvous.ShardCount) {
+		if s.state.Leases.Placement.Rank(shard, s.state.Self.ID) >= 0 && !s.kept(now, shard) {
+			return
+		}
+	}
+	s.state.KeepersKnown = true
+	out.Publish()
+}
+
+// kept tells whether a shard has a keeper. A promise to this process alone is no
+// lease.
+func (s *leasesStage) kept(now time.Time, shard uint32) bool {
+	keeper, ok := s.witness.Keeper(now, shard)
+	return ok && (keeper != s.state.Self.ID || s.state.Leases.Candidate.Holds(now, shard))
 }
 
 // invite asks at once for a shard that its keeper hands over to this process.
--- a/control/publish.go
+++ b/control/publish.go
@@ -28,7 +28,7 @@
 		Config:    p.state.Config,
 		Hosts:     p.state.HostVersion,
 		KeysUntil: p.state.KeysUntil,
-		ReadyAt:   p.state.Self.Started.Add(startTime),
+		ReadyAt:   p.readyAt(),
 		Stopping:  p.state.Stopping,
 		Services:  p.services,
 		Controls:  p.controls,
@@ -68,6 +68,14 @@
 	return services
 }
 
+// readyAt returns the start once the keepers are known.
+func (p *publisher) readyAt() time.Time {
+	if p.state.KeepersKnown {
+		return p.state.Self.Started
+	}
+	return p.state.Self.Started.Add(startTime)
+}
+
 func (p *publisher) buildControls() map[string]string {
 	controls := make(map[string]string, len(p.state.Hosts))
 	for id, h := range p.state.Hosts {
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -20,7 +20,7 @@
 	// withdrawn, unless a later snapshot extends it. Traffic compares it with the
 	// clock at the moment of use, so that it also holds after a pause.
 	KeysUntil time.Time
-	// ReadyAt is when the shards of a fleet that starts together have keepers.
+	// ReadyAt is when the process is ready as far as keepers are concerned.
 	ReadyAt   time.Time
 	Stopping  bool // a planned stop has begun
 	Services  map[string]*Service
@@ -31,10 +31,11 @@
 	Quarantine *quarantine.Table
 }
 
-// startTime is how long a starting process waits before it calls itself ready:
-// witnesses promise nothing for the first 2.04 s, and the first round of
-// promises follows within half a second.
-const startTime = 3 * time.Second
+// startTime is how long a starting process waits for keepers of the shards that
+// it is a witness of before it calls itself ready without them. Witnesses promise
+// nothing for the first 2.04 s, and the first round of promises follows within
+// half a second; the rest allows for a busy host and for two more rounds.
+const startTime = 5 * time.Second
 
 // Ready tells whether the process takes callers: it has a configuration that it
 // can trust and is not stopping.
--- a/control/state.go
+++ b/control/state.go
@@ -64,8 +64,9 @@
 	// Written by the quarantine stage.
 	Quarantine *quarantine.Table
 
-	// Set up by the leases stage.
-	Leases Leases
+	// Written by the leases stage.
+	Leases       Leases
+	KeepersKnown bool // the shards that this process is a witness of have keepers
 
 	// Written by the stop stage.
 	Stopping bool
