decide/quota: say rate exceeded only when the keepers say so

Cause: A holder whose asks met no keeper (a process that does not keep the shard, or no answer in 100 ms) blocked the part for 100 ms, and a request was refused as soon as all parts were blocked for more than 20 ms, whoever had answered. A keeper held below its limit after a takeover also said empty. A process that did not keep a shard named no keeper when it had just handed the shard over, and a successor whose request overtook the release asked again only after 500 ms. Change: A part is denied only by its keeper's answer; a request is refused as over the rate when the keepers of all parts deny, and otherwise waits 250 ms, within its deadline, and ends as quota unavailable (3004). Misses walk all ranks before the part is blocked, for 50 ms. A keeper that is held back says so. The witness's promise and the successor of a release serve as hints. A candidate that is handed a shard asks at once and again every 20 ms. A witness promises a repeated request again without prolonging the promise.

--- a/control/handover.go
+++ b/control/handover.go
@@ -72,7 +72,7 @@
 		}
 	case quota.Handover:
 		s.keeper.Import(m)
-		s.state.Leases.Candidate.Invite(m.Shard)
+		s.leases.invite(now, m.Shard)
 		e.Answer(Ack{})
 	}
 }
--- a/control/leases.go
+++ b/control/leases.go
@@ -15,6 +15,7 @@
 	Placement *lease.Placement
 	Candidate *lease.Candidate
 	Directory *lease.Directory
+	Witness   *lease.Witness
 }
 
 // leasesStage takes part in the leases of shards as a witness and as a
@@ -35,6 +36,7 @@
 		Placement: placement,
 		Candidate: lease.NewCandidate(id, started, placement, witness),
 		Directory: lease.NewDirectory(placement),
+		Witness:   witness,
 	}
 	// Asking earlier would only meet the silence of witnesses that started at
 	// the same time, and each round without a quorum makes the next one later.
@@ -87,8 +89,11 @@
 	if now.Before(s.next) {
 		return
 	}
-	s.next = now.Add(leaseTick)
 	candidate := s.state.Leases.Candidate
+	s.next = now.Add(leaseTick)
+	if candidate.Invited(now) {
+		s.next = now.Add(lease.InviteRetry)
+	}
 	candidate.SetSuspected(s.state.unlikely())
 	for _, request := range candidate.Tick(now) {
 		if request.Witness == s.state.Self.ID {
@@ -99,6 +104,12 @@
 	}
 }
 
+// invite asks at once for a shard that its keeper hands over to this process.
+func (s *leasesStage) invite(now time.Time, shard uint32) {
+	s.state.Leases.Candidate.Invite(now, shard)
+	s.next = now
+}
+
 // unlikely returns the members that probably do not answer: suspects and those
 // that are leaving.
 func (s *State) unlikely() map[string]bool {
@@ -115,10 +126,26 @@
 	return all
 }
 
+// keeperOf names another process that probably keeps a shard, "" if none is
+// known. A promise at the local witness is fresher than what the directory
+// learned from answers.
+func (s *State) keeperOf(now time.Time, shard uint32) string {
+	if host, ok := s.Leases.Witness.Keeper(now, shard); ok && host != s.Self.ID {
+		return host
+	}
+	if host, ok := s.Leases.Directory.Target(shard); ok && host != s.Self.ID {
+		return host
+	}
+	return ""
+}
+
 // release gives up a shard and tells its witnesses; false when it is not held or
 // was taken over too recently.
 func (s *leasesStage) release(now time.Time, shard uint32, successor string, out *Output) bool {
 	releases, ok := s.state.Leases.Candidate.Release(now, shard, successor)
+	if ok {
+		s.state.Leases.Directory.OnKeeper(shard, successor)
+	}
 	for _, r := range releases {
 		if r.Witness == s.state.Self.ID {
 			s.witness.Release(now, r)
--- a/control/quota.go
+++ b/control/quota.go
@@ -136,7 +136,7 @@
 func (s *quotaStage) want(now time.Time, e TokenWanted, out *Output) {
 	h := s.holder(now, e.Team)
 	if h == nil {
-		e.Reply <- quota.Refuse
+		e.Reply <- quota.Unavailable
 		return
 	}
 	s.holders.Attend(e.Team)
@@ -199,9 +199,7 @@
 		g.Version = s.config.Version()
 	}
 	if g.Status == quota.NotKeeper {
-		if hint, ok := s.state.Leases.Directory.Target(ask.Key.Shard()); ok && hint != s.state.Self.ID {
-			g.Hint = hint
-		}
+		g.Hint = s.state.keeperOf(now, ask.Key.Shard())
 	}
 	return g
 }
--- a/decide/lease/candidate.go
+++ b/decide/lease/candidate.go
@@ -26,12 +26,13 @@
 	votes    map[string]vote
 	tenure   Tenure
 	ignore   time.Duration // replies to requests sent up to here do not count
+	asked    time.Time     // when the shard was asked for last
 	nextAsk  time.Time
 	asking   bool      // a round without a tenure is under way
 	failures int       // rounds in a row that got no quorum
 	quiet    time.Time // since when no keeper is known; zero if one is known
 	seen     time.Time // until when a refusal makes another keeper known
-	invited  bool      // a keeper hands the shard over to this candidate
+	invited  time.Time // until when a keeper hands the shard over to this candidate
 }
 
 // Candidate asks witnesses for the shards of one process. One goroutine owns
@@ -156,14 +157,26 @@
 }
 
 // Invite makes the candidate ask for a shard at the next Tick, because its
-// keeper hands it over.
-func (c *Candidate) Invite(shard uint32) {
+// keeper hands it over. It asks again every InviteRetry: a request that reaches
+// a witness before the keeper's release is refused there.
+func (c *Candidate) Invite(now time.Time, shard uint32) {
 	if cl := c.claims[shard]; cl != nil {
-		cl.invited = true
+		cl.invited = now.Add(ReserveTime)
 		cl.seen = time.Time{}
 	}
 }
 
+// Invited tells whether a shard that is handed over to this candidate is not
+// held yet. Call Tick every InviteRetry meanwhile.
+func (c *Candidate) Invited(now time.Time) bool {
+	for _, cl := range c.claims {
+		if now.Before(cl.invited) && !cl.holds(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick returns the messages that are due, one for each witness. Call it at
 // least every RenewInterval/5.
 func (c *Candidate) Tick(now time.Time) []PromiseRequest {
@@ -207,6 +220,10 @@
 	if c.leaving && !cl.asking {
 		return
 	}
+	if now.Before(cl.invited) {
+		c.followInvitation(now, shard, cl, out)
+		return
+	}
 	if cl.asking {
 		if now.Before(cl.nextAsk) {
 			return
@@ -224,14 +241,22 @@
 	}
 	wait := time.Duration(c.liveRank(shard, cl)) * RenewInterval
 	due := !now.Before(cl.quiet.Add(wait)) && !now.Before(cl.nextAsk)
-	if due || cl.invited {
+	if due {
 		cl.asking = true
-		cl.invited = false
 		c.ask(now, shard, cl, out)
 	}
 }
 
+func (c *Candidate) followInvitation(now time.Time, shard uint32, cl *claim, out *outbox) {
+	if cl.asking && now.Before(cl.asked.Add(InviteRetry)) {
+		return
+	}
+	cl.asking = true
+	c.ask(now, shard, cl, out)
+}
+
 func (c *Candidate) ask(now time.Time, shard uint32, cl *claim, out *outbox) {
+	cl.asked = now
 	cl.nextAsk = now.Add(RenewInterval)
 	for _, m := range c.placement.Witnesses(shard) {
 		out.to(m.ID).Shards = append(out.to(m.ID).Shards, shard)
@@ -313,7 +338,7 @@
 	if cl == nil || f.Keeper == "" || f.Keeper == c.id.Host {
 		return
 	}
-	if !cl.holds(now) && !cl.invited {
+	if !cl.holds(now) && !now.Before(cl.invited) {
 		cl.seen = now.Add(RenewInterval)
 	}
 }
@@ -330,6 +355,7 @@
 		return
 	}
 	cl.asking = false
+	cl.invited = time.Time{}
 	cl.failures = 0
 	c.lastEpoch++
 	cl.tenure = Tenure{Epoch: c.lastEpoch, Since: now, Until: until}
@@ -370,6 +396,7 @@
 	cl.ignore = sent
 	cl.votes = make(map[string]vote)
 	cl.tenure.Until = now
+	cl.invited = time.Time{}
 	cl.seen = now.Add(Term)
 	return releases, true
 }
--- a/decide/lease/messages.go
+++ b/decide/lease/messages.go
@@ -34,6 +34,10 @@
 	// for the successor that the release names.
 	ReserveTime = RenewInterval
 
+	// InviteRetry is the time between two asks for a shard that is handed over:
+	// a few round trips between zones.
+	InviteRetry = 20 * time.Millisecond
+
 	// MaxWitnesses is the number of witnesses of a shard in a large fleet.
 	MaxWitnesses = 9
 
--- a/decide/lease/witness.go
+++ b/decide/lease/witness.go
@@ -38,6 +38,10 @@
 			continue
 		}
 		p := &w.promises[shard]
+		if p.repeats(now, req) {
+			reply.Promised = append(reply.Promised, shard)
+			continue
+		}
 		if !w.mayPromise(now, p, req) {
 			reply.Refused = append(reply.Refused, Refused{Shard: shard, Keeper: p.keeper(now)})
 			continue
@@ -74,6 +78,14 @@
 	return !reserved || p.reservedFor == req.Candidate.Host
 }
 
+// repeats tells whether the promise in force answers this very request. A relay
+// may deliver a request twice; a refusal of the second copy would make the
+// candidate lose a vote that it has. The promise is not prolonged, since it
+// already outlasts what the candidate counts from sending.
+func (p *promise) repeats(now time.Time, req PromiseRequest) bool {
+	return p.holder == req.Candidate && p.sent == req.Sent && now.Before(p.until)
+}
+
 func (p *promise) renew(now time.Time, req PromiseRequest) {
 	*p = promise{holder: req.Candidate, sent: req.Sent, until: now.Add(Term)}
 }
--- a/decide/quota/bucket.go
+++ b/decide/quota/bucket.go
@@ -26,13 +26,14 @@
 	burst  float64
 	total  float64 // cap of level plus outstanding
 	grants float64 // cap of outstanding
+	held   bool    // below the limit of the part for a time
 }
 
 // newRules halves the burst while grants of the previous tenure may be
 // outstanding: they may amount to the other half. A burst below 2 is granted as
 // a whole, so nothing is left of it meanwhile.
 func newRules(part Limit, recovering bool) rules {
-	r := rules{rate: part.Rate, burst: part.Burst, total: part.Burst, grants: part.Burst / 2}
+	r := rules{rate: part.Rate, burst: part.Burst, total: part.Burst, grants: part.Burst / 2, held: recovering}
 	whole := part.Burst < 2
 	switch {
 	case whole && recovering:
@@ -201,13 +202,17 @@
 	if b.level >= 1 {
 		return Busy, busyRetry
 	}
+	empty := Empty
+	if r.held {
+		empty = Recovering
+	}
 	if r.rate <= 0 {
-		return Empty, maxRetry
+		return empty, maxRetry
 	}
 	next := b.at + seconds((1-b.level)/r.rate)
 	b.retryAt = max(next, b.retryAt+seconds(1/r.rate))
 	b.retryAt = min(b.retryAt, b.at+maxRetry)
-	return Empty, max(b.retryAt-b.at, minRetry)
+	return empty, max(b.retryAt-b.at, minRetry)
 }
 
 func seconds(s float64) time.Duration {
--- a/decide/quota/holder.go
+++ b/decide/quota/holder.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/ragwortyard/ragwortyard/decide/lease"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
 
@@ -21,15 +22,15 @@
 	hedgeAfter = 10 * time.Millisecond
 
 	// missBlock is the time for which a part without a reachable keeper is not
-	// asked.
-	missBlock = 100 * time.Millisecond
+	// asked. Requests wait for maxWait, so several rounds fit.
+	missBlock = 50 * time.Millisecond
 
-	// maxRedirects bounds how often the hint of a process that is not the keeper
-	// is followed at once.
-	maxRedirects = 2
+	// maxRedirects bounds how often another process is asked at once after one
+	// that is not the keeper: each rank that may keep the shard once.
+	maxRedirects = lease.CandidateRanks
 
-	// patience is the longest time that requests wait for a part to be asked
-	// again. Beyond it they are refused.
+	// patience is the longest time that requests wait for a part whose keeper has
+	// no token. Beyond it they are refused.
 	patience = 20 * time.Millisecond
 
 	// maxWait is the longest time that a request waits for a token.
@@ -57,7 +58,7 @@
 // Settled is the decision for a request that waited.
 type Settled struct {
 	ID       uint64
-	Decision Decision // Admit or Refuse
+	Decision Decision // Admit, Refuse or Unavailable
 }
 
 type waiter struct {
@@ -88,6 +89,7 @@
 	ask       pendingAsk
 	void      uint64 // the latest ask that was given up
 	blocked   time.Duration
+	denied    bool // the latest answer came from the keeper, which had no token
 	redirects int
 }
 
@@ -199,7 +201,7 @@
 			}
 		}
 		if exhausted || since >= w.deadline {
-			settled = append(settled, Settled{ID: w.id, Decision: Refuse})
+			settled = append(settled, Settled{ID: w.id, Decision: h.refusal()})
 			continue
 		}
 		kept = append(kept, w)
@@ -256,6 +258,7 @@
 	if g.Tokens > 0 {
 		h.put(since, g, asked)
 	}
+	p.denied = g.Status == Empty || g.Status == Busy
 	if g.Tokens < asked.need {
 		p.blocked = since + g.RetryAfter
 	}
@@ -282,10 +285,16 @@
 }
 
 func (h *Holder) onMiss(since time.Duration, g Grant, host string) {
-	p := &h.parts[g.Key.Part]
 	h.dir.OnMiss(g.Key.Shard(), host, g.Hint)
+	h.parts[g.Key.Part].miss(since)
+}
+
+// miss records that the process asked is not the keeper or did not answer. After
+// as many misses as there are ranks no keeper is reachable for now.
+func (p *partState) miss(since time.Duration) {
+	p.denied = false
 	p.redirects++
-	if g.Hint == "" || p.redirects > maxRedirects {
+	if p.redirects >= maxRedirects {
 		p.redirects = 0
 		p.blocked = since + missBlock
 	}
@@ -337,8 +346,8 @@
 	since := h.since(now)
 	next := since + demandSample
 	for i := range h.parts {
-		if h.parts[i].ask.seq != 0 {
-			next = min(next, since+hedgeAfter)
+		if ask := h.parts[i].ask; ask.seq != 0 {
+			next = min(next, ask.attention(since))
 		}
 	}
 	if len(h.waiters) > 0 {
@@ -391,7 +400,7 @@
 		h.dir.OnMiss(Key{Team: h.team, Part: i}.Shard(), p.ask.to, "")
 		p.void = p.ask.seq
 		p.ask = pendingAsk{}
-		p.blocked = since + missBlock
+		p.miss(since)
 	}
 }
 
@@ -495,22 +504,58 @@
 	return -1
 }
 
-// exhausted tells that no ask is under way and no part may be asked soon.
+// exhausted tells that the keepers of all parts have no token, no ask is under
+// way and no part may be asked soon. A part without a reachable keeper leaves
+// open whether the team is over its rate.
 func (h *Holder) exhausted(since time.Duration) bool {
 	for i := range h.parts {
 		if h.parts[i].ask.seq != 0 {
 			return false
 		}
 	}
-	return h.nextOpen() > since+patience
+	return h.denied() && h.nextOpen() > since+patience
 }
 
-// nextOpen returns when the first part may be asked again.
+// denied tells whether the keepers of all parts answered that they have no
+// token.
+func (h *Holder) denied() bool {
+	for i := range Parts(h.limit.Rate, h.limit.Burst) {
+		if !h.parts[i].denied {
+			return false
+		}
+	}
+	return true
+}
+
+// refusal is the decision for a request that can wait no longer.
+func (h *Holder) refusal() Decision {
+	if h.denied() {
+		return Refuse
+	}
+	return Unavailable
+}
+
+// nextOpen returns when the first part may be asked again. A part with an
+// unanswered ask opens at the latest when the ask is given up.
 func (h *Holder) nextOpen() time.Duration {
-	n := Parts(h.limit.Rate, h.limit.Burst)
-	open := h.parts[0].blocked
-	for i := 1; i < n; i++ {
-		open = min(open, h.parts[i].blocked)
+	open := h.parts[0].opens()
+	for i := 1; i < Parts(h.limit.Rate, h.limit.Burst); i++ {
+		open = min(open, h.parts[i].opens())
 	}
 	return open
 }
+
+func (p *partState) opens() time.Duration {
+	if p.ask.seq != 0 {
+		return p.ask.sent + askTimeout
+	}
+	return p.blocked
+}
+
+// attention returns when an unanswered ask is hedged or, after that, given up.
+func (a pendingAsk) attention(since time.Duration) time.Duration {
+	if hedge := a.sent + hedgeAfter; since < hedge {
+		return hedge
+	}
+	return a.sent + askTimeout
+}
--- a/decide/quota/keeper.go
+++ b/decide/quota/keeper.go
@@ -270,9 +270,12 @@
 
 // rules returns what holds for a bucket from a moment on.
 func (k *Keeper) rules(t *table, key Key, at time.Duration) rules {
-	limit := k.limits[key.Team].Part(key.Part)
+	whole := k.limits[key.Team].Part(key.Part)
+	limit := whole
 	if c, ok := k.changes[key.Team]; ok && at < c.until {
 		limit = lower(limit, c.ceiling[key.Part])
 	}
-	return newRules(limit, at < t.recoverUntil)
+	r := newRules(limit, at < t.recoverUntil)
+	r.held = r.held || limit != whole
+	return r
 }
--- a/decide/quota/messages.go
+++ b/decide/quota/messages.go
@@ -102,11 +102,12 @@
 
 // The statuses of a Grant.
 const (
-	Granted   Status = iota // all needed tokens were granted
-	Empty                   // the bucket is empty
-	Busy                    // too many tokens are outstanding at other holders
-	NotKeeper               // the process does not keep the part
-	NoLimit                 // the keeper knows no limit of the team
+	Granted    Status = iota // all needed tokens were granted
+	Empty                    // the bucket is empty
+	Busy                     // too many tokens are outstanding at other holders
+	NotKeeper                // the process does not keep the part
+	NoLimit                  // the keeper knows no limit of the team
+	Recovering               // empty, and held below the limit after a takeover or a change
 )
 
 // Grant answers an Ask.
--- a/decide/quota/share.go
+++ b/decide/quota/share.go
@@ -16,6 +16,9 @@
 	Admit
 	// AskFirst means that no token is at hand: ask the control goroutine (Join).
 	AskFirst
+	// Unavailable means that no keeper could tell in time whether the team is
+	// over its rate.
+	Unavailable
 )
 
 const (
--- a/filters/admit/admit.go
+++ b/filters/admit/admit.go
@@ -45,6 +45,19 @@
 	return f.ask(ctx, req)
 }
 
+// settle turns the decision for a request that waited into a result, nil to go
+// on. Only a refusal by a keeper says that the team is over its rate; a request
+// for which no keeper answered may be tried at another exit.
+func settle(decision quota.Decision) *pipeline.Result {
+	switch decision {
+	case quota.Admit:
+		return nil
+	case quota.Refuse:
+		return pipeline.Refuse(pipeline.CodeRateExceeded, "")
+	}
+	return pipeline.Refuse(pipeline.CodeQuotaUnavailable, "")
+}
+
 func (f *Filter) ask(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	reply := make(chan quota.Decision, 1)
 	wanted := control.TokenWanted{Team: req.Principal.Team, Deadline: req.Deadline, Reply: reply}
@@ -53,10 +66,7 @@
 	}
 	select {
 	case decision := <-reply:
-		if decision == quota.Admit {
-			return nil
-		}
-		return pipeline.Refuse(pipeline.CodeRateExceeded, "")
+		return settle(decision)
 	case <-ctx.Done():
 		return pipeline.Refuse(pipeline.CodeDeadlinePassed, "")
 	}
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -13,14 +13,15 @@
 
 // The kinds of faults.
 const (
-	Crash      Kind = iota // the process dies and starts again after For
-	Stop                   // planned stop, start again after For
-	Pause                  // the process stands still for For
-	CutOut                 // messages from the host are lost for For
-	CutIn                  // messages to the host are lost for For
-	CutZoneOut             // messages from the host's zone to others are lost for For
-	Replace                // a new host takes the place of the host
-	FalseAlarm             // every process suspects every other for For
+	Crash         Kind = iota // the process dies and starts again after For
+	Stop                      // planned stop, start again after For
+	Pause                     // the process stands still for For
+	CutOut                    // messages from the host are lost for For
+	CutIn                     // messages to the host are lost for For
+	CutZoneOut                // messages from the host's zone to others are lost for For
+	Replace                   // a new host takes the place of the host
+	FalseAlarm                // every process suspects every other for For
+	RestartOthers             // all processes but the host's die and start again after For
 	kinds
 )
 
@@ -32,12 +33,16 @@
 // and Term (2 s).
 const replaceGap = 9 * time.Second
 
-// Fault is one fault. Host is an index into the host list of the moment.
+// Fault is one fault. It hits the process that keeps Shard at the moment if
+// AtKeeper is set and there is one, else the host with the index Host in the host
+// list of the moment.
 type Fault struct {
-	Kind Kind
-	At   time.Duration
-	Host int
-	For  time.Duration
+	Kind     Kind
+	At       time.Duration
+	Host     int
+	AtKeeper bool
+	Shard    uint32
+	For      time.Duration
 }
 
 // Schedule brings about faults. A replacement that would leave the stated
@@ -49,7 +54,7 @@
 }
 
 func (f *Fleet) bringAbout(fault Fault) {
-	m := f.members[fault.Host%len(f.members)]
+	m := f.target(fault)
 	switch fault.Kind {
 	case Crash:
 		f.Crash(m.ID)
@@ -71,6 +76,29 @@
 		f.replaceWithin(m)
 	case FalseAlarm:
 		f.falseAlarm(fault.For)
+	case RestartOthers:
+		f.restartOthers(m.ID, fault.For)
+	}
+}
+
+func (f *Fleet) target(fault Fault) rendezvous.Member {
+	if fault.AtKeeper {
+		for _, m := range f.members {
+			if p := f.processes[m.ID]; p != nil && p.candidate.Holds(p.clock(), fault.Shard) {
+				return m
+			}
+		}
+	}
+	return f.members[fault.Host%len(f.members)]
+}
+
+// restartOthers leaves one process with promises that the others forget.
+func (f *Fleet) restartOthers(host string, d time.Duration) {
+	for _, m := range f.members {
+		if m.ID != host {
+			f.Crash(m.ID)
+			f.At(f.now+d, func() { f.Start(m.ID) })
+		}
 	}
 }
 
--- a/internal/fleetsim/process.go
+++ b/internal/fleetsim/process.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// retryInvitation repeats the asks for shards that are handed over to the
+// process until it holds them.
+func (p *process) retryInvitation() {
+	if !p.candidate.Invited(p.clock()) {
+		return
+	}
+	p.f.After(lease.InviteRetry, p, func() {
+		p.sendPromiseRequests()
+		p.retryInvitation()
+	})
+}
+
 func (p *process) onReply(reply lease.PromiseReply) {
 	now := p.clock()
 	p.candidate.OnReply(now, reply)
@@ -181,8 +193,9 @@
 	}
 	p.f.send(p, to, func(next *process) {
 		next.keeper.Import(state)
-		next.candidate.Invite(state.Shard)
+		next.candidate.Invite(next.clock(), state.Shard)
 		next.sendPromiseRequests()
+		next.retryInvitation()
 	})
 }
 
