decide/quota: aim the schedules of the bound test at each rule

Cause: TestBoundHolds ran random faults over demand that followed the rate, so buckets were seldom full when tokens from before a fault were still about. Change: Demand comes in phases that faults begin and end with. Aimed schedules lose keepers while a slow bucket is drained, hand over about as often as tenures may follow each other, pause holders with tokens or with a grant in flight, and restart all witnesses but the keeper. Two keepers of a shard fail the test as well. Unused parts of internal/fleetsim are dropped.

--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -12,7 +12,7 @@
 )
 
 // length is the virtual time of one schedule.
-const length = 14 * time.Second
+const length = 15 * time.Second
 
 func drawConfig(t *rapid.T) fleetsim.Config {
 	zones := []string{"a", "b", "c"}[:rapid.IntRange(1, 3).Draw(t, "zones")]
@@ -21,8 +21,8 @@
 		Hosts:       fleetsim.Hosts(rapid.IntRange(1, 9).Draw(t, "hosts"), zones...),
 		SameZone:    200 * time.Microsecond,
 		OtherZone:   time.Millisecond,
-		Jitter:      rapid.SampledFrom([]time.Duration{1, 20, 60, 60, 400}).Draw(t, "jitter ms") * time.Millisecond,
-		Loss:        rapid.SampledFrom([]float64{0, 0, 0.05, 0.3}).Draw(t, "loss"),
+		Jitter:      rapid.SampledFrom([]time.Duration{1, 1, 20, 60, 400}).Draw(t, "jitter ms") * time.Millisecond,
+		Loss:        rapid.SampledFrom([]float64{0, 0, 0, 0.05, 0.3}).Draw(t, "loss"),
 		ClockSpread: 0.0196, // clock rates differ by just under 2%
 		ListDelay:   2 * time.Second,
 		LimitDelay:  quota.ConfigSpread,
@@ -34,6 +34,7 @@
 type phase struct {
 	at, length time.Duration
 	load       float64 // requests per second, in parts of what drains all in 0.5 s
+	rate       float64 // requests per second, added to load
 	batch      bool    // one burst of requests at the start of the phase
 	oneHost    bool    // all requests of the phase go to one host
 	host       int
@@ -80,10 +81,13 @@
 }
 
 func drawLimit(t *rapid.T) quota.Limit {
-	return quota.Limit{
-		Rate:  rapid.SampledFrom([]float64{0.5, 5, 20, 200}).Draw(t, "rate"),
-		Burst: rapid.SampledFrom([]float64{1, 2, 3.5, 15, 16, 40, 200}).Draw(t, "burst"),
-	}
+	return limitOf(t, []float64{1, 2, 3.5, 15, 16, 40, 200}, []float64{0.3, 1, 3, 30})
+}
+
+// limitOf draws a burst and the seconds in which an empty bucket fills.
+func limitOf(t *rapid.T, bursts, fills []float64) quota.Limit {
+	burst := rapid.SampledFrom(bursts).Draw(t, "burst")
+	return quota.Limit{Rate: burst / rapid.SampledFrom(fills).Draw(t, "fill seconds"), Burst: burst, Version: 1}
 }
 
 // drawChanges draws limits accepted over time, which rise and fall and change
@@ -101,6 +105,130 @@
 	return changes
 }
 
+// schedule is a fleet with its limits, demand and faults.
+type schedule struct {
+	cfg     fleetsim.Config
+	changes []fleetsim.LimitChange
+	phases  []phase
+	faults  []fleetsim.Fault
+}
+
+// schedules are drawn from in turn. The aimed ones hit states that random phases
+// and faults hardly ever reach.
+var schedules = []func(*rapid.T) schedule{
+	randomSchedule, randomSchedule, lostKeepers, movingKeepers, pausedHolders, pausedHolders, grantInFlight, grantInFlight, forgottenPromises,
+}
+
+func randomSchedule(t *rapid.T) schedule {
+	s := schedule{cfg: drawConfig(t), changes: drawChanges(t), phases: drawPhases(t)}
+	s.faults = drawFaults(t, s.phases)
+	return s
+}
+
+// calm is a fleet whose network loses nothing, with one limit.
+func calm(t *rapid.T, limit quota.Limit) schedule {
+	cfg := drawConfig(t)
+	cfg.Hosts = fleetsim.Hosts(9, "a", "b", "c") // 6 of 9 witnesses must answer
+	cfg.Jitter = rapid.SampledFrom([]time.Duration{1, 20}).Draw(t, "calm jitter ms") * time.Millisecond
+	cfg.Loss = 0
+	return schedule{cfg: cfg, changes: []fleetsim.LimitChange{{Limit: limit}}}
+}
+
+func millis(t *rapid.T, low, high int, name string) time.Duration {
+	return time.Duration(rapid.IntRange(low, high).Draw(t, name)) * time.Millisecond
+}
+
+func firstShard() uint32 { return quota.Key{Team: "team"}.Shard() }
+
+// lostKeepers drains a slowly filling bucket while its keeper is lost again and
+// again: a successor must not give out tokens that were spent.
+func lostKeepers(t *rapid.T) schedule {
+	s := calm(t, limitOf(t, []float64{3.5, 10, 15}, []float64{20, 60}))
+	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
+	kind := rapid.SampledFrom([]fleetsim.Kind{fleetsim.Crash, fleetsim.Pause, fleetsim.CutOut}).Draw(t, "kind")
+	span := 2200 * time.Millisecond
+	if kind == fleetsim.Crash {
+		span = length // a process that started lately grants little
+	}
+	every := millis(t, 2600, 3000, "every ms")
+	for at := warmUp + 2*time.Second; at < length; at += every {
+		s.faults = append(s.faults, fleetsim.Fault{Kind: kind, At: at, AtKeeper: true, Shard: firstShard(), For: span})
+	}
+	return s
+}
+
+// movingKeepers makes the keeper hand over about as often as tenures may follow
+// each other, while messages of the handovers are lost or late.
+func movingKeepers(t *rapid.T) schedule {
+	s := calm(t, drawLimit(t))
+	s.cfg.Jitter = rapid.SampledFrom([]time.Duration{1, 20, 60, 150}).Draw(t, "jitter ms") * time.Millisecond
+	s.cfg.Loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
+	for at := warmUp; at < length; at += millis(t, 200, 1400, "after ms") {
+		s.faults = append(s.faults, fleetsim.Fault{
+			Kind: fleetsim.Stop, At: at, AtKeeper: true, Shard: firstShard(),
+			For: millis(t, 1, 500, "down ms"),
+		})
+	}
+	return s
+}
+
+// roundTime is the time of one round of the schedules below; buckets that fill
+// in a second are full again at the end of it.
+const roundTime = 3500 * time.Millisecond
+
+// pausedHolders pauses hosts that hold tokens until these have expired and the
+// buckets are full again; then all hosts are flooded.
+func pausedHolders(t *rapid.T) schedule {
+	s := calm(t, limitOf(t, []float64{15, 16, 40, 200}, []float64{0.3, 0.6, 1}))
+	const held = 700 * time.Millisecond
+	for at := warmUp + time.Second; at+roundTime <= length; at += roundTime {
+		pause := at + held
+		span := millis(t, 1100, 1400, "pause ms") // keepers that pause keep their leases
+		s.phases = append(s.phases,
+			phase{at: at, length: held, rate: rapid.SampledFrom([]float64{30, 100, 300}).Draw(t, "rate")},
+			phase{at: pause + span, length: 200 * time.Millisecond, load: 1, batch: true})
+		first := rapid.IntRange(0, 8).Draw(t, "first paused")
+		for host := range rapid.IntRange(1, 3).Draw(t, "paused") {
+			s.faults = append(s.faults, fleetsim.Fault{Kind: fleetsim.Pause, At: pause, Host: first + host, For: span})
+		}
+	}
+	return s
+}
+
+// grantInFlight pauses a host while the answers to its asks are on the way, until
+// the keepers have forgotten the grants and their buckets are full again.
+func grantInFlight(t *rapid.T) schedule {
+	s := calm(t, limitOf(t, []float64{2, 15, 40, 200}, []float64{0.1, 0.3, 1}))
+	s.cfg.Jitter = time.Millisecond
+	for at := warmUp + time.Second; at+roundTime <= length; at += roundTime {
+		host := rapid.IntRange(0, 8).Draw(t, "paused")
+		pause := at + time.Duration(rapid.IntRange(100, 8000).Draw(t, "lead us"))*time.Microsecond
+		span := millis(t, 200, 1400, "pause ms")
+		s.phases = append(s.phases,
+			phase{at: at, batch: true, oneHost: true, host: host},
+			phase{at: pause + span, length: 200 * time.Millisecond, load: 1, batch: true})
+		s.faults = append(s.faults, fleetsim.Fault{Kind: fleetsim.Pause, At: pause, Host: host, For: span})
+	}
+	return s
+}
+
+// forgottenPromises restarts all witnesses but the keeper, which nobody hears
+// any more but which goes on with the promises that the others forgot.
+func forgottenPromises(t *rapid.T) schedule {
+	s := calm(t, limitOf(t, []float64{2, 15, 40}, []float64{0.3, 1}))
+	s.cfg.Hosts = fleetsim.Hosts(rapid.IntRange(3, 9).Draw(t, "few hosts"), "a", "b", "c")
+	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
+	for at := warmUp + 2*time.Second; at < length; at += 5 * time.Second {
+		down := millis(t, 1, 50, "down ms")
+		s.faults = append(s.faults,
+			fleetsim.Fault{Kind: fleetsim.RestartOthers, At: at, AtKeeper: true, Shard: firstShard(), For: down},
+			fleetsim.Fault{Kind: fleetsim.CutOut, At: at, AtKeeper: true, Shard: firstShard(), For: 2 * time.Second},
+			fleetsim.Fault{Kind: fleetsim.FalseAlarm, At: at + down + time.Millisecond, For: time.Second})
+	}
+	return s
+}
+
 // offer sends the requests of the phases.
 func offer(f *fleetsim.Fleet, seed uint64, limit quota.Limit, phases []phase) {
 	rng := rand.New(rand.NewPCG(seed, 2))
@@ -111,14 +239,14 @@
 			if p.oneHost {
 				host = p.host % len(members)
 			}
-			f.Ask(members[host].ID, "team")
+			f.Ask(members[host].ID, "team", nil)
 		}
 		if p.batch {
 			for range int(limit.Burst) + 1 {
 				f.At(p.at, request)
 			}
 		}
-		rate := p.load * (limit.Rate + 2*limit.Burst)
+		rate := p.load*(limit.Rate+2*limit.Burst) + p.rate
 		if rate == 0 {
 			continue
 		}
@@ -128,21 +256,25 @@
 	}
 }
 
-// Guards against more than rate * w + burst requests in any window w, through
-// every fault of the design and through changes of the limit.
+// Guards against more than rate * w + burst requests in any window w, and against
+// two keepers of a part, through every fault of the design and through changes of
+// the limit.
 func TestBoundHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cfg := drawConfig(t)
-		changes := drawChanges(t)
-		f := fleetsim.New(cfg, map[string]quota.Limit{"team": changes[0].Limit})
-		for _, c := range changes[1:] {
+		s := rapid.SampledFrom(schedules).Draw(t, "schedule")(t)
+		f := fleetsim.New(s.cfg, map[string]quota.Limit{"team": s.changes[0].Limit})
+		for _, c := range s.changes[1:] {
 			f.At(c.At, func() { f.SetLimit("team", c.Limit) })
 		}
-		phases := drawPhases(t)
-		f.Schedule(drawFaults(t, phases))
-		offer(f, cfg.Seed, changes[0].Limit, phases)
+		f.Schedule(s.faults)
+		offer(f, s.cfg.Seed, s.changes[0].Limit, s.phases)
 		f.Run(length)
-		if excess := fleetsim.Excess(f.Admissions, "team", changes, quota.ConfigSpread); excess > 1e-6 {
+		for _, start := range f.Tenures {
+			if start.Rival != "" {
+				t.Fatalf("%s and %s keep shard %d at %v", start.Host, start.Rival, start.Shard, start.At)
+			}
+		}
+		if excess := fleetsim.Excess(f.Admissions, "team", s.changes, quota.ConfigSpread); excess > 1e-6 {
 			t.Fatalf("admitted %.3f more than rate * w + burst in a window", excess)
 		}
 	})
--- a/internal/fleetsim/faults.go
+++ b/internal/fleetsim/faults.go
@@ -83,10 +83,8 @@
 
 func (f *Fleet) target(fault Fault) rendezvous.Member {
 	if fault.AtKeeper {
-		for _, m := range f.members {
-			if p := f.processes[m.ID]; p != nil && p.candidate.Holds(p.clock(), fault.Shard) {
-				return m
-			}
+		if m, ok := f.member(f.Keeper(fault.Shard)); ok {
+			return m
 		}
 	}
 	return f.members[fault.Host%len(f.members)]
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -42,24 +42,6 @@
 type Admission struct {
 	At   time.Duration
 	Team string
-	Host string
-}
-
-// Request is a request for a token and how it ended.
-type Request struct {
-	At   time.Duration
-	Team string
-	Host string
-	// Settled and Admitted tell the decision, Waited how long it took.
-	Settled  bool
-	Admitted bool
-	Waited   time.Duration
-}
-
-// Counters count control messages.
-type Counters struct {
-	Lease int
-	Quota int
 }
 
 // TenureStart is the start of a tenure of a shard.
@@ -67,7 +49,6 @@
 	At    time.Duration
 	Shard uint32
 	Host  string
-	Run   uint64 // distinguishes the processes of a host
 	Rival string // another process that held the shard at this moment, "" if none
 }
 
@@ -75,7 +56,6 @@
 type Fleet struct {
 	Admissions []Admission
 	Tenures    []TenureStart
-	Counters   Counters
 
 	cfg       Config
 	rng       *rand.Rand
@@ -106,9 +86,6 @@
 	return f
 }
 
-// Now returns the virtual time.
-func (f *Fleet) Now() time.Duration { return f.now }
-
 // Members returns the present host list.
 func (f *Fleet) Members() []rendezvous.Member { return f.members }
 
@@ -128,14 +105,22 @@
 	f.now = until
 }
 
-// Ask sends a request to a host. The result is complete when Settled is set; a
-// request to a host that is down or crashes meanwhile never settles.
-func (f *Fleet) Ask(host, team string) *Request {
-	r := &Request{At: f.now, Team: team, Host: host}
+// Ask sends a request for a token to a host and passes on the decision. A request
+// to a host that is down or crashes meanwhile gets none.
+func (f *Fleet) Ask(host, team string, settled func(quota.Decision)) {
 	if p := f.processes[host]; p != nil {
-		f.exec(p, func() { p.request(r) })
+		f.exec(p, func() { p.request(team, settled) })
+	}
+}
+
+// Keeper returns the host that keeps a shard, "" if none does.
+func (f *Fleet) Keeper(shard uint32) string {
+	for _, m := range f.members {
+		if p := f.processes[m.ID]; p != nil && p.candidate.Holds(p.clock(), shard) {
+			return m.ID
+		}
 	}
-	return r
+	return ""
 }
 
 // Crash ends a process without notice.
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -1,40 +1,73 @@
 package fleetsim
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/quota"
 )
 
-// Guards against a fleet in which requests within the rate never find a keeper.
+// Guards against a fleet in which requests within the rate find no keeper or no
+// token: without faults at most 1 in 10,000 may be refused.
 func TestFleetServes(t *testing.T) {
-	cfg := Config{Seed: 1, Hosts: Hosts(26, "a", "b", "c", "d"), SameZone: 200 * time.Microsecond, OtherZone: 500 * time.Microsecond, Jitter: 200 * time.Microsecond}
-	f := New(cfg, map[string]quota.Limit{"team": {Rate: 100, Burst: 50, Version: 1}})
-	f.Run(5 * time.Second)
-	held := map[uint32]bool{}
-	for _, s := range f.Tenures {
-		held[s.Shard] = true
+	const (
+		requests = 20_000
+		interval = 12500 * time.Microsecond // 80 requests/s
+		start    = 8 * time.Second          // buckets are full by then
+	)
+	cfg := Config{
+		Seed:  1,
+		Hosts: Hosts(26, "a", "b", "c", "d"), SameZone: 200 * time.Microsecond, OtherZone: 500 * time.Microsecond,
+		Jitter: 200 * time.Microsecond, ClockSpread: 0.0196,
 	}
-	fmt.Println(len(held), len(f.Tenures), f.Tenures[0].At, f.Tenures[len(f.Tenures)-1].At, f.Counters)
-	base := f.Counters
-	var rs []*Request
-	for i := range 4000 {
-		at := 5*time.Second + time.Duration(i)*10*time.Millisecond*5/4
-		f.At(at, func() { rs = append(rs, f.Ask(cfg.Hosts[f.rng.IntN(26)].ID, "team")) })
+	limit := quota.Limit{Rate: 100, Burst: 50, Version: 1}
+	f := New(cfg, map[string]quota.Limit{"team": limit})
+	settled, admitted := 0, 0
+	for i := range requests {
+		f.At(start+time.Duration(i)*interval, func() {
+			f.Ask(cfg.Hosts[f.rng.IntN(len(cfg.Hosts))].ID, "team", func(d quota.Decision) {
+				settled++
+				if d == quota.Admit {
+					admitted++
+				}
+			})
+		})
 	}
-	f.Run(60 * time.Second)
-	ok, waited := 0, 0
-	var maxw time.Duration
-	for _, r := range rs {
-		if r.Admitted {
-			ok++
+	f.Run(start + requests*interval + time.Second)
+	if settled != requests {
+		t.Errorf("%d of %d requests were decided", settled, requests)
+	}
+	if refused := requests - admitted; refused > requests/10_000 {
+		t.Errorf("%d of %d requests within the rate were not admitted, want at most 1 in 10,000", refused, requests)
+	}
+	if excess := Excess(f.Admissions, "team", []LimitChange{{Limit: limit}}, 0); excess > 0 {
+		t.Errorf("admitted %.3f more than rate * w + burst in a window", excess)
+	}
+}
+
+// Guards against a judge of the bound that misses an excess: all other tests of
+// the bound rest on it.
+func TestExcess(t *testing.T) {
+	limits := []LimitChange{{Limit: quota.Limit{Rate: 1, Burst: 2}}}
+	at := func(times ...time.Duration) []Admission {
+		var all []Admission
+		for _, at := range times {
+			all = append(all, Admission{At: at, Team: "team"})
 		}
-		if r.Waited > 0 {
-			waited++
+		return all
+	}
+	for _, c := range []struct {
+		admitted []Admission
+		want     float64
+	}{
+		{at(0, 0), 0},
+		{at(0, 0, 0), 1},
+		{at(0, 0, time.Second), 0},
+		{at(0, 0, time.Second/2), 0.5},
+		{at(0, 10*time.Second, 10*time.Second, 10*time.Second), 1},
+	} {
+		if got := Excess(c.admitted, "team", limits, 0); got != c.want {
+			t.Errorf("Excess(%v) = %v, want %v", c.admitted, got, c.want)
 		}
-		maxw = max(maxw, r.Waited)
 	}
-	fmt.Println(len(rs), ok, waited, maxw, f.Counters.Quota-base.Quota, f.Counters.Lease-base.Lease)
 }
--- a/internal/fleetsim/process.go
+++ b/internal/fleetsim/process.go
@@ -32,10 +32,16 @@
 	holders   *quota.Holders
 	teams     []string
 	epochs    map[uint32]uint64 // of the latest tenure seen for each shard
-	waiting   map[uint64]*Request
+	waiting   map[uint64]waiting
 	lastID    uint64
 }
 
+// waiting is a request without a decision.
+type waiting struct {
+	team    string
+	settled func(quota.Decision) // may be nil
+}
+
 func (f *Fleet) start(m rendezvous.Member) {
 	f.runs++
 	p := &process{
@@ -44,7 +50,7 @@
 		run:     f.runs,
 		rate:    f.clockRate(),
 		epochs:  make(map[uint32]uint64),
-		waiting: make(map[uint64]*Request),
+		waiting: make(map[uint64]waiting),
 	}
 	now := p.clock()
 	p.placement = lease.NewPlacement(f.members)
@@ -106,7 +112,6 @@
 
 func (p *process) sendPromiseRequests() {
 	for _, req := range p.candidate.Tick(p.clock()) {
-		p.f.Counters.Lease += 2
 		p.f.send(p, req.Witness, func(w *process) {
 			reply := w.witness.Promise(w.clock(), req)
 			w.f.send(w, p.member.ID, func(c *process) { c.onReply(reply) })
@@ -135,7 +140,7 @@
 			continue
 		}
 		p.epochs[shard] = epoch
-		start := TenureStart{At: p.f.now, Shard: shard, Host: p.member.ID, Run: p.run, Rival: p.rival(shard)}
+		start := TenureStart{At: p.f.now, Shard: shard, Host: p.member.ID, Rival: p.rival(shard)}
 		p.f.Tenures = append(p.f.Tenures, start)
 	}
 }
@@ -206,19 +211,20 @@
 	p.f.After(quotaTick, p, p.tickQuota)
 }
 
-func (p *process) request(r *Request) {
-	h := p.holders.Get(r.Team)
+func (p *process) request(team string, settled func(quota.Decision)) {
+	h := p.holders.Get(team)
 	decision := h.Share().TakeChecked(p.clock)
 	if decision == quota.AskFirst {
 		p.lastID++
 		decision = h.Join(p.clock(), p.lastID, p.clock().Add(time.Second))
-		p.waiting[p.lastID] = r
 	}
-	if decision != quota.AskFirst {
-		delete(p.waiting, p.lastID)
-		p.settle(r, decision)
+	w := waiting{team, settled}
+	if decision == quota.AskFirst {
+		p.waiting[p.lastID] = w
+	} else {
+		p.settle(w, decision)
 	}
-	p.holders.Attend(r.Team)
+	p.holders.Attend(team)
 	p.attend(h)
 }
 
@@ -260,7 +266,6 @@
 }
 
 func (p *process) sendAsk(ask quota.Ask) {
-	p.f.Counters.Quota += 2
 	p.f.send(p, ask.To, func(k *process) {
 		now := k.clock()
 		grant := k.keeper.Grant(now, ask)
@@ -282,22 +287,18 @@
 	if !ok {
 		return
 	}
-	p.f.Counters.Quota++
 	p.f.send(p, to, func(k *process) { k.keeper.Return(k.clock(), r) })
 }
 
-func (p *process) settle(r *Request, d quota.Decision) {
-	if r == nil {
-		return
+func (p *process) settle(w waiting, d quota.Decision) {
+	if d == quota.Admit {
+		p.admit(w.team)
 	}
-	r.Settled = true
-	r.Admitted = d == quota.Admit
-	r.Waited = p.f.now - r.At
-	if r.Admitted {
-		p.admit(r.Team)
+	if w.settled != nil {
+		w.settled(d)
 	}
 }
 
 func (p *process) admit(team string) {
-	p.f.Admissions = append(p.f.Admissions, Admission{At: p.f.now, Team: team, Host: p.member.ID})
+	p.f.Admissions = append(p.f.Admissions, Admission{At: p.f.now, Team: team})
 }
