filters/forward: try elsewhere after quota unavailable without the retry budget

Cause: A refusal for want of a keeper counted as load, so the retry budget of 10% limited how many requests could try another exit while a keeper was away. Change: It counts like a refusal by a stopping exit: no slot was used.

--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -63,9 +63,11 @@
 	case pipeline.CodePathBroken:
 		return retry.NeverSent
 	case pipeline.CodeEjected, pipeline.CodeBackendLeaving, pipeline.CodeStopping, pipeline.CodeWrongExit,
-		pipeline.CodeNotReady, pipeline.CodeKeysUnsure, pipeline.CodeConnectFailed, pipeline.CodeSuspectBusy:
+		pipeline.CodeNotReady, pipeline.CodeKeysUnsure, pipeline.CodeConnectFailed, pipeline.CodeSuspectBusy,
+		// No token was to be had at that exit, so no slot was used anywhere.
+		pipeline.CodeQuotaUnavailable:
 		return retry.RefusedHere
-	case pipeline.CodeQueueFull, pipeline.CodeDeadlineTooShort, pipeline.CodeQuotaUnavailable, pipeline.CodeShed:
+	case pipeline.CodeQueueFull, pipeline.CodeDeadlineTooShort, pipeline.CodeShed:
 		return retry.RefusedLoad
 	}
 	return retry.RefusedFinal
