--- a/decide/quota/quota_test.go
+++ b/decide/quota/quota_test.go
@@ -116,7 +116,7 @@
 // schedules are drawn from in turn. The aimed ones hit states that random phases
 // and faults hardly ever reach.
 var schedules = []func(*rapid.T) schedule{
-	randomSchedule, randomSchedule, lostKeepers, pausedHolders, grantInFlight, forgottenPromises,
+	randomSchedule, randomSchedule, lostKeepers, movingKeepers, pausedHolders, pausedHolders, grantInFlight, grantInFlight, forgottenPromises,
 }
 
 func randomSchedule(t *rapid.T) schedule {
@@ -128,7 +128,7 @@
 // calm is a fleet whose network loses nothing, with one limit.
 func calm(t *rapid.T, limit quota.Limit) schedule {
 	cfg := drawConfig(t)
-	cfg.Hosts = fleetsim.Hosts(rapid.IntRange(3, 9).Draw(t, "calm hosts"), "a", "b", "c")
+	cfg.Hosts = fleetsim.Hosts(9, "a", "b", "c") // 6 of 9 witnesses must answer
 	cfg.Jitter = rapid.SampledFrom([]time.Duration{1, 20}).Draw(t, "calm jitter ms") * time.Millisecond
 	cfg.Loss = 0
 	return schedule{cfg: cfg, changes: []fleetsim.LimitChange{{Limit: limit}}}
@@ -143,29 +143,55 @@
 // lostKeepers drains a slowly filling bucket while its keeper is lost again and
 // again: a successor must not give out tokens that were spent.
 func lostKeepers(t *rapid.T) schedule {
-	s := calm(t, limitOf(t, []float64{2, 3.5, 15, 40}, []float64{1, 30}))
+	s := calm(t, limitOf(t, []float64{3.5, 10, 15}, []float64{20, 60}))
 	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
-	kind := rapid.SampledFrom([]fleetsim.Kind{fleetsim.Crash, fleetsim.Stop, fleetsim.CutOut}).Draw(t, "kind")
-	every := millis(t, 2600, 3500, "every ms")
-	for at := warmUp + time.Second; at < length; at += every {
-		s.faults = append(s.faults, fleetsim.Fault{Kind: kind, At: at, AtKeeper: true, Shard: firstShard(), For: every - 100*time.Millisecond})
+	kind := rapid.SampledFrom([]fleetsim.Kind{fleetsim.Crash, fleetsim.Pause, fleetsim.CutOut}).Draw(t, "kind")
+	span := 2200 * time.Millisecond
+	if kind == fleetsim.Crash {
+		span = length // a process that started lately grants little
+	}
+	every := millis(t, 2600, 3000, "every ms")
+	for at := warmUp + 2*time.Second; at < length; at += every {
+		s.faults = append(s.faults, fleetsim.Fault{Kind: kind, At: at, AtKeeper: true, Shard: firstShard(), For: span})
+	}
+	return s
+}
+
+// movingKeepers makes the keeper hand over about as often as tenures may follow
+// each other, while messages of the handovers are lost or late.
+func movingKeepers(t *rapid.T) schedule {
+	s := calm(t, drawLimit(t))
+	s.cfg.Jitter = rapid.SampledFrom([]time.Duration{1, 20, 60, 150}).Draw(t, "jitter ms") * time.Millisecond
+	s.cfg.Loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
+	for at := warmUp; at < length; at += millis(t, 200, 1400, "after ms") {
+		s.faults = append(s.faults, fleetsim.Fault{
+			Kind: fleetsim.Stop, At: at, AtKeeper: true, Shard: firstShard(),
+			For: millis(t, 1, 500, "down ms"),
+		})
 	}
 	return s
 }
 
+// roundTime is the time of one round of the schedules below; buckets that fill
+// in a second are full again at the end of it.
+const roundTime = 3500 * time.Millisecond
+
 // pausedHolders pauses hosts that hold tokens until these have expired and the
 // buckets are full again; then all hosts are flooded.
 func pausedHolders(t *rapid.T) schedule {
-	s := calm(t, limitOf(t, []float64{15, 16, 40, 200}, []float64{0.5, 1, 2}))
-	const held = 900 * time.Millisecond
-	resume := length - 2*time.Second
-	span := millis(t, 1100, 3500, "pause ms")
-	s.phases = []phase{
-		{at: resume - span - held, length: held, rate: rapid.SampledFrom([]float64{30, 100, 300}).Draw(t, "rate")},
-		{at: resume, length: time.Second, load: 1, batch: true},
-	}
-	for host := range rapid.IntRange(1, 4).Draw(t, "paused") {
-		s.faults = append(s.faults, fleetsim.Fault{Kind: fleetsim.Pause, At: resume - span, Host: host, For: span})
+	s := calm(t, limitOf(t, []float64{15, 16, 40, 200}, []float64{0.3, 0.6, 1}))
+	const held = 700 * time.Millisecond
+	for at := warmUp + time.Second; at+roundTime <= length; at += roundTime {
+		pause := at + held
+		span := millis(t, 1100, 1400, "pause ms") // keepers that pause keep their leases
+		s.phases = append(s.phases,
+			phase{at: at, length: held, rate: rapid.SampledFrom([]float64{30, 100, 300}).Draw(t, "rate")},
+			phase{at: pause + span, length: 200 * time.Millisecond, load: 1, batch: true})
+		first := rapid.IntRange(0, 8).Draw(t, "first paused")
+		for host := range rapid.IntRange(1, 3).Draw(t, "paused") {
+			s.faults = append(s.faults, fleetsim.Fault{Kind: fleetsim.Pause, At: pause, Host: first + host, For: span})
+		}
 	}
 	return s
 }
@@ -173,16 +199,17 @@
 // grantInFlight pauses a host while the answers to its asks are on the way, until
 // the keepers have forgotten the grants and their buckets are full again.
 func grantInFlight(t *rapid.T) schedule {
-	s := calm(t, limitOf(t, []float64{2, 15, 40, 200}, []float64{0.3, 1}))
-	resume := length - 2*time.Second
-	span := millis(t, 300, 2000, "pause ms")
-	lead := millis(t, 1, 30, "lead ms")
-	host := rapid.IntRange(0, 8).Draw(t, "paused")
-	s.phases = []phase{
-		{at: resume - span - lead, batch: true, oneHost: true, host: host},
-		{at: resume, length: time.Second, load: 1, batch: true},
+	s := calm(t, limitOf(t, []float64{2, 15, 40, 200}, []float64{0.1, 0.3, 1}))
+	s.cfg.Jitter = time.Millisecond
+	for at := warmUp + time.Second; at+roundTime <= length; at += roundTime {
+		host := rapid.IntRange(0, 8).Draw(t, "paused")
+		pause := at + time.Duration(rapid.IntRange(100, 8000).Draw(t, "lead us"))*time.Microsecond
+		span := millis(t, 200, 1400, "pause ms")
+		s.phases = append(s.phases,
+			phase{at: at, batch: true, oneHost: true, host: host},
+			phase{at: pause + span, length: 200 * time.Millisecond, load: 1, batch: true})
+		s.faults = append(s.faults, fleetsim.Fault{Kind: fleetsim.Pause, At: pause, Host: host, For: span})
 	}
-	s.faults = []fleetsim.Fault{{Kind: fleetsim.Pause, At: resume - span, Host: host, For: span}}
 	return s
 }
 
@@ -190,6 +217,7 @@
 // any more but which goes on with the promises that the others forgot.
 func forgottenPromises(t *rapid.T) schedule {
 	s := calm(t, limitOf(t, []float64{2, 15, 40}, []float64{0.3, 1}))
+	s.cfg.Hosts = fleetsim.Hosts(rapid.IntRange(3, 9).Draw(t, "few hosts"), "a", "b", "c")
 	s.phases = []phase{{at: warmUp, length: length - warmUp, load: 1}}
 	for at := warmUp + 2*time.Second; at < length; at += 5 * time.Second {
 		down := millis(t, 1, 50, "down ms")
@@ -211,7 +239,7 @@
 			if p.oneHost {
 				host = p.host % len(members)
 			}
-			f.Ask(members[host].ID, "team")
+			f.Ask(members[host].ID, "team", nil)
 		}
 		if p.batch {
 			for range int(limit.Burst) + 1 {
@@ -228,8 +256,9 @@
 	}
 }
 
-// Guards against more than rate * w + burst requests in any window w, through
-// every fault of the design and through changes of the limit.
+// Guards against more than rate * w + burst requests in any window w, and against
+// two keepers of a part, through every fault of the design and through changes of
+// the limit.
 func TestBoundHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := rapid.SampledFrom(schedules).Draw(t, "schedule")(t)
@@ -240,6 +269,11 @@
 		f.Schedule(s.faults)
 		offer(f, s.cfg.Seed, s.changes[0].Limit, s.phases)
 		f.Run(length)
+		for _, start := range f.Tenures {
+			if start.Rival != "" {
+				t.Fatalf("%s and %s keep shard %d at %v", start.Host, start.Rival, start.Shard, start.At)
+			}
+		}
 		if excess := fleetsim.Excess(f.Admissions, "team", s.changes, quota.ConfigSpread); excess > 1e-6 {
 			t.Fatalf("admitted %.3f more than rate * w + burst in a window", excess)
 		}
