forward: send an attempt that cannot be hedged on the goroutine of its request

Cause: each attempt ran in a goroutine of its own, which costs two wake-ups and the growth of a fresh stack, although only idempotent classes are hedged. Change: a run that cannot be hedged sends its attempts in place; bench counts failed calls by reason.

--- a/cmd/ragwortyard/bench.go
+++ b/cmd/ragwortyard/bench.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/pprof"
+	"slices"
 	"syscall"
 	"text/tabwriter"
 	"time"
@@ -73,7 +75,7 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(table, "LOAD\tCALLS\tFAILED\tPER SECOND\tDIRECT P50\tP99\tP999\tTHROUGH P50\tP99\tP999\tADDED P50\tP99\tP999\tALLOCS\tBYTES\tCPU US\tGC/1000\t")
 	for _, r := range report.Loads {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.0f\t", r.Load, r.Calls, r.Failed, r.PerSecond)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.0f\t", r.Load, r.Calls, failed(r), r.PerSecond)
 		for _, q := range []bench.Quantiles{r.Direct, r.Through, r.Added} {
 			fmt.Fprintf(table, "%.0f\t%.0f\t%.0f\t", q.P50, q.P99, q.P999)
 		}
@@ -83,5 +85,21 @@
 		}
 		fmt.Fprintf(table, "%.0f\t%.0f\t%.0f\t%.2f\t\n", r.Cost.Allocs, r.Cost.Bytes, r.Cost.CPUMicros, r.Cost.GCs)
 	}
-	return table.Flush()
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	for _, r := range report.Loads {
+		for _, reason := range slices.Sorted(maps.Keys(r.Failures)) {
+			fmt.Fprintf(w, "%s: %d calls failed: %s\n", r.Load, r.Failures[reason], reason)
+		}
+	}
+	return nil
+}
+
+func failed(r bench.Row) int {
+	sum := 0
+	for _, n := range r.Failures {
+		sum += n
+	}
+	return sum
 }
--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -44,6 +44,7 @@
 		results: make(chan *attempt, retry.DefaultMaxAttempts),
 	}
 	r.policy.Budget.Earn()
+	r.hedges = r.mayHedge()
 	return r.settle()
 }
 
--- a/filters/forward/run.go
+++ b/filters/forward/run.go
@@ -29,6 +29,7 @@
 	results chan *attempt
 	pending []*attempt
 	started int
+	hedges  bool     // a second attempt may start while one is running
 	best    *attempt // the most telling answer so far
 }
 
@@ -65,15 +66,23 @@
 	sent := r.copyRequest()
 	r.started++
 	r.pending = append(r.pending, a)
-	go func() {
-		a.answer = r.filter.Sender.Do(ctx, sent, target.Addr, target.Backend)
-		a.result = classify(a)
-		a.record(time.Now())
-		r.results <- a
-	}()
+	if r.hedges {
+		go r.attempt(ctx, a, sent)
+	} else {
+		r.attempt(ctx, a, sent)
+	}
 	return true
 }
 
+// attempt sends one attempt and reports its end. A request that may be hedged
+// runs it in a goroutine of its own; results has room for all attempts.
+func (r *run) attempt(ctx context.Context, a *attempt, sent *pipeline.Request) {
+	a.answer = r.filter.Sender.Do(ctx, sent, a.target.Addr, a.target.Backend)
+	a.result = classify(a)
+	a.record(time.Now())
+	r.results <- a
+}
+
 // copyRequest returns the request of one attempt with its own identifier and
 // body.
 func (r *run) copyRequest() *pipeline.Request {
@@ -102,11 +111,17 @@
 	}
 }
 
-// hedgeTimer fires when a hedge may be considered. Only requests that may run
-// twice get one.
+// mayHedge tells whether a second attempt may start while one is running. Only
+// requests that may run twice get one.
+func (r *run) mayHedge() bool {
+	_, ok := r.policy.HedgeAfter()
+	return ok && r.req.Class.Idempotent && r.replayable()
+}
+
+// hedgeTimer fires when a hedge may be considered.
 func (r *run) hedgeTimer() (<-chan time.Time, func()) {
 	after, ok := r.policy.HedgeAfter()
-	if !ok || !r.req.Class.Idempotent || !r.replayable() || len(r.pending) != 1 {
+	if !ok || !r.hedges || len(r.pending) != 1 {
 		return nil, func() {}
 	}
 	timer := time.NewTimer(time.Until(r.pending[0].sent.Add(after)))
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -32,13 +32,15 @@
 
 // Row holds the figures of one load.
 type Row struct {
-	Load      string    `json:"load"`
-	Calls     int       `json:"calls"`     // on each path, the lesser
-	PerSecond float64   `json:"perSecond"` // calls through the processes in a second
-	Failed    int       `json:"failed"`    // calls without a whole answer of status 200, on both paths
-	Direct    Quantiles `json:"directMicros"`
-	Through   Quantiles `json:"throughMicros"`
-	Added     Quantiles `json:"addedMicros"` // differences of the quantiles
+	Load      string  `json:"load"`
+	Calls     int     `json:"calls"`     // on each path, the lesser
+	PerSecond float64 `json:"perSecond"` // calls through the processes in a second
+	// Failures counts the calls without a whole answer of status 200, on both
+	// paths, by result code or reason.
+	Failures map[string]int `json:"failures"`
+	Direct   Quantiles      `json:"directMicros"`
+	Through  Quantiles      `json:"throughMicros"`
+	Added    Quantiles      `json:"addedMicros"` // differences of the quantiles
 	// Cost is what one request costs both processes together, less what they
 	// need without traffic; nil where it is not known.
 	Cost *Cost `json:"cost,omitempty"`
@@ -124,7 +126,7 @@
 		Load:      l.name,
 		Calls:     min(len(s.direct), len(s.through)),
 		PerSecond: float64(len(s.through)) / s.throughTime.Seconds(),
-		Failed:    s.failed,
+		Failures:  s.failures,
 		Direct:    quantiles(s.direct),
 		Through:   quantiles(s.through),
 	}
--- a/internal/bench/caller.go
+++ b/internal/bench/caller.go
@@ -34,12 +34,19 @@
 	}
 }
 
-// call sends one request, reads the whole answer and returns how long that took;
-// false when there was no whole answer of status 200.
-func (c *caller) call() (time.Duration, bool) {
+// Failures other than result codes.
+const (
+	noAnswer  = "no answer"
+	badAnswer = "cut answer or bad status"
+)
+
+// call sends one request, reads the whole answer and returns how long that took.
+// The second value says why there was no whole answer of status 200: the result
+// code of a refusal, or another reason; it is empty otherwise.
+func (c *caller) call() (time.Duration, string) {
 	req, err := http.NewRequest(http.MethodGet, c.url, nil)
 	if err != nil {
-		return 0, false
+		return 0, noAnswer
 	}
 	req.Header["Authorization"] = []string{"Bearer " + key}
 	req.Header["X-Answer-Bytes"] = []string{answerBytes}
@@ -47,9 +54,17 @@
 	began := time.Now()
 	resp, err := c.client.Do(req)
 	if err != nil {
-		return 0, false
+		return 0, noAnswer
 	}
 	defer resp.Body.Close()
 	n, err := io.Copy(io.Discard, resp.Body)
-	return time.Since(began), err == nil && resp.StatusCode == http.StatusOK && n == resp.ContentLength
+	took := time.Since(began)
+	switch code := resp.Header.Get("Ragwort-Code"); {
+	case err == nil && resp.StatusCode == http.StatusOK && n == resp.ContentLength:
+		return took, ""
+	case code != "":
+		return took, code
+	default:
+		return took, badAnswer
+	}
 }
--- a/internal/bench/loads.go
+++ b/internal/bench/loads.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -16,8 +15,8 @@
 // samples are the latencies of the calls that succeeded.
 type samples struct {
 	direct, through []time.Duration
-	throughTime     time.Duration // for which calls were sent through the processes
-	failed          int
+	throughTime     time.Duration  // for which calls were sent through the processes
+	failures        map[string]int // by reason
 }
 
 func (b *bench) loads() []load {
@@ -38,7 +37,7 @@
 type outcome struct {
 	through bool
 	took    time.Duration
-	ok      bool
+	failure string
 }
 
 // openLoop sends calls at a fixed rate on each path, whether or not earlier ones
@@ -64,7 +63,7 @@
 		running.Add(1)
 		go func() {
 			defer running.Done()
-			o.took, o.ok = b.path(o.through).call()
+			o.took, o.failure = b.path(o.through).call()
 		}()
 	}
 	running.Wait()
@@ -90,11 +89,11 @@
 }
 
 func collect(outcomes []outcome, throughTime time.Duration) samples {
-	s := samples{throughTime: throughTime}
+	s := samples{throughTime: throughTime, failures: make(map[string]int)}
 	for _, o := range outcomes {
 		switch {
-		case !o.ok:
-			s.failed++
+		case o.failure != "":
+			s.failures[o.failure]++
 		case o.through:
 			s.through = append(s.through, o.took)
 		default:
@@ -110,38 +109,52 @@
 
 // closedLoop keeps all workers calling, on one path after the other.
 func (b *bench) closedLoop(d time.Duration) samples {
-	var s samples
+	s := samples{failures: make(map[string]int)}
 	for end := time.Now().Add(d); time.Now().Before(end) && b.ctx.Err() == nil; {
-		s.direct = b.slice(b.direct, s.direct, &s.failed)
+		s.direct = b.slice(b.direct, s.direct, s.failures)
 		began := time.Now()
-		s.through = b.slice(b.through, s.through, &s.failed)
+		s.through = b.slice(b.through, s.through, s.failures)
 		s.throughTime += time.Since(began)
 	}
 	return s
 }
 
-func (b *bench) slice(c *caller, into []time.Duration, failed *int) []time.Duration {
-	results := make([][]time.Duration, b.options.Workers)
-	var failures atomic.Int64
+func (b *bench) slice(c *caller, into []time.Duration, failures map[string]int) []time.Duration {
+	results := make([]workerResult, b.options.Workers)
 	var workers sync.WaitGroup
 	end := time.Now().Add(sliceTime)
 	for w := range results {
 		workers.Add(1)
 		go func() {
 			defer workers.Done()
-			for time.Now().Before(end) {
-				if took, ok := c.call(); ok {
-					results[w] = append(results[w], took)
-				} else {
-					failures.Add(1)
-				}
-			}
+			results[w] = work(c, end)
 		}()
 	}
 	workers.Wait()
-	*failed += int(failures.Load())
 	for _, r := range results {
-		into = append(into, r...)
+		into = append(into, r.took...)
+		for reason, n := range r.failures {
+			failures[reason] += n
+		}
 	}
 	return into
 }
+
+// workerResult is what one worker saw in one slice.
+type workerResult struct {
+	took     []time.Duration
+	failures map[string]int
+}
+
+func work(c *caller, end time.Time) workerResult {
+	r := workerResult{failures: make(map[string]int)}
+	for time.Now().Before(end) {
+		took, failure := c.call()
+		if failure != "" {
+			r.failures[failure]++
+			continue
+		}
+		r.took = append(r.took, took)
+	}
+	return r
+}
