--- a/control/leases.go
+++ b/control/leases.go
@@ -134,12 +134,6 @@
 	s.next = now
 }
 
-// invite asks at once for a shard that its keeper hands over to this process.
-func (s *leasesStage) invite(now time.Time, shard uint32) {
-	s.state.Leases.Candidate.Invite(now, shard)
-	s.next = now
-}
-
 // unlikely returns the members that probably do not answer: suspects and those
 // that are leaving.
 func (s *State) unlikely() map[string]bool {
