quarantine: test the filter of both chains

Cause: with the refusal taken out of the filter, the test over processes still passes, since the dispatcher refuses condemned requests too. Change: a test of the filter alone. Before: the fault went unseen. Conclusion: filter and dispatcher are guarded each by its own test.

--- /dev/null
+++ b/filters/quarantine/quarantine_test.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/quarantine"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Guards against a condemned request that passes, against a suspect that is not
+// marked, and against a process without standings that refuses all.
+func TestFilterFollowsTheStandings(t *testing.T) {
+	const suspect, condemned, other = 1, 2, 3
+	now := time.Now()
+	tracker := quarantine.NewTracker()
+	tracker.OnCrash(now, 10, []quarantine.Fingerprint{suspect, condemned})
+	tracker.OnReport(now, quarantine.Report{Crash: 11, Fingerprint: condemned, Alone: true, Version: 1})
+	for _, c := range []struct {
+		table       *quarantine.Table
+		fingerprint uint64
+		code        pipeline.Code
+		suspect     bool
+	}{
+		{tracker.Table(), suspect, pipeline.CodeOK, true},
+		{tracker.Table(), condemned, pipeline.CodeQuarantined, false},
+		{tracker.Table(), other, pipeline.CodeOK, false},
+		{tracker.Table(), 0, pipeline.CodeOK, false},
+		{nil, condemned, pipeline.CodeOK, false},
+	} {
+		f := &Filter{Snapshot: func() *control.Snapshot { return &control.Snapshot{Quarantine: c.table} }}
+		req := &pipeline.Request{Fingerprint: c.fingerprint}
+		result := f.Handle(t.Context(), req)
+		if result == nil {
+			result = &pipeline.Result{}
+		}
+		if result.Code != c.code || req.Suspect != c.suspect {
+			t.Errorf("fingerprint %d: code %v, suspect %t", c.fingerprint, result.Code, req.Suspect)
+		}
+		if c.code != pipeline.CodeOK && (result.Outcome != pipeline.NotRun || result.RetryAfter <= 4*time.Minute) {
+			t.Errorf("fingerprint %d: outcome %v, retry after %v", c.fingerprint, result.Outcome, result.RetryAfter)
+		}
+	}
+}
