queue: let a suspect wait at most half a second for one backend server

Cause: while a suspect waits for what is in flight, nothing else starts on that backend server, so one suspect behind a stream of an hour kept it idle for an hour. Change: after 500 ms the suspect is refused as not run (5005), which the entry sends elsewhere, and others come first for a turn. Before: the test fails without the limit. After: the test and the others of the package pass with the race detector. Conclusion: a running suspect still holds its backend server until it ends.

--- a/filters/queue/dispatcher.go
+++ b/filters/queue/dispatcher.go
@@ -58,7 +58,8 @@
 type ticket struct {
 	item        fairqueue.Item
 	fingerprint quarantine.Fingerprint
-	suspect     bool // as the entry says, maybe ahead of the news
+	suspect     bool      // as the entry says, maybe ahead of the news
+	giveUp      time.Time // when a suspect stops waiting
 	verdict     chan verdict
 }
 
@@ -78,6 +79,11 @@
 // at another server.
 const maxAlone = 4
 
+// aloneWait is how long a suspect waits for one backend server. While it waits
+// for what is in flight, nothing else starts there, so a stream of minutes would
+// keep the server idle. Half a second covers ordinary requests.
+const aloneWait = 500 * time.Millisecond
+
 // NewDispatcher returns a dispatcher for one backend server.
 func NewDispatcher(o Options) *Dispatcher {
 	d := &Dispatcher{
@@ -135,8 +141,8 @@
 func (d *Dispatcher) nextExpiry() (time.Time, bool) {
 	next, ok := d.queue.NextExpiry()
 	for _, t := range d.alone {
-		if !ok || t.item.Deadline.Before(next) {
-			next, ok = t.item.Deadline, true
+		if !ok || t.giveUp.Before(next) {
+			next, ok = t.giveUp, true
 		}
 	}
 	return next, ok
@@ -144,7 +150,7 @@
 
 func (d *Dispatcher) enter(now time.Time, t *ticket) {
 	if t.suspect {
-		d.waitAlone(t)
+		d.waitAlone(now, t)
 		return
 	}
 	refusal := d.queue.Push(now, t.item)
@@ -154,11 +160,15 @@
 }
 
 // waitAlone puts a suspect behind the others.
-func (d *Dispatcher) waitAlone(t *ticket) {
+func (d *Dispatcher) waitAlone(now time.Time, t *ticket) {
 	if len(d.alone) >= maxAlone {
 		t.refuse(pipeline.CodeSuspectBusy)
 		return
 	}
+	t.giveUp = now.Add(aloneWait)
+	if t.item.Deadline.Before(t.giveUp) {
+		t.giveUp = t.item.Deadline
+	}
 	d.alone = append(d.alone, t)
 }
 
@@ -277,21 +287,24 @@
 		t.verdict <- verdict{code: pipeline.CodeOK, alone: subject.Standing == quarantine.Suspect}
 		return
 	case quarantine.Wait:
-		d.waitAlone(t)
+		d.waitAlone(now, t)
 	case quarantine.Refuse:
 		t.refuse(pipeline.CodeQuarantined)
 	}
 	d.limiter.Release(now, concurrency.Sample{Outcome: concurrency.Ignored})
 }
 
+// expireAlone sends suspects elsewhere that waited too long. Others come first
+// then, as after a suspect that ran.
 func (d *Dispatcher) expireAlone(now time.Time) {
 	kept := d.alone[:0]
 	for _, t := range d.alone {
-		if now.Before(t.item.Deadline) {
+		if now.Before(t.giveUp) {
 			kept = append(kept, t)
 			continue
 		}
-		t.refuse(pipeline.CodeDeadlinePassed)
+		t.refuse(pipeline.CodeSuspectBusy)
+		d.owed = d.limiter.Limit()
 	}
 	d.alone = kept
 }
--- a/filters/queue/queue_test.go
+++ b/filters/queue/queue_test.go
@@ -42,7 +42,9 @@
 }
 
 // send hands in a request; it runs for serviceTime.
-func (s *server) send(f uint64, suspect bool) {
+func (s *server) send(f uint64, suspect bool) { s.sendFor(serviceTime, f, suspect) }
+
+func (s *server) sendFor(d time.Duration, f uint64, suspect bool) {
 	req := &pipeline.Request{
 		Fingerprint: f, Suspect: suspect,
 		Deadline: time.Now().Add(time.Minute),
@@ -58,7 +60,7 @@
 			kind = "s"
 		}
 		s.events <- kind + "+"
-		time.Sleep(serviceTime)
+		time.Sleep(d)
 		s.events <- kind + "-"
 		req.Complete(pipeline.Completion{Outcome: pipeline.Answered, Status: 200})
 	}()
@@ -94,6 +96,27 @@
 	})
 }
 
+// Guards against a backend server that stands idle because a suspect waits there
+// for the end of a long stream.
+func TestSuspectDoesNotWaitForAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(t, 2, nil)
+		s.sendFor(time.Hour, 1, false)
+		s.send(9, true)
+		s.send(2, false)
+		if got, want := s.log(), "o+ o+ o-"; got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+		if n := len(s.codes); n != 1 {
+			t.Fatalf("%d requests were refused, want the suspect", n)
+		}
+		if code := <-s.codes; code != fmt.Sprint(pipeline.CodeSuspectBusy) {
+			t.Errorf("the suspect got code %s", code)
+		}
+		time.Sleep(time.Hour)
+	})
+}
+
 // Guards against a request that became suspect or condemned while it waited and
 // starts all the same, and against suspects that pile up at one backend server.
 func TestStandingCountsWhenTheRequestStarts(t *testing.T) {
