forward: forget that a backend server refused as leaving or stopping

Cause: an entry marked a backend server as leaving for good when its exit refused while it drained or stopped. Only a new host list or a change of some member's standing cleared the mark, so a backend server that was drained and came back could stay unused. Change: such a refusal is remembered for one second, like an ejection. Before: TestRefusalIsForgotten finds it never chosen again. After: chosen again after one second; the exit enforces the drain meanwhile.

--- a/decide/balance/choose.go
+++ b/decide/balance/choose.go
@@ -36,10 +36,11 @@
 
 // Choose returns the index of the member that the next attempt goes to. Members
 // take turns; a random other member is taken instead when its expected wait is
-// lower by at least half. It never returns a member of exclude. Members that are ejected, leaving or behind a suspect or broken path
-// are chosen only when nothing better is left. ok is false when every member is
-// excluded. r belongs to the calling goroutine. Choose allocates nothing and its
-// cost does not depend on the size of the service.
+// lower by at least half. It never returns a member of exclude. Members that are
+// ejected, leaving or behind a suspect or broken path are chosen only when nothing
+// better is left. ok is false when every member is excluded. r belongs to the
+// calling goroutine. Choose allocates nothing and its cost does not depend on the
+// size of the service.
 func Choose(now time.Time, r *rand.Rand, s *Subset, exclude Set) (index int, ok bool) {
 	candidates := s.best(now, exclude)
 	count := bits.OnesCount32(uint32(candidates))
--- a/filters/forward/forward.go
+++ b/filters/forward/forward.go
@@ -75,7 +75,9 @@
 }
 
 // refusalMemory is how long an entry avoids a backend server whose exit refused
-// as ejected. The exit enforces the ejection; this only saves the extra hop.
+// as ejected, leaving or stopping. The exit enforces that; this only saves the
+// extra hop, and ends by itself, since nobody tells the entry of a backend server
+// that takes work again.
 const refusalMemory = time.Second
 
 // record updates the statistics of the target with the end of an attempt.
@@ -85,10 +87,8 @@
 		stats.Report(now, a.answer.Load.Queued, a.answer.Load.Wait)
 	}
 	switch a.answer.Result.Code {
-	case pipeline.CodeEjected:
+	case pipeline.CodeEjected, pipeline.CodeBackendLeaving, pipeline.CodeStopping:
 		stats.SetEjected(now.Add(refusalMemory))
-	case pipeline.CodeBackendLeaving, pipeline.CodeStopping:
-		stats.SetLeaving(true)
 	}
 	latency := now.Sub(a.sent)
 	switch {
