demo: test that each caller gets its own whole answer

Cause: nothing tested answers that are cut, late or many at once over real hops. Change: 240 requests through three processes; a third of the answers are cut, a third of the callers leave early, half of the answers have no stated length. HTTP/1.1 callers; the hop between the processes is HTTP/2.

--- /dev/null
+++ b/internal/demo/answers_test.go
@@ -0,0 +1,121 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/internal/fakes"
+)
+
+// answerBytes is large enough that the cut half has left the exit before the cut.
+const answerBytes = 200_000
+
+// answersFleet starts three processes in front of one service whose requests
+// take some time.
+func answersFleet(t *testing.T) *Fleet {
+	t.Helper()
+	f, err := StartFleet(context.Background(), FleetSpec{
+		Zones: []string{"a", "b"},
+		Services: []ServiceSpec{{
+			Name: "lookup", Servers: 3, Time: fakes.FixedTime(20 * time.Millisecond), Worth: 1,
+		}},
+		Teams: []config.Team{NewTeam("blue", "blue-secret", 5000, 5000)},
+		Floor: 0.5,
+	}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// fetch sends a request that its answer repeats, and returns the answer with the
+// error of reading it.
+func fetch(entry, id string, header map[string]string) (resp *http.Response, body []byte, err error) {
+	req, err := http.NewRequest("POST", entry+"/lookup/"+id, strings.NewReader("capsule "+id))
+	if err != nil {
+		return nil, nil, err
+	}
+	req.Header.Set("Authorization", "Bearer blue-secret")
+	req.Header.Set("X-Request-Id", id)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err = http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// checkOwn tells what is wrong with an answer that is presented as whole.
+func checkOwn(id string, resp *http.Response, body []byte) error {
+	if resp.Header.Get("Ragwort-Outcome") != "answered" {
+		if resp.Header.Get("Ragwort-Code") == "" || resp.StatusCode < 400 {
+			return fmt.Errorf("neither an answer nor a coded refusal: status %d", resp.StatusCode)
+		}
+		return nil
+	}
+	_, rest, _ := strings.Cut(string(body), " ")
+	want := fmt.Sprintf("%s POST /lookup/%s\ncapsule %s", id, id, id)
+	if !strings.HasPrefix(rest, want) {
+		return fmt.Errorf("answer begins with %.60q, want %q", rest, want)
+	}
+	if len(rest) != len(want)+answerBytes {
+		return fmt.Errorf("%d of %d bytes presented as a whole answer", len(rest), len(want)+answerBytes)
+	}
+	return nil
+}
+
+// Guards against a part of an answer that is shown as a whole, and against the
+// answer of another request, with stated lengths and with chunks, when a third
+// of the backend servers' answers are cut and a third of the callers leave early.
+func TestEachCallerGetsItsOwnWholeAnswer(t *testing.T) {
+	f := answersFleet(t)
+	for _, m := range f.Members {
+		m.Backend.Change(func(b *fakes.Behavior) { b.CutShare = 1.0 / 3 })
+	}
+	var running sync.WaitGroup
+	var mu sync.Mutex // guards the counts
+	whole, failed := 0, 0
+	for caller := range 12 {
+		running.Go(func() {
+			for i := range 20 {
+				id := fmt.Sprintf("%d-%d", caller, i)
+				header := map[string]string{"X-Answer-Bytes": fmt.Sprint(answerBytes)}
+				if i%2 == 0 {
+					header["X-Answer-Chunked"] = "1"
+				}
+				if i%3 == 0 {
+					header["Ragwort-Timeout-Ms"] = "10" // the answer comes late
+				}
+				resp, body, err := fetch(f.Members[i%3].CallersURL(), id, header)
+				mu.Lock()
+				switch {
+				case err != nil:
+					failed++
+				case checkOwn(id, resp, body) != nil:
+					t.Errorf("request %s: %v", id, checkOwn(id, resp, body))
+				case resp.Header.Get("Ragwort-Outcome") == "answered":
+					whole++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	running.Wait()
+	if whole == 0 || failed == 0 {
+		t.Errorf("%d whole answers and %d cut ones; the test needs both", whole, failed)
+	}
+}
--- a/internal/fakes/backend.go
+++ b/internal/fakes/backend.go
@@ -66,9 +66,10 @@
 const (
 	headerRequestID   = "X-Request-Id"
 	headerIdempotency = "Idempotency-Key"
-	headerAnswerSize  = "X-Answer-Bytes" // asks for an answer with that many bytes more
-	headerShed        = "X-Shed"         // marks a refusal of work that was not run
-	headerDeadline    = "X-Deadline-Ms"  // time left for the request; work stops after it
+	headerAnswerSize  = "X-Answer-Bytes"   // asks for an answer with that many bytes more
+	headerChunked     = "X-Answer-Chunked" // asks for an answer without a stated length
+	headerShed        = "X-Shed"           // marks a refusal of work that was not run
+	headerDeadline    = "X-Deadline-Ms"    // time left for the request; work stops after it
 )
 
 // Record is one received request.
--- a/internal/fakes/backend_answer.go
+++ b/internal/fakes/backend_answer.go
@@ -78,7 +78,9 @@
 	extra, _ := strconv.Atoi(r.Header.Get(headerAnswerSize))
 	answer = append(answer, bytes.Repeat([]byte("x"), max(extra, 0))...)
 	w.Header().Set("Content-Type", "text/plain")
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if r.Header.Get(headerChunked) == "" {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	}
 	if !plan.cut {
 		_, _ = w.Write(answer)
 		return
