ejection: compare evidence with what siblings report of the same time

(1) The simulated exit hid the call in progress of a slot for which another call waited, so a saturated 10x slower server looked idle: this delayed the median. (2) Background failures of siblings counted as a shared cause of slowness. (3) A server on its return was ejected at 9/s by one slow call under the sister firm's load beside evidence from 7 s earlier. (4) Detection at 9/s moved in steps of 1 s. More hours showed also ejections after a partition that had hidden that all servers failed. Change: The simulation shows all calls in progress. Shared causes are counted by symptom, and siblings that are mostly slow count. The newest second, and at least 4 calls, must look bad. Evidence from before the reports of two thirds of the servers came without a loss does not count. Wrongful ejections carry a trace; DebugWrongful is gone.

--- a/decide/ejection/evidence.go
+++ b/decide/ejection/evidence.go
@@ -17,7 +17,8 @@
 	// looksBad is the evidence from which a server counts for MassFailure: two
 	// failed calls. It is low, so that a cause that hits the servers one after
 	// the other is recognized before the first one is ejected. One failed call
-	// looksWeak, which only postpones an ejection while many do.
+	// looksWeak, which only postpones an ejection for the same reason while many
+	// do: failures that come now and then say nothing about slowness.
 	looksBad  = 5.0
 	looksWeak = 2.0
 	// badFailures and badSlow are the least numbers of bad calls that eject: a
@@ -31,9 +32,12 @@
 	// windowAge bounds the sliding windows. It must not exceed memory, or the
 	// end of a failure shared by all would look like a failure of one.
 	windowAge = 10 * time.Second
-	// currentSpan is the time at the end of a window that must be bad, too, so
-	// that a server that has recovered is left alone.
-	currentSpan = time.Second
+	// currentSpan and currentCalls delimit the newest part of a window, whichever
+	// is longer. It must be bad, too, so that a server that has recovered is left
+	// alone. A server on its return gets about one call a second, and one slow or
+	// failed call beside old evidence says nothing about the present.
+	currentSpan  = time.Second
+	currentCalls = 4
 	// lossBurst is the length of a burst of failures that is taken for noise:
 	// evidence must remain beside the reports of the heaviest such span. At
 	// the shortest interval the burst touches four reports.
@@ -137,19 +141,28 @@
 	nats   float64 // strongest evidence
 	reason Reason
 	ejects bool
+	weak   symptoms
 }
 
+// symptoms tells for which reasons a server looks weak.
+type symptoms struct{ failing, slow bool }
+
+func (s symptoms) has(reason Reason) bool {
+	return (reason == Failures && s.failing) || (reason == Slow && s.slow)
+}
+
+func (s symptoms) or(o symptoms) symptoms {
+	return symptoms{failing: s.failing || o.failing, slow: s.slow || o.slow}
+}
+
+// stronger returns the stronger finding with the symptoms of both.
 func stronger(a, b finding) finding {
-	if a.ejects != b.ejects {
-		if a.ejects {
-			return a
-		}
-		return b
-	}
-	if b.nats > a.nats {
-		return b
+	best := a
+	if b.ejects && !a.ejects || b.ejects == a.ejects && b.nats > a.nats {
+		best = b
 	}
-	return a
+	best.weak = a.weak.or(b.weak)
+	return best
 }
 
 // demand is what evidence must reach.
@@ -180,29 +193,31 @@
 }
 
 // examine tests all sliding windows that end with the newest interval, the
-// shortest first, for failures and for slowness.
-func (h *history) examine(now time.Time, base float64, suspect, probation bool) finding {
+// shortest first, for failures and for slowness. Intervals received before the
+// given time are left out.
+func (h *history) examine(now, from time.Time, base float64, suspect, probation bool) finding {
 	if h.used == 0 || now.Sub(h.back(0).at) > currentSpan {
 		return finding{}
 	}
 	var found finding
 	if h.back(0).failing() {
-		found = h.scan(base, Failures, demandOf(Failures, suspect, probation))
+		found = h.scan(from, base, Failures, demandOf(Failures, suspect, probation))
 	}
 	if h.back(0).slowing() {
-		found = stronger(found, h.scan(0, Slow, demandOf(Slow, suspect, probation)))
+		found = stronger(found, h.scan(from, 0, Slow, demandOf(Slow, suspect, probation)))
 	}
 	return found
 }
 
-func (h *history) scan(base float64, reason Reason, d demand) finding {
+func (h *history) scan(from time.Time, base float64, reason Reason, d demand) finding {
 	found := finding{reason: reason}
 	w := window{reason: reason}
-	current := true // the last currentSpan is bad too
+	current := true // the newest part is bad too
 	for k := range h.used {
 		in := h.back(k)
 		age := h.back(0).at.Sub(in.at)
-		if age > windowAge || (age > currentSpan && !current) {
+		isCurrent := age <= currentSpan || w.all.calls < currentCalls
+		if age > windowAge || in.at.Before(from) || (!isCurrent && !current) {
 			break
 		}
 		counted := in.ended
@@ -211,10 +226,13 @@
 			counted.add(in.running)
 		}
 		w.add(in, counted)
-		current = w.badShare() >= w.leastShare()
 		nats := w.evidence(base)
+		if isCurrent {
+			current = w.looksWeak(nats)
+			found.noteWeak(current)
+		}
 		found.nats = max(found.nats, nats)
-		if nats >= d.nats && w.all.bad >= d.calls && w.sustained(base, d.nats) {
+		if current && nats >= d.nats && w.all.bad >= d.calls && w.sustained(base, d.nats) {
 			found.ejects = true
 			return found
 		}
@@ -222,6 +240,12 @@
 	return found
 }
 
+func (f *finding) noteWeak(weak bool) {
+	if weak {
+		f.weak = f.weak.or(symptoms{failing: f.reason == Failures, slow: f.reason == Slow})
+	}
+}
+
 // part is a sum of intervals.
 type part struct {
 	calls  uint32
@@ -294,6 +318,14 @@
 	}
 }
 
+// looksWeak tells whether the calls look bad now. A server that most calls find
+// slow does, even where the evidence for a factor above SlowFactor is small: the
+// siblings of a slow server that are nearly as slow speak for a shared cause.
+func (w *window) looksWeak(nats float64) bool {
+	manySlow := w.reason == Slow && w.all.bad >= currentCalls && w.badShare() >= slowShare
+	return nats >= looksWeak || manySlow
+}
+
 // evidence is 0 while too small a share of the calls is bad.
 func (w *window) evidence(base float64) float64 {
 	if w.badShare() < w.leastShare() {
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -28,6 +28,7 @@
 	refs     []reference // by class
 	dirty    bool        // reports came since refs were made
 	hold     time.Time   // no ejections until then
+	heard    time.Time   // evidence from before has no siblings to compare with
 	scratch  []*track
 	sorted   []float64
 }
@@ -74,6 +75,9 @@
 		return
 	}
 	s.lapse(now)
+	if r.Seq != s.seq+1 {
+		s.since = now
+	}
 	s.seen, s.seq = now, r.Seq
 	s.suspect, s.leaving = r.Suspect, r.Leaving
 	s.learn(now, r)
@@ -123,12 +127,10 @@
 	}
 	j.refreshReferences(now)
 	j.restoreCapacity(now)
-	worst, mass := j.survey(now)
-	verdicts := append(j.renew(now, mass), j.ask()...)
-	if mass {
-		return verdicts
-	}
-	if v, ok := j.eject(now, worst); ok {
+	j.heard = j.heardSince()
+	result := j.survey(now)
+	verdicts := append(j.renew(now, result), j.ask()...)
+	if v, ok := j.eject(now, result); ok {
 		verdicts = append(verdicts, v)
 	}
 	return verdicts
@@ -208,20 +210,20 @@
 }
 
 // renew answers the reports of servers that do not take their full share.
-func (j *Judge) renew(now time.Time, mass bool) []Verdict {
+func (j *Judge) renew(now time.Time, result survey) []Verdict {
 	var verdicts []Verdict
 	for _, s := range j.servers {
 		if s.phase == serving || !s.fresh() {
 			continue
 		}
-		changed := j.progress(now, s, mass)
+		changed := j.progress(now, s, result)
 		verdicts = append(verdicts, s.verdict(now, j.epoch, !changed))
 	}
 	return verdicts
 }
 
 // progress moves an ejection on. It returns whether something changed.
-func (j *Judge) progress(now time.Time, s *server, mass bool) bool {
+func (j *Judge) progress(now time.Time, s *server, result survey) bool {
 	switch s.phase {
 	case restoring:
 		return s.restored == 0
@@ -232,7 +234,7 @@
 		s.advance(now)
 		return true
 	}
-	if found := j.examine(now, s); found.ejects && !mass {
+	if found := j.examine(now, s); found.ejects && !result.mass(found.reason) {
 		s.eject(now, found.reason)
 		return true
 	}
@@ -254,13 +256,13 @@
 			continue
 		}
 		classBase := j.refs[class].failureBaseOf()
-		found = stronger(found, t.examine(now, classBase, s.suspect, probation))
+		found = stronger(found, t.examine(now, j.heard, classBase, s.suspect, probation))
 		base = max(base, classBase)
 	}
 	if base == 0 {
 		return finding{} // no siblings to compare with
 	}
-	return stronger(found, s.all.examine(now, base, s.suspect, probation))
+	return stronger(found, s.all.examine(now, j.heard, base, s.suspect, probation))
 }
 
 // suspect is a server that may be ejected.
@@ -269,34 +271,76 @@
 	finding
 }
 
-// survey returns the server with the strongest evidence, if it suffices, and
-// whether so many look bad, or did lately, that the cause lies elsewhere. Until
-// the reference has followed such a failure, a server that is only somewhat
+func (s suspect) cause() Reason { return s.finding.reason }
+
+// survey is the view over all servers at one moment.
+type survey struct {
+	worst   suspect // strongest evidence that suffices, without server if none
+	limit   float64 // number of servers
+	failing int     // servers that look weak for a reason, or are ejected
+	slow    int
+	hold    bool
+}
+
+// mass tells whether so many servers look bad for the same reason, or looked bad
+// lately, that the cause lies elsewhere.
+func (v *survey) mass(reason Reason) bool {
+	weak := v.failing
+	if reason == Slow {
+		weak = v.slow
+	}
+	return v.hold || float64(weak) > v.limit
+}
+
+// survey examines all servers. After a failure shared by many it holds back all
+// ejections until the reference has followed: a server that is only somewhat
 // slower than the others would stand out.
-func (j *Judge) survey(now time.Time) (worst suspect, mass bool) {
-	weak, bad, out, reporting := 0, 0, 0, 0
+func (j *Judge) survey(now time.Time) survey {
+	var v survey
+	bad, reporting := 0, 0
 	for _, s := range j.servers {
 		if !s.reportedLately(now, j.settings.Lately) {
 			continue
 		}
 		reporting++
 		if s.phase == ejected {
-			out++
+			v.failing++
+			v.slow++
 			continue
 		}
 		found := j.examine(now, s)
 		s.noteEvidence(now, found.nats)
-		weak += boolToInt(found.nats >= looksWeak)
+		v.failing += boolToInt(found.weak.failing)
+		v.slow += boolToInt(found.weak.slow)
 		bad += boolToInt(found.nats >= looksBad)
-		if s.phase == serving && found.ejects && s.fresh() && found.nats > worst.nats {
-			worst = suspect{s, found}
+		if s.phase == serving && found.ejects && s.fresh() && found.nats > v.worst.nats {
+			v.worst = suspect{s, found}
 		}
 	}
-	limit := MassFailure * float64(reporting)
-	if float64(bad) > limit {
+	v.limit = MassFailure * float64(reporting)
+	if float64(bad) > v.limit {
 		j.hold = now.Add(memory)
 	}
-	return worst, float64(weak+out) > limit || now.Before(j.hold)
+	v.hold = now.Before(j.hold)
+	return v
+}
+
+// heardSince returns the time from which the reports of enough servers have come
+// without a loss. When most reports were lost, a failure shared by all looks like
+// a failure of the servers that were heard.
+func (j *Judge) heardSince() time.Time {
+	var since []time.Time
+	for _, s := range j.servers {
+		if !s.isLeaving() && !s.seen.IsZero() {
+			since = append(since, s.since)
+		}
+	}
+	if len(since) == 0 {
+		return time.Time{}
+	}
+	sort.Slice(since, func(a, b int) bool { return since[a].Before(since[b]) })
+	missing := int(MassFailure * float64(len(since)))
+	return since[len(since)-1-missing]
 }
 
 // ask asks the silent siblings of servers that look bad for a report. Quiet
@@ -340,11 +384,12 @@
 }
 
 // eject takes a server out if its siblings are known and the floor allows it.
-func (j *Judge) eject(now time.Time, worst suspect) (Verdict, bool) {
-	if worst.server == nil || !j.compared(worst.badSince) || !j.floorAllows(now, worst.server) {
+func (j *Judge) eject(now time.Time, result survey) (Verdict, bool) {
+	worst := result.worst
+	if worst.server == nil || result.mass(worst.cause()) || !j.compared(worst.badSince) || !j.floorAllows(now, worst.server) {
 		return Verdict{}, false
 	}
-	worst.server.eject(now, worst.finding.reason)
+	worst.server.eject(now, worst.cause())
 	return worst.verdict(now, j.epoch, false), true
 }
 
--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -38,6 +38,7 @@
 	state    ServerState
 	seen     time.Time // receipt of the last report, zero before the first
 	seq      uint64    // of the last report
+	since    time.Time // receipt of the first report after the last lost one
 	answered uint64    // report that the last verdict answered
 	cold     bool      // compared leniently, and no part of the healthy capacity
 	life     uint32    // of the last report, see Report.Life
--- a/internal/measure/ejection.go
+++ b/internal/measure/ejection.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"sort"
@@ -32,20 +33,42 @@
 func EjectionCase(hours, onsets int) Case {
 	return Case{Name: "ejection", Run: func(seed uint64) []Row {
 		var rows []Row
-		for _, d := range ejectionDeployments {
-			for _, load := range ejectionLoads {
-				rows = append(rows, detectionRows(d, load, onsets, seed)...)
-				rows = append(rows, wrongfulRows(d, load, hours, seed)...)
-			}
+		for _, p := range ejectionParts(hours, onsets) {
+			rows = append(rows, p.run(seed)...)
 		}
-		return append(rows, reportSizeRows(seed)...)
+		return rows
 	}}
 }
 
+// ejectionPart is a part of the case that runs by itself.
+type ejectionPart struct {
+	name string
+	run  func(seed uint64) []Row
+}
+
+func ejectionParts(hours, onsets int) []ejectionPart {
+	var parts []ejectionPart
+	for _, d := range ejectionDeployments {
+		for _, load := range ejectionLoads {
+			parts = append(parts,
+				ejectionPart{d.name + " detection " + load.name, func(seed uint64) []Row {
+					return detectionRows(d, load, onsets, seed)
+				}},
+				ejectionPart{d.name + " wrongful " + load.name, func(seed uint64) []Row {
+					return wrongfulRows(d, load, hours, seed)
+				}})
+		}
+	}
+	return append(parts, ejectionPart{"report size", reportSizeRows})
+}
+
+// policyMaker returns a new policy for one service.
+type policyMaker func(serviceSpec, ejection.Settings) simPolicy
+
 // ejectionPolicies are the policy of this project and the baselines.
 var ejectionPolicies = []struct {
 	name string
-	make func(serviceSpec, ejection.Settings) simPolicy
+	make policyMaker
 }{
 	{"ragwortyard", func(spec serviceSpec, s ejection.Settings) simPolicy { return newFleetPolicy(spec, s) }},
 	{"five consecutive failures", newFiveFailures},
@@ -163,15 +186,7 @@
 		if policy.name != "ragwortyard" {
 			n = max(1, hours/baselineHours)
 		}
-		results := parallel(n, func(i int) hourResult {
-			spec := d.services[i%len(d.services)]
-			h := newEjectionHour(ejectionRand(seed, 1_000_000+i), spec, load, policy.make(spec, load.settings))
-			return h.run()
-		})
-		var total hourResult
-		for _, r := range results {
-			total.add(r)
-		}
+		total := runHours(d, load, policy.make, n, seed)
 		wrongful := Row{
 			Case: "ejection", Deployment: d.name, Policy: policy.name, Fault: "seeded hours, " + load.name,
 			Metric: "healthy servers wrongly ejected", Value: float64(total.wrongful) / float64(n),
@@ -182,6 +197,7 @@
 		caught.Value = float64(total.caught) / float64(max(1, total.gray))
 		if policy.name == "ragwortyard" {
 			wrongful.Target, wrongful.Pass = "none", total.wrongful == 0
+			wrongful.Trace = total.traces
 		}
 		span := wrongful
 		span.Metric, span.Value, span.Unit, span.Target, span.Pass = "hours run", float64(n), "h", "", true
@@ -190,6 +206,24 @@
 	return rows
 }
 
+// runHours runs a number of seeded hours under one policy and adds them up.
+func runHours(d deploymentSpec, load ejectionLoad, make policyMaker, hours int, seed uint64) hourResult {
+	results := parallel(hours, func(i int) hourResult {
+		spec := d.services[i%len(d.services)]
+		h := newEjectionHour(ejectionRand(seed, 1_000_000+i), spec, load, make(spec, load.settings))
+		r := h.run()
+		for k := range r.traces {
+			r.traces[k] = fmt.Sprintf("hour %d: %s", i, r.traces[k])
+		}
+		return r
+	})
+	var total hourResult
+	for _, r := range results {
+		total.add(r)
+	}
+	return total
+}
+
 // reportSizeRows gives the size in JSON of a report as an exit sends it when
 // nothing is wrong, and what the reports of 11 servers cost a node.
 func reportSizeRows(seed uint64) []Row {
--- a/internal/measure/ejection_hour.go
+++ b/internal/measure/ejection_hour.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"fmt"
 	"math/rand/v2"
 )
 
@@ -30,15 +31,17 @@
 
 // hourResult counts what an ejection policy did in seeded hours.
 type hourResult struct {
-	wrongful int // ejections of healthy servers
-	gray     int // gray failures brought about
-	caught   int // of them ejected while gray
+	wrongful int      // ejections of healthy servers
+	gray     int      // gray failures brought about
+	caught   int      // of them ejected while gray
+	traces   []string // one for each wrongful ejection, with what disturbed the server
 }
 
 func (r *hourResult) add(o hourResult) {
 	r.wrongful += o.wrongful
 	r.gray += o.gray
 	r.caught += o.caught
+	r.traces = append(r.traces, o.traces...)
 }
 
 // ejectionHour is a service under disturbances for an hour.
@@ -88,9 +91,7 @@
 	switch {
 	case !h.rightful[server].holds(t):
 		h.result.wrongful++
-		if DebugWrongful != nil {
-			DebugWrongful(h, server)
-		}
+		h.result.traces = append(h.result.traces, h.describe(server, t))
 	case !h.caught[server] && h.world.servers[server].gray.holds(t):
 		h.caught[server] = true
 		h.result.caught++
@@ -239,4 +240,32 @@
 	}
 }
 
-var DebugWrongful func(h *ejectionHour, server int)
+// describe names the disturbances of a server within noiseGap before t, to trace
+// a wrongful ejection.
+func (h *ejectionHour) describe(server int, t float64) string {
+	s := &h.world.servers[server]
+	text := fmt.Sprintf("%s server %d at %.1f s", h.world.spec.name, server, t)
+	named := []struct {
+		name string
+		span span
+	}{
+		{"gray", s.gray},
+		{"burst", s.burst},
+		{"pause", s.pause},
+		{"sister load", s.sister},
+		{"few calls", s.quiet},
+		{"bad health check", s.suspect},
+		{"exit paused", s.frozen},
+		{"reports lost", s.mute},
+		{"verdicts lost", s.deaf},
+	}
+	for _, n := range named {
+		if n.span.from <= t && n.span.to > t-noiseGap {
+			text += fmt.Sprintf(", %s %.1f to %.1f s", n.name, n.span.from, n.span.to)
+		}
+	}
+	if s.started >= 0 {
+		text += fmt.Sprintf(", started at %.1f s", s.started)
+	}
+	return text
+}
--- a/internal/measure/ejection_world.go
+++ b/internal/measure/ejection_world.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
@@ -84,8 +85,9 @@
 
 // simServer is one backend server with what happens to it.
 type simServer struct {
-	speed    float64 // factor on latency, servers differ a little
-	slots    [ejectionSlots]simSlot
+	speed    float64                // factor on latency, servers differ a little
+	slots    [ejectionSlots]float64 // end of the last call given to each slot
+	calls    []simSpan              // calls that have not ended, those that wait for their slot included
 	pending  [pendingIntervals][]simCall
 	progress []ejection.Running // reused by running
 
@@ -107,8 +109,8 @@
 	deaf     span    // verdicts are lost
 }
 
-// simSlot is the last call of a slot.
-type simSlot struct {
+// simSpan is the time that a call takes at its server.
+type simSpan struct {
 	begin, end float64
 	class      uint8
 }
@@ -188,6 +190,7 @@
 			p.call(now, i, c)
 		}
 		*due = (*due)[:0]
+		s.dropEnded(w.now())
 	}
 	return p.tick(now, w)
 }
@@ -220,7 +223,7 @@
 		return
 	}
 	slot := s.freeSlot()
-	begin := max(t, s.slots[slot].end)
+	begin := max(t, s.slots[slot])
 	if begin-t > slotWait {
 		return
 	}
@@ -230,26 +233,33 @@
 	if w.fails(s, t, begin+latency, c.class) || (stalled > 0 && latency > callTimeout) {
 		c.outcome = ejection.Failure
 	}
-	s.slots[slot] = simSlot{begin, begin + latency, c.class}
+	s.slots[slot] = begin + latency
+	s.calls = append(s.calls, simSpan{begin, begin + latency, c.class})
 	w.complete(s, c, begin, begin+latency)
 }
 
 func (s *simServer) freeSlot() int {
 	best := 0
 	for i := 1; i < ejectionSlots; i++ {
-		if s.slots[i].end < s.slots[best].end {
+		if s.slots[i] < s.slots[best] {
 			best = i
 		}
 	}
 	return best
 }
 
-// running returns the calls in progress.
+// dropEnded forgets the calls that have ended.
+func (s *simServer) dropEnded(t float64) {
+	s.calls = slices.DeleteFunc(s.calls, func(c simSpan) bool { return c.end <= t })
+}
+
+// running returns the calls in progress. A call that waits for a slot does not
+// hide the call that runs in it.
 func (s *simServer) running(t float64) []ejection.Running {
 	calls := s.progress[:0]
-	for _, slot := range s.slots {
-		if slot.begin <= t && slot.end > t {
-			calls = append(calls, ejection.Running{Class: simClasses[slot.class], Since: simTime(slot.begin)})
+	for _, c := range s.calls {
+		if c.begin <= t {
+			calls = append(calls, ejection.Running{Class: simClasses[c.class], Since: simTime(c.begin)})
 		}
 	}
 	s.progress = calls
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -19,6 +19,8 @@
 	Unit       string  `json:"unit"`
 	Target     string  `json:"target"` // the stated target, "" for baselines and context
 	Pass       bool    `json:"pass"`   // true where there is no target
+	// Trace names the seeded moments that missed the target, to look into them.
+	Trace []string `json:"trace,omitempty"`
 }
 
 // Case is one named measurement.
