--- /dev/null
+++ b/decide/membership/example_test.go
@@ -0,0 +1,37 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/membership"
+)
+
+// A process that gets no Ack, neither directly nor through others, suspects the
+// peer. The peer stays a member until the host list drops it.
+func ExampleTable() {
+	now := time.Unix(1000, 0)
+	table := membership.New(membership.Options{Self: "a", Incarnation: 1, Rand: rand.New(rand.NewPCG(1, 1))})
+	table.OnHostList(now, membership.HostList{Version: 1, Hosts: []membership.Host{
+		{ID: "a", Zone: "north"},
+		{ID: "b", Zone: "south"},
+	}})
+	for end := now.Add(2 * time.Second); now.Before(end); now = table.Next() {
+		for _, action := range table.Tick(now) {
+			switch a := action.(type) {
+			case membership.SendPing: // sent to a.To; the Ack would go to OnAck
+			case membership.Suspected:
+				fmt.Println("suspected:", a.ID)
+			}
+		}
+	}
+	view := table.View()
+	fmt.Println("members:", len(view.Members), "try last:", view.Suspect["b"])
+	table.OnHeard(now, "b") // b answered another message
+	fmt.Println("try last:", table.View().Suspect["b"])
+	// Output:
+	// suspected: b
+	// members: 2 try last: true
+	// try last: false
+}
