decide/quota: ask only for tokens that are missing and wait for the next one

Cause: A holder whose grant had arrived asked again before the waiting request was settled, so each request that waited took a second token that was mostly lost. A keeper gave each asker a later time to ask again although one request asks all parts, and requests were refused when no part opened within 20 ms. Change: Tokens at hand count against the asks for waiting requests. The times to ask again advance by 1/rate over all parts. Requests wait for a token as long as one is due within their 250 ms; as many may wait as the rate serves in that time, so a team over its rate is still refused at once.

--- /dev/null
+++ b/decide/lease/example_test.go
@@ -0,0 +1,37 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+)
+
+// Two of three witnesses suffice to keep a shard. The hold ends by itself when
+// the candidate does not renew it.
+func Example() {
+	start := time.Unix(0, 0)
+	members := []rendezvous.Member{{ID: "a", Zone: "1"}, {ID: "b", Zone: "2"}, {ID: "c", Zone: "3"}}
+	placement := lease.NewPlacement(members)
+	witnesses := make(map[string]*lease.Witness)
+	for _, m := range members {
+		witnesses[m.ID] = lease.NewWitness(m.ID, start)
+	}
+	const shard = 7
+	first := placement.Witnesses(shard)[0].ID
+	down := placement.Witnesses(shard)[2].ID
+	candidate := lease.NewCandidate(lease.CandidateID{Host: first, Incarnation: 1}, start, placement, witnesses[first])
+
+	now := start.Add(lease.StartSilence)
+	for _, request := range candidate.Tick(now) {
+		if request.Witness != down {
+			candidate.OnReply(now, witnesses[request.Witness].Promise(now, request))
+		}
+	}
+	fmt.Println(candidate.Holds(now, shard), candidate.Epoch(now, shard) > 0)
+	fmt.Println(candidate.Holds(now.Add(lease.HoldTime), shard))
+	// Output:
+	// true true
+	// false
+}
--- a/decide/quota/bucket.go
+++ b/decide/quota/bucket.go
@@ -26,14 +26,15 @@
 	burst  float64
 	total  float64 // cap of level plus outstanding
 	grants float64 // cap of outstanding
+	parts  int     // into how many parts the limit is divided
 	held   bool    // below the limit of the part for a time
 }
 
 // newRules halves the burst while grants of the previous tenure may be
 // outstanding: they may amount to the other half. A burst below 2 is granted as
 // a whole, so nothing is left of it meanwhile.
-func newRules(part Limit, recovering bool) rules {
-	r := rules{rate: part.Rate, burst: part.Burst, total: part.Burst, grants: part.Burst / 2, held: recovering}
+func newRules(part Limit, parts int, recovering bool) rules {
+	r := rules{parts: parts, rate: part.Rate, burst: part.Burst, total: part.Burst, grants: part.Burst / 2, held: recovering}
 	whole := part.Burst < 2
 	switch {
 	case whole && recovering:
@@ -210,7 +211,8 @@
 		return empty, maxRetry
 	}
 	next := b.at + seconds((1-b.level)/r.rate)
-	b.retryAt = max(next, b.retryAt+seconds(1/r.rate))
+	// A request that waits asks all parts and is served by one of them.
+	b.retryAt = max(next, b.retryAt+seconds(1/(r.rate*float64(r.parts))))
 	b.retryAt = min(b.retryAt, b.at+maxRetry)
 	return empty, max(b.retryAt-b.at, minRetry)
 }
--- /dev/null
+++ b/decide/quota/example_test.go
@@ -0,0 +1,73 @@
+package quota_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/lease"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+)
+
+// A process that keeps all shards by itself admits a burst of two requests and
+// refuses the third. In a fleet, asks and grants are messages.
+func Example() {
+	start := time.Unix(0, 0)
+	placement := lease.NewPlacement([]rendezvous.Member{{ID: "host"}})
+	witness := lease.NewWitness("host", start)
+	candidate := lease.NewCandidate(lease.CandidateID{Host: "host", Incarnation: 1}, start, placement, witness)
+	now := start.Add(lease.StartSilence)
+	for _, request := range candidate.Tick(now) {
+		candidate.OnReply(now, witness.Promise(now, request))
+	}
+
+	limit := quota.Limit{Rate: 2, Burst: 2, Version: 1}
+	keeper := quota.NewKeeper(1, start, candidate)
+	keeper.SetLimit(start, "team", limit)
+	id := quota.HolderID{Host: "host", Incarnation: 1}
+	holder := quota.NewHolder(id, "zone", "team", limit, start, lease.NewDirectory(placement))
+
+	// A new keeper starts empty and cautiously; the bucket is full after 5 s.
+	for range 5 {
+		now = now.Add(time.Second)
+		for _, request := range candidate.Tick(now) {
+			candidate.OnReply(now, witness.Promise(now, request))
+		}
+		keeper.Tick(now)
+	}
+	for request := range uint64(3) {
+		decision := holder.Take(now)
+		if decision == quota.AskFirst {
+			decision = holder.Join(now, request, now.Add(time.Second))
+		}
+		for {
+			ask, ok := holder.NeedAsk(now)
+			if !ok {
+				break
+			}
+			holder.OnGrant(now, keeper.Grant(now, ask))
+		}
+		for _, settled := range holder.Settle(now) {
+			decision = settled.Decision
+		}
+		fmt.Println(request, decision == quota.Admit)
+	}
+	// Output:
+	// 0 true
+	// 1 true
+	// 2 false
+}
+
+// Requests spend tokens at hand without the goroutine that owns the holder.
+func ExampleShare_Take() {
+	now := time.Unix(0, 0)
+	id := quota.HolderID{Host: "host", Incarnation: 1}
+	holder := quota.NewHolder(id, "zone", "team", quota.Limit{Rate: 10, Burst: 10, Version: 1}, now, oneKeeper{})
+	holder.Join(now, 1, now.Add(time.Second))
+	ask, _ := holder.NeedAsk(now)
+	holder.OnGrant(now, quota.Grant{Key: ask.Key, Holder: ask.Holder, Seq: ask.Seq, Tokens: 2})
+	holder.Settle(now)
+	share := holder.Share()
+	fmt.Println(share.Take(now) == quota.Admit, share.Take(now) == quota.AskFirst)
+	// Output: true true
+}
--- a/decide/quota/holder.go
+++ b/decide/quota/holder.go
@@ -29,11 +29,9 @@
 	// that is not the keeper: each rank that may keep the shard once.
 	maxRedirects = lease.CandidateRanks
 
-	// patience is the longest time that requests wait for a part whose keeper has
-	// no token. Beyond it they are refused.
-	patience = 20 * time.Millisecond
-
-	// maxWait is the longest time that a request waits for a token.
+	// maxWait is the longest time that a request waits for a token. A keeper
+	// counts tokens that were spent less than about 100 ms ago as outstanding, so
+	// its bucket runs behind one that sees every request; waiting makes up for it.
 	maxWait = 250 * time.Millisecond
 
 	// demandSpan is the time over which demand is averaged, and demandSample the
@@ -175,7 +173,7 @@
 			return Admit
 		}
 	}
-	if int64(since) < h.share.refuseUntil.Load() {
+	if int64(since) < h.share.refuseUntil.Load() || h.denied() && len(h.waiters) >= h.room() {
 		return Refuse
 	}
 	end := min(h.since(deadline), since+maxWait)
@@ -192,7 +190,8 @@
 	since := h.since(now)
 	var settled []Settled
 	kept := h.waiters[:0]
-	exhausted := h.exhausted(since)
+	exhausted := h.exhausted()
+	open := h.nextOpen()
 	for _, w := range h.waiters {
 		if since < w.deadline {
 			if _, ok := h.share.spend(since); ok {
@@ -200,19 +199,25 @@
 				continue
 			}
 		}
-		if exhausted || since >= w.deadline {
+		if since >= w.deadline || exhausted && (open >= w.deadline || len(kept) >= h.room()) {
 			settled = append(settled, Settled{ID: w.id, Decision: h.refusal()})
 			continue
 		}
 		kept = append(kept, w)
 	}
 	h.waiters = kept
-	if exhausted {
-		h.share.refuseUntil.Store(int64(h.nextOpen()))
+	if exhausted && (open >= since+maxWait || len(kept) >= h.room()) {
+		h.share.refuseUntil.Store(int64(open))
 	}
 	return settled
 }
 
+// room is how many requests may wait while the keepers have no token: as many as
+// the rate of the whole fleet could serve in the time that they wait.
+func (h *Holder) room() int {
+	return 1 + int(h.limit.Rate*maxWait.Seconds())
+}
+
 // NeedAsk returns the next ask that is due. Call it until ok is false: after
 // Join, OnGrant and an observed request, and when Wake has come.
 func (h *Holder) NeedAsk(now time.Time) (ask Ask, ok bool) {
@@ -404,10 +409,13 @@
 	}
 }
 
-// shortfall counts the waiting requests for which no token is on its way. An
-// ask that is late no longer counts as on its way.
+// shortfall counts the waiting requests for which no token is at hand or on its
+// way. An ask that is late no longer counts as on its way.
 func (h *Holder) shortfall(since time.Duration) int {
 	need := len(h.waiters)
+	for i := range h.slots {
+		need -= h.share.left(i, since)
+	}
 	for i := range h.parts {
 		ask := h.parts[i].ask
 		if ask.seq != 0 && since < ask.sent+hedgeAfter {
@@ -504,16 +512,16 @@
 	return -1
 }
 
-// exhausted tells that the keepers of all parts have no token, no ask is under
-// way and no part may be asked soon. A part without a reachable keeper leaves
-// open whether the team is over its rate.
-func (h *Holder) exhausted(since time.Duration) bool {
+// exhausted tells that the keepers of all parts have no token and no ask is under
+// way. A part without a reachable keeper leaves open whether the team is over its
+// rate.
+func (h *Holder) exhausted() bool {
 	for i := range h.parts {
 		if h.parts[i].ask.seq != 0 {
 			return false
 		}
 	}
-	return h.denied() && h.nextOpen() > since+patience
+	return h.denied()
 }
 
 // denied tells whether the keepers of all parts answered that they have no
--- a/decide/quota/keeper.go
+++ b/decide/quota/keeper.go
@@ -270,12 +270,13 @@
 
 // rules returns what holds for a bucket from a moment on.
 func (k *Keeper) rules(t *table, key Key, at time.Duration) rules {
-	whole := k.limits[key.Team].Part(key.Part)
+	team := k.limits[key.Team]
+	whole := team.Part(key.Part)
 	limit := whole
 	if c, ok := k.changes[key.Team]; ok && at < c.until {
 		limit = lower(limit, c.ceiling[key.Part])
 	}
-	r := newRules(limit, at < t.recoverUntil)
+	r := newRules(limit, Parts(team.Rate, team.Burst), at < t.recoverUntil)
 	r.held = r.held || limit != whole
 	return r
 }
