--- a/decide/ejection/evidence.go
+++ b/decide/ejection/evidence.go
@@ -39,8 +39,8 @@
 	currentSpan  = time.Second
 	currentCalls = 4
 	// lossBurst is the length of a burst of failures that is taken for noise:
-	// evidence must remain beside the reports of the heaviest such span. At
-	// the shortest interval the burst touches four reports.
+	// evidence must remain beside the reports that the heaviest such burst can
+	// touch: four at an interval of 100 ms, two at 300 ms and above.
 	lossBurst = 300 * time.Millisecond
 	// pauseSpan is the least time between the first and last slow interval: the
 	// length of a pause that is taken for noise.
@@ -142,6 +142,8 @@
 	reason Reason
 	ejects bool
 	weak   symptoms
+	// mostlySlow is true when most calls are slow now, by however little.
+	mostlySlow bool
 }
 
 // symptoms tells for which reasons a server looks weak.
@@ -162,6 +164,7 @@
 		best = b
 	}
 	best.weak = a.weak.or(b.weak)
+	best.mostlySlow = a.mostlySlow || b.mostlySlow
 	return best
 }
 
@@ -192,32 +195,47 @@
 	return min(max(failureBase, failureFactor*r.failures), 1)
 }
 
+// scope is what a judge tells the test of a server.
+type scope struct {
+	from      time.Time     // intervals received before are left out
+	burstSpan time.Duration // see burstSpanOf
+}
+
+// burstSpanOf returns the time between the first and the last report that a burst
+// of failures can touch: lossBurst, rounded up to whole report intervals.
+func burstSpanOf(reportInterval time.Duration) time.Duration {
+	intervals := (lossBurst + reportInterval - 1) / reportInterval
+	return intervals * reportInterval
+}
+
 // examine tests all sliding windows that end with the newest interval, the
-// shortest first, for failures and for slowness. Intervals received before the
-// given time are left out.
-func (h *history) examine(now, from time.Time, base float64, suspect, probation bool) finding {
+// shortest first, for failures and for slowness.
+func (h *history) examine(now time.Time, sc scope, base float64, suspect, probation bool) finding {
 	if h.used == 0 || now.Sub(h.back(0).at) > currentSpan {
 		return finding{}
 	}
 	var found finding
 	if h.back(0).failing() {
-		found = h.scan(from, base, Failures, demandOf(Failures, suspect, probation))
+		found = h.scan(sc, base, Failures, demandOf(Failures, suspect, probation))
 	}
 	if h.back(0).slowing() {
-		found = stronger(found, h.scan(from, 0, Slow, demandOf(Slow, suspect, probation)))
+		found = stronger(found, h.scan(sc, 0, Slow, demandOf(Slow, suspect, probation)))
 	}
 	return found
 }
 
-func (h *history) scan(from time.Time, base float64, reason Reason, d demand) finding {
+func (h *history) scan(sc scope, base float64, reason Reason, d demand) finding {
 	found := finding{reason: reason}
 	w := window{reason: reason}
+	if reason == Failures {
+		w.burstSpan = sc.burstSpan
+	}
 	current := true // the newest part is bad too
 	for k := range h.used {
 		in := h.back(k)
 		age := h.back(0).at.Sub(in.at)
 		isCurrent := age <= currentSpan || w.all.calls < currentCalls
-		if age > windowAge || in.at.Before(from) || (!isCurrent && !current) {
+		if age > windowAge || in.at.Before(sc.from) || (!isCurrent && !current) {
 			break
 		}
 		counted := in.ended
@@ -228,8 +246,9 @@
 		w.add(in, counted)
 		nats := w.evidence(base)
 		if isCurrent {
-			current = w.looksWeak(nats)
+			current = nats >= looksWeak || w.mostlySlow()
 			found.noteWeak(current)
+			found.mostlySlow = found.mostlySlow || w.mostlySlow()
 		}
 		found.nats = max(found.nats, nats)
 		if current && nats >= d.nats && w.all.bad >= d.calls && w.sustained(base, d.nats) {
@@ -268,14 +287,15 @@
 // window is one sliding window of the test for one reason. It grows from the
 // newest interval backward.
 type window struct {
-	reason   Reason
-	all      part
-	heaviest part // the span of one burst with the most weight
-	burst    part // the span of one burst that ends with the oldest interval
-	recent   [burstKept]part
-	times    [burstKept]time.Time
-	first    int // index of the newest interval in burst
-	next     int
+	reason    Reason
+	burstSpan time.Duration // between the first and last report that a burst touches
+	all       part
+	heaviest  part // the span of one burst with the most weight
+	burst     part // the span of one burst that ends with the oldest interval
+	recent    [burstKept]part
+	times     [burstKept]time.Time
+	first     int // index of the newest interval in burst
+	next      int
 
 	newest, oldest time.Time // receipt of bad intervals
 }
@@ -302,10 +322,7 @@
 
 // slideBurst moves the span of a burst to the next older interval.
 func (w *window) slideBurst(at time.Time, p part) {
-	span := lossBurst
-	if w.reason == Slow {
-		span = 0
-	}
+	span := w.burstSpan
 	for w.first < w.next && (w.times[w.first%burstKept].Sub(at) > span || w.next-w.first == burstKept) {
 		w.burst.subtract(w.recent[w.first%burstKept])
 		w.first++
@@ -318,12 +335,11 @@
 	}
 }
 
-// looksWeak tells whether the calls look bad now. A server that most calls find
-// slow does, even where the evidence for a factor above SlowFactor is small: the
-// siblings of a slow server that are nearly as slow speak for a shared cause.
-func (w *window) looksWeak(nats float64) bool {
-	manySlow := w.reason == Slow && w.all.bad >= currentCalls && w.badShare() >= slowShare
-	return nats >= looksWeak || manySlow
+// mostlySlow tells whether most of several calls are slow, even where the
+// evidence for a factor above SlowFactor is small: the siblings of a slow server
+// that are nearly as slow speak for a shared cause.
+func (w *window) mostlySlow() bool {
+	return w.reason == Slow && w.all.bad >= currentCalls && w.badShare() >= slowShare
 }
 
 // evidence is 0 while too small a share of the calls is bad.
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -249,6 +249,7 @@
 // one class only is gray as well.
 func (j *Judge) examine(now time.Time, s *server) finding {
 	probation := s.phase == returning
+	sc := scope{from: j.heard, burstSpan: burstSpanOf(j.settings.ReportInterval)}
 	var found finding
 	var base float64
 	for class, t := range s.tracks {
@@ -256,13 +257,13 @@
 			continue
 		}
 		classBase := j.refs[class].failureBaseOf()
-		found = stronger(found, t.examine(now, j.heard, classBase, s.suspect, probation))
+		found = stronger(found, t.examine(now, sc, classBase, s.suspect, probation))
 		base = max(base, classBase)
 	}
 	if base == 0 {
 		return finding{} // no siblings to compare with
 	}
-	return stronger(found, s.all.examine(now, j.heard, base, s.suspect, probation))
+	return stronger(found, s.all.examine(now, sc, base, s.suspect, probation))
 }
 
 // suspect is a server that may be ejected.
@@ -309,10 +310,10 @@
 			continue
 		}
 		found := j.examine(now, s)
-		s.noteEvidence(now, found.nats)
+		s.noteEvidence(now, found.nats >= looksBad || found.mostlySlow)
 		v.failing += boolToInt(found.weak.failing)
 		v.slow += boolToInt(found.weak.slow)
-		bad += boolToInt(found.nats >= looksBad)
+		bad += boolToInt(!s.badSince.IsZero())
 		if s.phase == serving && found.ejects && s.fresh() && found.nats > v.worst.nats {
 			v.worst = suspect{s, found}
 		}
--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -147,9 +147,9 @@
 }
 
 // noteEvidence keeps since when the server looks bad. Single good intervals
-// within currentSpan do not end that.
-func (s *server) noteEvidence(now time.Time, nats float64) {
-	if nats >= looksBad {
+// within currentSpan do not end that: at 9 calls/s many intervals have few calls.
+func (s *server) noteEvidence(now time.Time, bad bool) {
+	if bad {
 		if s.badSince.IsZero() {
 			s.badSince = now
 		}
--- a/decide/ejection/settings.go
+++ b/decide/ejection/settings.go
@@ -25,11 +25,12 @@
 }
 
 // AtScale returns the settings for about 11 backend servers on a node with
-// 2 KB/s for all control messages. An interval of 500 ms costs about 1% more
-// bytes than one of 1 s, since only servers with something notable report that
-// often, and lets the tail of detection at 9 calls/s stay within 5 s.
+// 2 KB/s for all control messages. Only servers with something notable
+// report at the interval. 300 ms is the length of a burst of failures that is
+// taken for noise: with longer intervals a burst hides more of the calls, and
+// detection at 9 calls/s takes longer.
 func AtScale() Settings {
-	return Settings{ReportInterval: 500 * time.Millisecond, MaxQuiet: 5 * time.Second, Lately: 12 * time.Second}
+	return Settings{ReportInterval: 300 * time.Millisecond, MaxQuiet: 5 * time.Second, Lately: 12 * time.Second}
 }
 
 const (
