ejection, control, node: select how often exits report by the fleet's size

Cause: The node always reported with the settings of today, whose reports of 11 servers cost 2,348 B/s, above the 2 KB/s that a node may spend for all control messages. A keeper with other settings than an exit took its servers for silent. A report says which settings its exit uses and the keeper follows each report, so the ends may differ.

--- a/control/assemble.go
+++ b/control/assemble.go
@@ -13,9 +13,9 @@
 // Options configure the control loop of a process.
 type Options struct {
 	Self     Self
-	Seed     uint64 // of the random choices of peers
-	Ejection ejection.Settings
-	Window   time.Duration // for which the ledger remembers an idempotency key
+	Seed     uint64             // of the random choices of peers
+	Ejection ejection.Reporting // how often exits report on backend servers
+	Window   time.Duration      // for which the ledger remembers an idempotency key
 	// Shares is the table through which traffic spends tokens.
 	Shares *ShareTable
 }
@@ -30,8 +30,9 @@
 	}
 	leases := newLeasesStage(state)
 	quotas := newQuotaStage(state, o.Shares)
-	judges := newJudgesStage(state, o.Ejection)
-	health := newHealthStage(state, judges, o.Ejection)
+	reporting := newEjectionSettings(state, o.Ejection)
+	judges := newJudgesStage(state, reporting)
+	health := newHealthStage(state, judges, reporting)
 	judges.deliver = health.apply
 	stages := []Stage{
 		&stopStage{state: state},
--- a/control/health.go
+++ b/control/health.go
@@ -91,14 +91,14 @@
 type healthStage struct {
 	state    *State
 	judges   *judgesStage
-	settings ejection.Settings
+	settings *ejectionSettings
 	watched  map[string]*watched
 	epochs   map[string]uint64 // of the keeper, by service
 	next     time.Time
 	seen     uint64 // host list version
 }
 
-func newHealthStage(state *State, judges *judgesStage, settings ejection.Settings) *healthStage {
+func newHealthStage(state *State, judges *judgesStage, settings *ejectionSettings) *healthStage {
 	return &healthStage{
 		state:    state,
 		judges:   judges,
@@ -150,6 +150,7 @@
 		if w == nil || w.local != local {
 			w = s.watch(now, local, first)
 		}
+		w.collector.Use(s.settings.current())
 		next[local.ID] = w
 	}
 	s.watched = next
@@ -160,7 +161,7 @@
 func (s *healthStage) watch(now time.Time, local Local, first bool) *watched {
 	w := &watched{
 		local:     local,
-		collector: ejection.NewCollector(s.settings, local.Service, local.ID),
+		collector: ejection.NewCollector(s.settings.current(), local.Service, local.ID),
 		guard:     ejection.NewGuard(s.state.Self.Incarnation),
 		running:   make(map[uint64]ejection.Running),
 	}
@@ -214,7 +215,7 @@
 	if now.Before(s.next) {
 		return
 	}
-	s.next = now.Add(s.settings.ReportInterval)
+	s.next = now.Add(s.settings.current().ReportInterval)
 	byService := make(map[string][]ejection.Report)
 	for _, local := range s.state.locals() {
 		w := s.watched[local.ID]
--- a/control/judges.go
+++ b/control/judges.go
@@ -19,13 +19,13 @@
 // keeps. A single decider for each service counts the floor over the whole fleet.
 type judgesStage struct {
 	state    *State
-	settings ejection.Settings
+	settings *ejectionSettings
 	services map[string]*judged
 	deliver  func(now time.Time, v HealthVerdicts, out *Output) // to local backend servers
 	next     time.Time
 }
 
-func newJudgesStage(state *State, settings ejection.Settings) *judgesStage {
+func newJudgesStage(state *State, settings *ejectionSettings) *judgesStage {
 	return &judgesStage{
 		state:    state,
 		settings: settings,
@@ -101,7 +101,7 @@
 }
 
 func (s *judgesStage) restart(now time.Time, service string, epoch uint64) *judged {
-	j := &judged{judge: ejection.NewJudge(s.settings, epoch), epoch: epoch}
+	j := &judged{judge: ejection.NewJudge(epoch), epoch: epoch}
 	if old := s.services[service]; old != nil {
 		j.tenure = old.tenure
 	}
@@ -142,7 +142,7 @@
 	if now.Before(s.next) {
 		return
 	}
-	s.next = now.Add(s.settings.ReportInterval)
+	s.next = now.Add(s.settings.current().ReportInterval)
 	for service := range s.services {
 		if j := s.judge(now, service); j != nil {
 			s.decide(now, service, j, out)
--- a/decide/ejection/collector.go
+++ b/decide/ejection/collector.go
@@ -189,6 +189,11 @@
 	return &Collector{settings: s, service: service, server: server}
 }
 
+// Use changes the settings, as when the fleet grows. The next report says so.
+func (c *Collector) Use(s Settings) {
+	c.settings = s
+}
+
 // Observe takes in one call. The latency runs from the moment the exit passed
 // the request to the server, without the time in the exit's queue.
 func (c *Collector) Observe(class string, outcome Outcome, latency time.Duration) {
@@ -231,7 +236,9 @@
 // Guard.Stamp sets. It returns false when there is nothing that the keeper
 // needs now. Call it once in every ReportInterval.
 func (c *Collector) Report(now time.Time, s State) (Report, bool) {
-	r := Report{Service: c.service, Server: c.server, Suspect: s.Suspect, Leaving: s.Leaving}
+	r := Report{
+		Service: c.service, Server: c.server, Suspect: s.Suspect, Leaving: s.Leaving, Seldom: c.settings.Seldom,
+	}
 	c.noteStart(s.Started)
 	if !s.Started.IsZero() && now.Sub(s.Started) < WarmUp {
 		r.Life = c.life
@@ -239,7 +246,7 @@
 	c.observeRunning(now, s.Running)
 	notable := c.anyNotable()
 	due := notable || s.Ejected || s.Asked || s.Keeper != c.keeper || c.last.IsZero() ||
-		r.Life != c.flags.Life || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving ||
+		r.Life != c.flags.Life || r.Suspect != c.flags.Suspect || r.Leaving != c.flags.Leaving || r.Seldom != c.flags.Seldom ||
 		now.Sub(c.last) >= c.settings.MaxQuiet
 	if !due {
 		c.keepQuiet()
--- a/decide/ejection/ejection_test.go
+++ b/decide/ejection/ejection_test.go
@@ -18,7 +18,8 @@
 	collectors []*ejection.Collector
 	guards     []*ejection.Guard
 	states     []ejection.State
-	calls      int // of each server so far
+	mute       []bool // reports are lost
+	calls      int    // of each server so far
 	judge      *ejection.Judge
 	epoch      uint64
 	floor      ejection.Floor
@@ -32,7 +33,7 @@
 func newRig(servers int, floor ejection.Floor) *rig {
 	r := &rig{
 		now: time.Unix(1_700_000_000, 0), settings: ejection.Today(), floor: floor,
-		states: make([]ejection.State, servers),
+		states: make([]ejection.State, servers), mute: make([]bool, servers),
 	}
 	for i := range servers {
 		name := fmt.Sprintf("s%02d", i)
@@ -47,7 +48,7 @@
 
 func (r *rig) replaceKeeper() {
 	r.epoch++
-	r.judge = ejection.NewJudge(r.settings, r.epoch)
+	r.judge = ejection.NewJudge(r.epoch)
 	r.judge.SetFleet(r.now, r.fleet, r.floor)
 }
 
@@ -122,7 +123,7 @@
 	}
 }
 
-// run lets time pass without lost messages until a server is ejected, if stop is
+// run lets time pass until a server is ejected, if stop is
 // set, and returns how long that took.
 func (r *rig) run(d time.Duration, b behavior, stop bool) time.Duration {
 	from, before := r.now, len(r.ejected)
@@ -130,7 +131,7 @@
 		r.now = r.now.Add(r.settings.ReportInterval)
 		for i := range r.names {
 			r.observe(i, b)
-			if report, due := r.report(i); due {
+			if report, due := r.report(i); due && !r.mute[i] {
 				r.judge.Observe(r.now, report)
 			}
 		}
@@ -227,20 +228,14 @@
 // not known, so evidence from that time ejects nobody.
 func TestJudgeDropsEvidenceFromTimeWithoutSiblings(t *testing.T) {
 	r := warmRig(8)
-	for range 100 {
-		r.now = r.now.Add(r.settings.ReportInterval)
-		for i := range r.names {
-			r.observe(i, failing(2, 0, 1, 2, 3, 4, 5, 6, 7))
-			if report, due := r.report(i); due && i == 0 {
-				r.judge.Observe(r.now, report)
-			}
-		}
-		r.calls += callsPerInterval
-		for _, v := range r.judge.Decide(r.now) {
-			r.deliver(v)
-		}
+	for i := 1; i < 8; i++ {
+		r.mute[i] = true
 	}
-	r.run(300*time.Millisecond, failing(2, 0), false)
+	r.run(25*time.Second, failing(2, 0, 1, 2, 3, 4, 5, 6, 7), false) // longer than the mass rule holds back
+	// The others report again while the first still fails, too briefly to eject.
+	r.run(500*time.Millisecond, failing(2, 0), false)
+	clear(r.mute)
+	r.run(600*time.Millisecond, failing(2, 0), false)
 	if len(r.ejected) > 0 {
 		t.Errorf("ejections %+v, want none", r.ejected)
 	}
--- a/decide/ejection/evidence.go
+++ b/decide/ejection/evidence.go
@@ -149,10 +149,6 @@
 // symptoms tells for which reasons a server looks weak.
 type symptoms struct{ failing, slow bool }
 
-func (s symptoms) has(reason Reason) bool {
-	return (reason == Failures && s.failing) || (reason == Slow && s.slow)
-}
-
 func (s symptoms) or(o symptoms) symptoms {
 	return symptoms{failing: s.failing || o.failing, slow: s.slow || o.slow}
 }
--- a/decide/ejection/example_test.go
+++ b/decide/ejection/example_test.go
@@ -13,7 +13,7 @@
 	const epoch = 1 // grows with each new keeper
 	settings := ejection.Today()
 	now := time.Unix(1_700_000_000, 0)
-	judge := ejection.NewJudge(settings, epoch)
+	judge := ejection.NewJudge(epoch)
 	names := []string{"a", "b", "c", "d"}
 	collectors, guards := map[string]*ejection.Collector{}, map[string]*ejection.Guard{}
 	var fleet []ejection.ServerState
--- a/decide/ejection/floor_test.go
+++ b/decide/ejection/floor_test.go
@@ -14,7 +14,6 @@
 type floorModel struct {
 	*rig
 	bad      []bool // the server fails its calls
-	mute     []bool // reports are lost
 	deaf     []bool // verdicts are lost
 	late     []bool // messages take until the next call of flush
 	told     []bool // the keeper was told that the host is leaving
@@ -135,7 +134,7 @@
 		servers := rapid.IntRange(3, 9).Draw(t, "servers")
 		floor := ejection.Floor{Servers: rapid.IntRange(1, servers-1).Draw(t, "floor")}
 		m := &floorModel{
-			rig: newRig(servers, floor), bad: make([]bool, servers), mute: make([]bool, servers),
+			rig: newRig(servers, floor), bad: make([]bool, servers),
 			deaf: make([]bool, servers), late: make([]bool, servers), told: make([]bool, servers),
 		}
 		m.run(15*time.Second, healthy, false)
@@ -161,3 +160,53 @@
 		}
 	})
 }
+
+// tightRig has a floor that leaves room for one ejection.
+func tightRig() *rig {
+	r := newRig(8, ejection.Floor{Servers: 7})
+	r.run(20*time.Second, healthy, false)
+	return r
+}
+
+// Guards against a new keeper that does not count what its predecessor ejected.
+func TestNewKeeperCountsRunningEjections(t *testing.T) {
+	r := tightRig()
+	r.run(3*time.Second, failing(2, 0), true)
+	r.replaceKeeper()
+	r.run(4*time.Second, failing(2, 1), false)
+	if len(r.ejected) != 1 || r.ejected[0].Server != "s00" {
+		t.Errorf("ejections %+v, want only s00", r.ejected)
+	}
+}
+
+// Guards against silent servers that count as healthy capacity.
+func TestSilentServersDoNotCountForTheFloor(t *testing.T) {
+	r := tightRig()
+	r.mute[0] = true
+	r.run(r.settings.Lately+time.Second, healthy, false)
+	r.run(5*time.Second, failing(2, 3), false)
+	if len(r.ejected) > 0 {
+		t.Errorf("ejections %+v below the floor", r.ejected)
+	}
+}
+
+// Guards against verdicts of an earlier keeper, and against leases that outlast
+// what the keeper assumes.
+func TestGuardBoundsLeases(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	out := ejection.Verdict{Server: "a", Kind: ejection.Eject, Epoch: 1, Seq: 1}
+	g := ejection.NewGuard(0)
+	var r ejection.Report
+	g.Stamp(now, 1, &r)
+	if refusal := g.OnVerdict(now.Add(2*time.Second), out); refusal != ejection.Accepted {
+		t.Fatal(refusal)
+	}
+	if until := g.Lease().Until; !until.Equal(now.Add(ejection.EjectionTerm)) {
+		t.Errorf("the lease ends %v after the report, want %v", until.Sub(now), ejection.EjectionTerm)
+	}
+	g.Stamp(now.Add(2*time.Second), 2, &r)
+	out.Seq = r.Seq
+	if refusal := g.OnVerdict(now.Add(2*time.Second), out); refusal != ejection.OtherKeeper {
+		t.Errorf("verdict of an earlier keeper: %q", refusal)
+	}
+}
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 )
@@ -19,28 +20,27 @@
 // healthy from the verdict on until its exit confirms its return or every
 // lease that the exit can have has ended.
 type Judge struct {
-	settings Settings
-	epoch    uint64
-	floor    Floor
-	servers  []*server // sorted by identifier
-	byID     map[string]*server
-	classes  map[string]int
-	refs     []reference // by class
-	dirty    bool        // reports came since refs were made
-	hold     time.Time   // no ejections until then
-	heard    time.Time   // evidence from before has no siblings to compare with
-	scratch  []*track
-	sorted   []float64
+	epoch   uint64
+	floor   Floor
+	servers []*server // sorted by identifier
+	byID    map[string]*server
+	classes map[string]int
+	refs    []reference // by class
+	dirty   bool        // reports came since refs were made
+	hold    time.Time   // no ejections until then
+	heard   time.Time   // evidence from before has no siblings to compare with
+	scratch []*track
+	sorted  []float64
+	since   []time.Time
 }
 
 // NewJudge returns a judge for a keeper that took over in the given epoch. It
 // knows nothing of its predecessor but what the reports tell.
-func NewJudge(s Settings, epoch uint64) *Judge {
+func NewJudge(epoch uint64) *Judge {
 	return &Judge{
-		settings: s,
-		epoch:    epoch,
-		byID:     make(map[string]*server),
-		classes:  make(map[string]int),
+		epoch:   epoch,
+		byID:    make(map[string]*server),
+		classes: make(map[string]int),
 	}
 }
 
@@ -79,7 +79,7 @@
 		s.since = now
 	}
 	s.seen, s.seq = now, r.Seq
-	s.suspect, s.leaving = r.Suspect, r.Leaving
+	s.suspect, s.leaving, s.settings = r.Suspect, r.Leaving, settingsOf(r)
 	s.learn(now, r)
 	s.start(r.Life)
 	j.observeInterval(now, s, r.Earlier)
@@ -154,7 +154,7 @@
 
 func (j *Judge) isReference(now time.Time, s *server, t *track) bool {
 	return !s.cold && s.phase != ejected && t.timed >= referenceCalls &&
-		s.reportedLately(now, j.settings.Lately)
+		s.reportedLately(now)
 }
 
 // minimum returns the number of healthy servers that ejections must leave.
@@ -171,7 +171,7 @@
 func (j *Judge) countHealthy(now time.Time) int {
 	n := 0
 	for _, s := range j.servers {
-		if s.healthy(now, j.settings.Lately) {
+		if s.healthy(now) {
 			n++
 		}
 	}
@@ -185,7 +185,7 @@
 	var candidates []*server
 	for _, s := range j.servers {
 		switch {
-		case s.isLeaving() || !s.reportedLately(now, j.settings.Lately):
+		case s.isLeaving() || !s.reportedLately(now):
 		case s.phase == restoring:
 			missing--
 		case s.phase != serving:
@@ -249,7 +249,7 @@
 // one class only is gray as well.
 func (j *Judge) examine(now time.Time, s *server) finding {
 	probation := s.phase == returning
-	sc := scope{from: j.heard, burstSpan: burstSpanOf(j.settings.ReportInterval)}
+	sc := scope{from: j.heard, burstSpan: burstSpanOf(s.settings.ReportInterval)}
 	var found finding
 	var base float64
 	for class, t := range s.tracks {
@@ -300,7 +300,7 @@
 	var v survey
 	bad, reporting := 0, 0
 	for _, s := range j.servers {
-		if !s.reportedLately(now, j.settings.Lately) {
+		if !s.reportedLately(now) {
 			continue
 		}
 		reporting++
@@ -330,16 +330,17 @@
 // without a loss. When most reports were lost, a failure shared by all looks like
 // a failure of the servers that were heard.
 func (j *Judge) heardSince() time.Time {
-	var since []time.Time
+	since := j.since[:0]
 	for _, s := range j.servers {
 		if !s.isLeaving() && !s.seen.IsZero() {
 			since = append(since, s.since)
 		}
 	}
+	j.since = since
 	if len(since) == 0 {
 		return time.Time{}
 	}
-	sort.Slice(since, func(a, b int) bool { return since[a].Before(since[b]) })
+	slices.SortFunc(since, time.Time.Compare)
 	missing := int(MassFailure * float64(len(since)))
 	return since[len(since)-1-missing]
 }
@@ -395,7 +396,7 @@
 }
 
 func (j *Judge) floorAllows(now time.Time, s *server) bool {
-	left := j.countHealthy(now) - boolToInt(s.healthy(now, j.settings.Lately))
+	left := j.countHealthy(now) - boolToInt(s.healthy(now))
 	return left >= j.minimum()
 }
 
@@ -423,7 +424,7 @@
 	for i, s := range j.servers {
 		all[i] = Status{
 			Server:   s.state.ID,
-			Healthy:  s.healthy(now, j.settings.Lately),
+			Healthy:  s.healthy(now),
 			Share:    s.share(),
 			Level:    s.currentLevel(now),
 			Evidence: j.examine(now, s).nats,
--- a/decide/ejection/message.go
+++ b/decide/ejection/message.go
@@ -24,6 +24,8 @@
 	Leaving bool `json:"d,omitempty"`
 	// Ejected is the lease in force, nil when the server takes its full share.
 	Ejected *Ejected `json:"x,omitempty"`
+	// Seldom is true when the exit reports with the settings AtScale.
+	Seldom bool `json:"z,omitempty"`
 	// Earlier covers the quiet intervals since the last report and Classes the
 	// interval that ends now. They are apart only after something notable, so
 	// that quiet intervals do not dilute the evidence.
--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -44,6 +44,7 @@
 	life     uint32    // of the last report, see Report.Life
 	suspect  bool
 	leaving  bool     // as told by its exit
+	settings Settings // that its exit uses
 	tracks   []*track // by class, nil if unknown
 	all      history  // all classes together
 
@@ -70,13 +71,13 @@
 	return s.leaving || s.state.Leaving
 }
 
-func (s *server) reportedLately(now time.Time, lately time.Duration) bool {
-	return !s.seen.IsZero() && now.Sub(s.seen) <= lately
+func (s *server) reportedLately(now time.Time) bool {
+	return !s.seen.IsZero() && now.Sub(s.seen) <= s.settings.Lately
 }
 
 // healthy tells whether the server counts for the floor.
-func (s *server) healthy(now time.Time, lately time.Duration) bool {
-	return s.phase == serving && !s.cold && !s.isLeaving() && s.reportedLately(now, lately)
+func (s *server) healthy(now time.Time) bool {
+	return s.phase == serving && !s.cold && !s.isLeaving() && s.reportedLately(now)
 }
 
 // fresh tells whether there is a report that no verdict has answered.
--- a/decide/ejection/settings.go
+++ b/decide/ejection/settings.go
@@ -2,9 +2,12 @@
 
 import "time"
 
-// Settings are the parameters of a service that the exit and the keeper must
-// share.
+// Settings are the parameters of an exit's reports. A report says which of the
+// two settings its exit uses, and the keeper follows each report, so that exits
+// with differing settings work together.
 type Settings struct {
+	// Seldom is true for AtScale.
+	Seldom bool
 	// ReportInterval is the time between two reports of a server that has
 	// something notable to tell.
 	ReportInterval time.Duration
@@ -30,7 +33,38 @@
 // taken for noise: with longer intervals a burst hides more of the calls, and
 // detection at 9 calls/s takes longer.
 func AtScale() Settings {
-	return Settings{ReportInterval: 300 * time.Millisecond, MaxQuiet: 5 * time.Second, Lately: 12 * time.Second}
+	return Settings{Seldom: true, ReportInterval: 300 * time.Millisecond, MaxQuiet: 5 * time.Second, Lately: 12 * time.Second}
+}
+
+// Reporting selects the settings of an exit.
+type Reporting string
+
+// The ways to report.
+const (
+	Automatic Reporting = "auto"   // by the number of backend servers in the host list
+	Often     Reporting = "often"  // Today
+	Seldom    Reporting = "seldom" // AtScale
+)
+
+// automaticLimit is the number of backend servers in the fleet from which reports
+// are seldom: ten times the largest deployment of today, and a hundredth of the
+// goal's size, where a node has about 11 backend servers.
+const automaticLimit = 300
+
+// Settings returns the settings in a fleet of so many backend servers.
+func (r Reporting) Settings(servers int) Settings {
+	if r == Seldom || (r != Often && servers >= automaticLimit) {
+		return AtScale()
+	}
+	return Today()
+}
+
+// settingsOf returns the settings that a report says its exit uses.
+func settingsOf(r Report) Settings {
+	if r.Seldom {
+		return AtScale()
+	}
+	return Today()
 }
 
 const (
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -155,7 +155,7 @@
 		loop = control.New(control.Options{
 			Self:     control.Self{ID: hostID(0), Zone: "zone-0", Incarnation: 1, Started: start},
 			Seed:     1,
-			Ejection: ejection.AtScale(),
+			Ejection: ejection.Seldom,
 			Window:   5 * time.Minute,
 			Shares:   &control.ShareTable{},
 		}, p)
--- a/internal/measure/ejection_policy.go
+++ b/internal/measure/ejection_policy.go
@@ -44,7 +44,7 @@
 // replaceKeeper lets a new keeper take over.
 func (p *fleetPolicy) replaceKeeper() {
 	p.epoch++
-	p.judge = ejection.NewJudge(p.settings, p.epoch)
+	p.judge = ejection.NewJudge(p.epoch)
 	var fleet []ejection.ServerState
 	for _, name := range p.names {
 		fleet = append(fleet, ejection.ServerState{ID: name, Host: name})
--- a/node/node.go
+++ b/node/node.go
@@ -115,7 +115,7 @@
 			Started:     now,
 		},
 		Seed:     rand.Uint64(),
-		Ejection: ejection.Today(),
+		Ejection: ejection.Reporting(n.settings.HealthReports),
 		Shares:   n.shares,
 		Window:   n.settings.LedgerWindow,
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -30,6 +30,8 @@
 	StopTimeout   time.Duration `default:"30s" help:"Longest time that a stopping process waits for running requests."`
 	LedgerWindow  time.Duration `default:"5m" help:"Time for which an idempotency key is remembered; the same in the whole fleet."`
 
+	HealthReports string `default:"auto" enum:"auto,often,seldom" help:"How often to report on backend servers that behave as before: often (every second), seldom (every 5 seconds, for about 11 on a host) or auto (seldom from 300 in the fleet). Processes may differ."`
+
 	FleetCert  string `help:"File with the certificate chain for other processes (PEM). Read again when it changes."`
 	FleetKey   string `help:"File with the private key of the fleet certificate (PEM)."`
 	FleetCA    string `help:"File with the certificate authority of the fleet (PEM)."`
