--- a/decide/ejection/server.go
+++ b/decide/ejection/server.go
@@ -44,6 +44,7 @@
 	life     uint32    // of the last report, see Report.Life
 	suspect  bool
 	leaving  bool     // as told by its exit
+	settings Settings // that its exit uses
 	tracks   []*track // by class, nil if unknown
 	all      history  // all classes together
 
@@ -70,13 +71,13 @@
 	return s.leaving || s.state.Leaving
 }
 
-func (s *server) reportedLately(now time.Time, lately time.Duration) bool {
-	return !s.seen.IsZero() && now.Sub(s.seen) <= lately
+func (s *server) reportedLately(now time.Time) bool {
+	return !s.seen.IsZero() && now.Sub(s.seen) <= s.settings.Lately
 }
 
 // healthy tells whether the server counts for the floor.
-func (s *server) healthy(now time.Time, lately time.Duration) bool {
-	return s.phase == serving && !s.cold && !s.isLeaving() && s.reportedLately(now, lately)
+func (s *server) healthy(now time.Time) bool {
+	return s.phase == serving && !s.cold && !s.isLeaving() && s.reportedLately(now)
 }
 
 // fresh tells whether there is a report that no verdict has answered.
@@ -147,9 +148,9 @@
 }
 
 // noteEvidence keeps since when the server looks bad. Single good intervals
-// within currentSpan do not end that.
-func (s *server) noteEvidence(now time.Time, nats float64) {
-	if nats >= looksBad {
+// within currentSpan do not end that: at 9 calls/s many intervals have few calls.
+func (s *server) noteEvidence(now time.Time, bad bool) {
+	if bad {
 		if s.badSince.IsZero() {
 			s.badSince = now
 		}
