--- a/internal/measure/ledger.go
+++ b/internal/measure/ledger.go
@@ -27,11 +27,11 @@
 	strike func(w *ledgerWorld)
 }
 
-// restartEvery is the time between the stops of a rolling restart, stopTime that
+// ledgerRestartEvery is the time between the stops of a rolling restart, stopTime that
 // until the process starts again.
 const (
-	restartEvery = 4 * time.Second
-	stopTime     = time.Second
+	ledgerRestartEvery = 4 * time.Second
+	stopTime           = time.Second
 	// replaceEvery is the time between replacements; two list changes fit in.
 	replaceEvery = 10 * time.Second
 )
@@ -65,7 +65,7 @@
 
 func rollingRestart(w *ledgerWorld) {
 	for i, m := range w.fleet.members {
-		w.net.After(time.Duration(i)*restartEvery, func() {
+		w.net.After(time.Duration(i)*ledgerRestartEvery, func() {
 			w.processes.stop(m.ID)
 			w.net.After(stopTime, func() { w.processes.start(m.ID, w.list) })
 		})
--- a/internal/measure/quota.go
+++ b/internal/measure/quota.go
@@ -23,15 +23,15 @@
 )
 
 const (
-	quotaWarmUp   = 10 * time.Second // buckets are full by then
-	quotaQuiet    = 60 * time.Second // span without faults
-	quotaFaulty   = 10 * time.Second // span from the onset of a fault
-	quotaSettle   = 2 * time.Second  // requests that wait are decided by then
-	quotaRuns     = 6                // runs of each short fault
-	quotaAttempts = 3                // exits that a request tries
-	restartEvery  = 5 * time.Second  // between two hosts of a rolling restart
-	restartDown   = time.Second      // from a planned stop to the next start
-	readyAfter    = 3 * time.Second  // from a start until callers use the process
+	quotaWarmUp       = 10 * time.Second // buckets are full by then
+	quotaQuiet        = 60 * time.Second // span without faults
+	quotaFaulty       = 10 * time.Second // span from the onset of a fault
+	quotaSettle       = 2 * time.Second  // requests that wait are decided by then
+	quotaRuns         = 6                // runs of each short fault
+	quotaAttempts     = 3                // exits that a request tries
+	quotaRestartEvery = 5 * time.Second  // between two hosts of a rolling restart
+	restartDown       = time.Second      // from a planned stop to the next start
+	readyAfter        = 3 * time.Second  // from a start until callers use the process
 )
 
 // quotaFault is a fault that begins at the end of the warm-up.
@@ -50,7 +50,7 @@
 	{"loss of a keeper", 0.01, shortSpan, func(short int) int { return short }, (*quotaSim).loseKeeper},
 	{"zone cut one way", 0.01, shortSpan, func(short int) int { return short }, (*quotaSim).cutZone},
 	{
-		"rolling restart", 0.01, func(hosts int) time.Duration { return time.Duration(hosts) * restartEvery },
+		"rolling restart", 0.01, func(hosts int) time.Duration { return time.Duration(hosts) * quotaRestartEvery },
 		func(int) int { return 1 }, (*quotaSim).restartAll,
 	},
 }
@@ -348,7 +348,7 @@
 // restartAll stops and starts one host after the other.
 func (s *quotaSim) restartAll() {
 	for i, m := range s.hosts {
-		stop := quotaWarmUp + time.Duration(i)*restartEvery
+		stop := quotaWarmUp + time.Duration(i)*quotaRestartEvery
 		s.fleet.At(stop, func() {
 			s.unusual[m.ID] = true
 			s.fleet.Stop(m.ID, restartDown)
