decide/quota: test the wait for the next token and the tokens at hand

Cause: Only the measurement showed the second token taken for a waiting request. Change: One test for each of the two behaviors. Before: no test named either behavior. Conclusion: Both behaviors are checked apart from the measurement.

--- a/decide/quota/holder_test.go
+++ b/decide/quota/holder_test.go
@@ -131,3 +131,31 @@
 		t.Error("a token was spent after a pause in which its grant expired")
 	}
 }
+
+// Guards against a request refused as over the rate although its keeper has the
+// next token soon.
+func TestRequestWaitsForTheNextToken(t *testing.T) {
+	asks := 0
+	got, waited := decide(t, quota.Limit{Rate: 10, Burst: 1, Version: 1}, func(quota.Ask) (quota.Grant, bool) {
+		asks++
+		if asks == 1 {
+			return quota.Grant{Status: quota.Empty, RetryAfter: 100 * time.Millisecond}, true
+		}
+		return quota.Grant{Tokens: 1}, true
+	})
+	if got != quota.Admit || waited != 100*time.Millisecond {
+		t.Errorf("decision %d after %v, want %d after 100ms", got, waited, quota.Admit)
+	}
+}
+
+// Guards against a second token taken for a request whose grant has arrived but
+// which is not settled yet: most such tokens expire unspent.
+func TestTokensAtHandAreNotAskedForAgain(t *testing.T) {
+	h := quota.NewHolder(selfID, "zone", "team", quota.Limit{Rate: 100, Burst: 100, Version: 1}, began, oneKeeper{})
+	h.Join(began, 1, began.Add(time.Second))
+	ask, _ := h.NeedAsk(began)
+	h.OnGrant(began, quota.Grant{Key: ask.Key, Holder: ask.Holder, Seq: ask.Seq, Tokens: ask.Need})
+	if again, ok := h.NeedAsk(began); ok {
+		t.Errorf("%d more tokens were asked for", again.Need)
+	}
+}
