cmd: keep the marker of the heap floor collectable

Cause: the marker held 8 bytes without a pointer, which the runtime puts together with other small values, so its finalizer could stay away and the growth of 1,500% was kept at a larger live heap. Change: the marker holds a pointer.

--- a/cmd/ragwortyard/heap.go
+++ b/cmd/ragwortyard/heap.go
@@ -21,28 +21,29 @@
 // setting of the environment is left in force.
 func keepHeapFloor() {
 	if os.Getenv("GOGC") == "" {
-		follow(&collectionMark{percent: usualPercent})
+		follow(&collectionMark{percent: usualPercent, sizes: []metrics.Sample{
+			{Name: "/gc/heap/live:bytes"}, {Name: "/gc/scan/stack:bytes"}, {Name: "/gc/scan/globals:bytes"},
+		}})
 	}
 }
 
 // collectionMark is garbage as soon as it is made, so that its finalizer runs
-// after the next collection.
+// after the next collection. It holds a pointer, since the runtime puts small
+// values without pointers together, which would keep it alive.
 type collectionMark struct {
-	percent int // in force
+	percent int              // in force
+	sizes   []metrics.Sample // live heap, stacks, globals
 }
 
 func follow(m *collectionMark) {
-	samples := []metrics.Sample{
-		{Name: "/gc/heap/live:bytes"}, {Name: "/gc/scan/stack:bytes"}, {Name: "/gc/scan/globals:bytes"},
-	}
-	metrics.Read(samples)
-	wanted := growthPercent(samples[0].Value.Uint64(), samples[1].Value.Uint64()+samples[2].Value.Uint64())
+	metrics.Read(m.sizes)
+	wanted := growthPercent(m.sizes[0].Value.Uint64(), m.sizes[1].Value.Uint64()+m.sizes[2].Value.Uint64())
 	// A change stops all goroutines for a moment, so small ones are left out.
 	if wanted < m.percent || wanted > m.percent+m.percent/10 {
 		debug.SetGCPercent(wanted)
 		m.percent = wanted
 	}
-	runtime.SetFinalizer(&collectionMark{percent: m.percent}, follow)
+	runtime.SetFinalizer(&collectionMark{percent: m.percent, sizes: m.sizes}, follow)
 }
 
 // growthPercent returns the growth at which the heap is collected at heapFloor, at
