platform: remove the watch of the configuration service

Cause: nothing used ConfigReader.Watch. A process stays current by reads at most 1.5 s old; a watch that is silent for up to 10 s does not confirm that nothing changed, so the readers would have to read as often as now.

--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -29,7 +29,6 @@
 
 	mu     sync.Mutex
 	outage Outage
-	over   chan struct{} // closed when the outage changes
 }
 
 func (s *service) start(handler http.Handler) error {
@@ -39,7 +38,6 @@
 	}
 	s.base = "http://" + listener.Addr().String()
 	s.closed = make(chan struct{})
-	s.over = make(chan struct{})
 	s.server = &http.Server{Handler: s.whenAvailable(handler), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.server.Serve(listener) }()
 	return nil
@@ -60,20 +58,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outage = outage
-	close(s.over)
-	s.over = make(chan struct{})
 }
 
-func (s *service) availability() (Outage, <-chan struct{}) {
+func (s *service) availability() Outage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.outage, s.over
+	return s.outage
 }
 
 func (s *service) whenAvailable(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		outage, _ := s.availability()
-		switch outage {
+		switch s.availability() {
 		case Failing:
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case Silent:
