--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -48,6 +48,7 @@
 	Time       fakes.ServiceTime
 	Idempotent bool
 	Worth      float64
+	Open       bool // needs no key
 }
 
 // FleetSpec describes a fleet.
@@ -141,6 +142,7 @@
 			Methods: []string{http.MethodGet, http.MethodPost},
 			Prefix:  "/" + s.Name,
 			Service: s.Name,
+			Open:    s.Open,
 		})
 	}
 	return doc
