--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -52,6 +52,7 @@
 	NoLog      bool // the backend servers keep no request log
 	Idempotent bool
 	Worth      float64
+	Open       bool // needs no key
 }
 
 // FleetSpec describes a fleet.
@@ -151,6 +152,7 @@
 			Methods: []string{http.MethodGet, http.MethodPost},
 			Prefix:  "/" + s.Name,
 			Service: s.Name,
+			Open:    s.Open,
 		})
 	}
 	return doc
