--- a/internal/measure/ejection_test.go
+++ b/internal/measure/ejection_test.go
@@ -36,3 +36,20 @@
 		}
 	}
 }
+
+// Guards against what seed 4 shows and the sizes of the registered case do not: a
+// slow tail of detection, and an ejection 2.5 s after a gray failure has ended.
+func TestEjectionMeetsItsTargetsWithSeed4(t *testing.T) {
+	const seed, hour = 4, 37
+	kowhai := ejectionDeployments[0]
+	for _, r := range detectionRows(kowhai, ejectionLoads[1], defaultEjectionOnsets, seed) {
+		if !r.Pass {
+			t.Errorf("%s: %s is %.3f %s, want %s", r.Fault, r.Metric, r.Value, r.Unit, r.Target)
+		}
+	}
+	spec, load := kowhai.services[hour%len(kowhai.services)], ejectionLoads[0]
+	h := newEjectionHour(ejectionRand(seed, 1_000_000+hour), spec, load, newFleetPolicy(spec, load.settings))
+	if r := h.run(); r.wrongful > 0 {
+		t.Errorf("healthy servers wrongly ejected: %v, want none", r.traces)
+	}
+}
