--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -25,7 +25,7 @@
 	return New(Options{
 		Self:     Self{ID: "host-0", Zone: "a", Incarnation: 1, Started: testStart},
 		Seed:     1,
-		Ejection: ejection.Today(),
+		Ejection: ejection.Often,
 		Window:   time.Minute,
 		Shares:   &ShareTable{},
 	}, noOutbound{})
