ejection: check the floor before a relapse on the return, too

Ruled out: servers that stay, which are given their full share back in that state. Change: progress asks floorAllows as a first ejection does.

--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -222,7 +222,9 @@
 	return verdicts
 }
 
-// progress moves an ejection on. It returns whether something changed.
+// progress moves an ejection on. It returns whether something changed. A server
+// that fails again on its return keeps its share while capacity is below the
+// floor, as when other hosts left in the meantime.
 func (j *Judge) progress(now time.Time, s *server, result survey) bool {
 	switch s.phase {
 	case restoring:
@@ -234,7 +236,8 @@
 		s.advance(now)
 		return true
 	}
-	if found := j.examine(now, s); found.ejects && !result.mass(found.reason) {
+	found := j.examine(now, s)
+	if found.ejects && !result.mass(found.reason) && j.floorAllows(now, s) {
 		s.eject(now, found.reason)
 		return true
 	}
