lease, control: be ready when promises have been renewed

Cause: a first promise at the local witness does not show that its holder has a quorum; a process called itself ready too early and refused requests with 3004. Change: the witness tells renewed promises apart; readiness waits for these.

--- a/control/leases.go
+++ b/control/leases.go
@@ -113,7 +113,7 @@
 		return
 	}
 	for shard := range uint32(rendezvous.ShardCount) {
-		if s.state.Leases.Placement.Rank(shard, s.state.Self.ID) >= 0 && !s.kept(now, shard) {
+		if s.state.Leases.Placement.Rank(shard, s.state.Self.ID) >= 0 && !s.witness.Kept(now, shard) {
 			return
 		}
 	}
@@ -121,13 +121,6 @@
 	out.Publish()
 }
 
-// kept tells whether a shard has a keeper. A promise to this process alone is no
-// lease.
-func (s *leasesStage) kept(now time.Time, shard uint32) bool {
-	keeper, ok := s.witness.Keeper(now, shard)
-	return ok && (keeper != s.state.Self.ID || s.state.Leases.Candidate.Holds(now, shard))
-}
-
 // invite asks at once for a shard that its keeper hands over to this process.
 func (s *leasesStage) invite(now time.Time, shard uint32) {
 	s.state.Leases.Candidate.Invite(now, shard)
--- a/decide/lease/witness.go
+++ b/decide/lease/witness.go
@@ -11,6 +11,9 @@
 	holder CandidateID
 	sent   time.Duration // of the holder's latest message
 	until  time.Time     // zero or past: the shard is free
+	// renewed is true once the holder has asked again while it had the promise.
+	// A candidate without a quorum gives the shard up instead.
+	renewed bool
 
 	reservedFor  string    // host of the successor that the holder named
 	reserveUntil time.Time // end of the reservation
@@ -64,6 +67,13 @@
 	return host, host != ""
 }
 
+// Kept tells whether the holder of the promise for a shard had a quorum: it has
+// renewed the promise.
+func (w *Witness) Kept(now time.Time, shard uint32) bool {
+	p := &w.promises[shard]
+	return p.renewed && now.Before(p.until)
+}
+
 func (w *Witness) mayPromise(now time.Time, p *promise, req PromiseRequest) bool {
 	if now.Before(w.started.Add(StartSilence)) {
 		return false
@@ -87,7 +97,8 @@
 }
 
 func (p *promise) renew(now time.Time, req PromiseRequest) {
-	*p = promise{holder: req.Candidate, sent: req.Sent, until: now.Add(Term)}
+	renewed := p.holder == req.Candidate && now.Before(p.until)
+	*p = promise{holder: req.Candidate, sent: req.Sent, until: now.Add(Term), renewed: renewed}
 }
 
 func (w *Witness) drop(now time.Time, from CandidateID, sent time.Duration, drops []Drop) {
--- a/decide/lease/witness_test.go
+++ b/decide/lease/witness_test.go
@@ -84,3 +84,23 @@
 	}
 	return n
 }
+
+// Guards against a process that takes callers because a candidate asked it for a
+// shard, although no candidate has a quorum yet.
+func TestShardIsKeptOnceItsPromiseIsRenewed(t *testing.T) {
+	w := NewWitness("w", epoch)
+	start := at(StartSilence)
+	w.Promise(start, ask("a", time.Second))
+	if w.Kept(start, 3) {
+		t.Error("kept after the first request")
+	}
+	w.Release(start, Release{Candidate: CandidateID{Host: "a"}, Sent: time.Second + 1, Drops: []Drop{{Shard: 3}}})
+	w.Promise(start, ask("a", time.Second+2))
+	if w.Kept(start, 3) {
+		t.Error("kept although the candidate gave up in between")
+	}
+	w.Promise(start.Add(RenewInterval), ask("a", time.Second+RenewInterval))
+	if !w.Kept(start.Add(RenewInterval), 3) || w.Kept(start.Add(RenewInterval+Term), 3) {
+		t.Error("a renewed promise must count until it lapses")
+	}
+}
