ejection: give servers that have not reported the settings of today

Cause: a server without a report had a report interval of 0, and the status of the judge divided by it: a status call ended the process with a panic. Change: a server has the settings of Today until its first report. Before: TestStatusBeforeTheFirstReport panics. After: passes.

--- a/decide/ejection/ejection_test.go
+++ b/decide/ejection/ejection_test.go
@@ -302,3 +302,17 @@
 		r.judge.Decide(r.now)
 	}
 }
+
+// Guards against a process that crashes when an operator asks for its status
+// before all servers have reported.
+func TestStatusBeforeTheFirstReport(t *testing.T) {
+	j := ejection.NewJudge(1)
+	now := time.Unix(1_700_000_000, 0)
+	j.SetFleet(now, []ejection.ServerState{{ID: "a"}, {ID: "b"}}, ejection.Floor{Servers: 1})
+	j.Decide(now)
+	for _, s := range j.Status(now) {
+		if s.Healthy {
+			t.Errorf("%s counts as healthy without a report", s.Server)
+		}
+	}
+}
--- a/decide/ejection/judge.go
+++ b/decide/ejection/judge.go
@@ -56,7 +56,7 @@
 		}
 		s := j.byID[state.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{settings: Today()} // until its first report tells
 		}
 		s.state = state
 		byID[state.ID] = s
