--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 	"github.com/ragwortyard/ragwortyard/decide/spread"
 )
@@ -24,12 +23,12 @@
 	for _, teams := range teamSizes {
 		p := newSpreadPair()
 		for version := range uint64(2) {
-			manifest, parts, err := documentsOf(teams, version+1)
+			_, parts, err := documentsOf(teams, version+1)
 			if err != nil {
 				return nil, err
 			}
 			p.bytes = 0
-			p.publish(version+1, manifest, parts)
+			p.publish(version+1, parts)
 			if version == 0 {
 				start.add(teams, float64(p.bytes)/1e3)
 				continue
@@ -51,18 +50,17 @@
 }
 
 // publish lets the first process read a document of the service and pass it on.
-func (p *spreadPair) publish(version uint64, manifest []byte, parts map[string][]byte) {
-	all := map[string][]byte{config.ManifestName: manifest}
-	refs := []spread.Ref{{Name: config.ManifestName, Digest: spread.DigestOf(manifest)}}
+// The manifest is not passed on.
+func (p *spreadPair) publish(version uint64, parts map[string][]byte) {
+	var refs []spread.Ref
 	for name, data := range parts {
-		all[name] = data
 		refs = append(refs, spread.Ref{Name: name, Digest: spread.DigestOf(data)})
 	}
 	p.now = p.now.Add(time.Second)
 	for _, action := range p.from.Tick(p.now) {
 		if read, ok := action.(spread.ReadService); ok {
 			m := spread.Manifest{Stamp: spread.StampOf(version, refs), Parts: refs}
-			p.serve(p.from.OnService(p.now, spread.ServiceRead{Seq: read.Seq, Manifest: m}), all)
+			p.serve(p.from.OnService(p.now, spread.ServiceRead{Seq: read.Seq, Manifest: m}), parts)
 		}
 	}
 }
