control: one hint at the keeper of a shard; remove dead code

The judges, the quarantine and the quota each looked the hint up in the directory; State.hint serves all. Slope.Last, two constants of capacity and ManifestDigest, which nothing calls, are removed. No behavior changes.

--- a/config/config.go
+++ b/config/config.go
@@ -47,10 +47,6 @@
 // Version returns the version of the manifest.
 func (c *Config) Version() uint64 { return c.version }
 
-// ManifestDigest returns the SHA-256 digest of the manifest in the encoding of
-// Build, whatever spacing and order the operator used.
-func (c *Config) ManifestDigest() Digest { return c.manifest.digest }
-
 // TeamParts returns the number of team values.
 func (c *Config) TeamParts() int { return len(c.teams) }
 
--- a/control/crashes.go
+++ b/control/crashes.go
@@ -164,11 +164,7 @@
 func (s *crashesStage) judge(now time.Time, r quarantine.Report, out *Output) quarantine.ReportAnswer {
 	shard := r.Fingerprint.Shard()
 	if !s.state.Leases.Candidate.Holds(now, shard) {
-		hint, ok := s.state.Leases.Directory.Target(shard)
-		if !ok || hint == s.state.Self.ID {
-			hint = ""
-		}
-		return quarantine.ReportAnswer{Hint: hint}
+		return quarantine.ReportAnswer{Hint: s.state.hint(shard)}
 	}
 	s.decide(now, r, out)
 	return quarantine.ReportAnswer{Keeper: true}
--- a/control/judges.go
+++ b/control/judges.go
@@ -74,11 +74,7 @@
 }
 
 func (s *judgesStage) redirect(service string) HealthAnswer {
-	hint, ok := s.state.Leases.Directory.Target(serviceShard(service))
-	if !ok || hint == s.state.Self.ID {
-		hint = ""
-	}
-	return HealthAnswer{Hint: hint}
+	return HealthAnswer{Hint: s.state.hint(serviceShard(service))}
 }
 
 // judge returns the judge of a service, nil when this process does not keep its
--- a/control/leases.go
+++ b/control/leases.go
@@ -150,6 +150,12 @@
 	if host, ok := s.Leases.Witness.Keeper(now, shard); ok && host != s.Self.ID {
 		return host
 	}
+	return s.hint(shard)
+}
+
+// hint names the process that the directory takes for the keeper of a shard that
+// this process does not keep, "" if it knows of none.
+func (s *State) hint(shard uint32) string {
 	if host, ok := s.Leases.Directory.Target(shard); ok && host != s.Self.ID {
 		return host
 	}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -20,11 +20,6 @@
 	Points []Point `json:"points"`
 }
 
-// Last returns the value at the largest size.
-func (s Slope) Last() float64 {
-	return s.Points[len(s.Points)-1].Value
-}
-
 // heapOf returns the live heap that build adds, in MB. The result is kept alive
 // until the measurement is over.
 func heapOf(build func() any) float64 {
--- a/internal/capacity/world.go
+++ b/internal/capacity/world.go
@@ -20,8 +20,6 @@
 	goalZones    = 16
 	goalParts    = 1_024
 	goalRequests = 280_000 // requests per second of the fleet
-	goalChanges  = 4_300   // changes of configuration a day
-	goalRestarts = 7_900   // hosts restarted or replaced a day
 )
 
 // hostSizes are the fleet sizes of the slopes.
