--- a/control/assemble.go
+++ b/control/assemble.go
@@ -21,7 +21,7 @@
 }
 
 // New returns the control loop of a process with all its stages in order.
-func New(o Options, outbound Outbound) *Loop {
+func New(o Options, outbound Outbound) *Loop[Snapshot] {
 	state := NewState(o.Self)
 	source := rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation))
 	table := membership.New(membership.Options{Self: o.Self.ID, Incarnation: o.Self.Incarnation, Rand: source})
--- a/control/loop.go
+++ b/control/loop.go
@@ -63,20 +63,20 @@
 }
 
 // Loop is the control thread of a process.
-type Loop struct {
+type Loop[S any] struct {
 	events   chan Event
 	stages   []Stage
 	outbound Outbound
-	build    func(now time.Time) *Snapshot
-	snapshot atomic.Pointer[Snapshot]
+	build    func(now time.Time) *S
+	snapshot atomic.Pointer[S]
 	stats    Stats
 	output   Output
 }
 
 // NewLoop returns a loop over the stages. build makes a snapshot from the state
 // that the stages own; the loop calls it after an event that changed something.
-func NewLoop(stages []Stage, build func(now time.Time) *Snapshot, outbound Outbound) *Loop {
-	l := &Loop{
+func NewLoop[S any](stages []Stage, build func(now time.Time) *S, outbound Outbound) *Loop[S] {
+	l := &Loop[S]{
 		events:   make(chan Event, eventBacklog),
 		stages:   stages,
 		outbound: outbound,
@@ -87,18 +87,18 @@
 }
 
 // Snapshot returns the state in force for traffic. It is immutable.
-func (l *Loop) Snapshot() *Snapshot {
+func (l *Loop[S]) Snapshot() *S {
 	return l.snapshot.Load()
 }
 
 // Stats returns the counters of the loop.
-func (l *Loop) Stats() *Stats {
+func (l *Loop[S]) Stats() *Stats {
 	return &l.stats
 }
 
 // Post hands an event to the loop without waiting. It reports false, and counts
 // the event, when the backlog is full.
-func (l *Loop) Post(ev Event) bool {
+func (l *Loop[S]) Post(ev Event) bool {
 	select {
 	case l.events <- ev:
 		return true
@@ -109,7 +109,7 @@
 }
 
 // Submit hands an event to the loop and waits for room in the backlog.
-func (l *Loop) Submit(ctx context.Context, ev Event) error {
+func (l *Loop[S]) Submit(ctx context.Context, ev Event) error {
 	select {
 	case l.events <- ev:
 		return nil
@@ -120,7 +120,7 @@
 
 // Run handles events until ctx is done. It blocks on the event channel and on
 // the earliest deadline of the stages.
-func (l *Loop) Run(ctx context.Context) {
+func (l *Loop[S]) Run(ctx context.Context) {
 	timer := time.NewTimer(l.untilDeadline(time.Now()))
 	defer timer.Stop()
 	for {
@@ -138,7 +138,7 @@
 
 // Step handles one event. Run calls it; a caller that keeps its own time, such
 // as a measurement in virtual time, calls it instead of Run.
-func (l *Loop) Step(now time.Time, ev Event) {
+func (l *Loop[S]) Step(now time.Time, ev Event) {
 	l.stats.Events.Add(1)
 	for _, stage := range l.stages {
 		stage.Handle(now, ev, &l.output)
@@ -146,7 +146,7 @@
 	l.flush(now)
 }
 
-func (l *Loop) flush(now time.Time) {
+func (l *Loop[S]) flush(now time.Time) {
 	if l.output.publish {
 		l.snapshot.Store(l.build(now))
 		l.stats.Snapshots.Add(1)
@@ -168,11 +168,11 @@
 const minWait = time.Millisecond
 
 // NextDeadline returns when the stages next want a Tick, at most idleWait ahead.
-func (l *Loop) NextDeadline(now time.Time) time.Time {
+func (l *Loop[S]) NextDeadline(now time.Time) time.Time {
 	return now.Add(l.untilDeadline(now))
 }
 
-func (l *Loop) untilDeadline(now time.Time) time.Duration {
+func (l *Loop[S]) untilDeadline(now time.Time) time.Duration {
 	wait := idleWait
 	for _, stage := range l.stages {
 		deadline := stage.Deadline()
--- a/control/status.go
+++ b/control/status.go
@@ -54,7 +54,7 @@
 func (statusAsked) ControlEvent() {}
 
 // Status asks the stages for their state.
-func (l *Loop) Status(ctx context.Context) (*Status, error) {
+func (l *Loop[S]) Status(ctx context.Context) (*Status, error) {
 	asked := statusAsked{status: &Status{}, reply: make(chan *Status, 1)}
 	if err := l.Submit(ctx, asked); err != nil {
 		return nil, err
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -161,11 +161,11 @@
 	"decide":    {},
 	"config":    {"pipeline"},
 	"control":   {"pipeline", "config", "decide"},
-	"platform":  {"pipeline", "config", "control"},
+	"source":    {"pipeline", "config", "control"},
 	"httpfront": {"pipeline"},
 	"fleet":     {"pipeline", "decide", "httpfront", "internal/httpsend"},
 	"filters":   {"pipeline", "config", "control", "decide", "fleet", "internal/httpsend"},
-	"node":      {"pipeline", "config", "control", "decide", "platform", "httpfront", "fleet", "filters", "internal/httpsend"},
+	"node":      {"pipeline", "config", "control", "decide", "source", "httpfront", "fleet", "filters", "internal/httpsend"},
 }
 
 // Guards against packages that import upward, which ends in cycles and in
--- a/internal/capacity/node.go
+++ b/internal/capacity/node.go
@@ -93,7 +93,7 @@
 
 // renewOthers sends the renewals of the other keepers to the witness of the
 // process, which knows by them that the shards have a keeper.
-func (p *peers) renewOthers(loop *control.Loop, now time.Time) {
+func (p *peers) renewOthers(loop *control.Loop[control.Snapshot], now time.Time) {
 	if now.Before(p.renewAt) {
 		return
 	}
@@ -155,7 +155,7 @@
 // for the given seconds.
 func measureNode(n, seconds int) nodeCost {
 	start := time.Unix(1_800_000_000, 0)
-	var loop *control.Loop
+	var loop *control.Loop[control.Snapshot]
 	p := &peers{self: hostID(0), placement: lease.NewPlacement(membersOf(n)), traffic: make(map[string]*messageCount)}
 	heap := heapOf(func() any {
 		loop = control.New(control.Options{
@@ -186,7 +186,7 @@
 
 // timeOfHostChange returns the time that the loop takes for a host list in which
 // one host is replaced by another, in ms.
-func timeOfHostChange(loop *control.Loop, n int, now time.Time) float64 {
+func timeOfHostChange(loop *control.Loop[control.Snapshot], n int, now time.Time) float64 {
 	var lists []control.HostsRead
 	for round := range rounds {
 		hosts := hostsOf(n)
@@ -202,7 +202,7 @@
 
 // run steps the loop through virtual time. Replies arrive at once: the time on
 // the way costs nothing.
-func (p *peers) run(loop *control.Loop, from, to time.Time) {
+func (p *peers) run(loop *control.Loop[control.Snapshot], from, to time.Time) {
 	for now := from; now.Before(to); now = loop.NextDeadline(now) {
 		p.renewOthers(loop, now)
 		loop.Step(now, control.Tick{})
--- a/node/messages.go
+++ b/node/messages.go
@@ -44,7 +44,7 @@
 // peerHandler hands the messages of peers to the control loop and waits for the
 // reply of the stage that is concerned.
 type peerHandler struct {
-	loop *control.Loop
+	loop *control.Loop[control.Snapshot]
 }
 
 // HandlePeer returns the reply to a message.
--- a/node/node.go
+++ b/node/node.go
@@ -31,7 +31,7 @@
 	"github.com/ragwortyard/ragwortyard/fleet"
 	"github.com/ragwortyard/ragwortyard/httpfront"
 	"github.com/ragwortyard/ragwortyard/pipeline"
-	"github.com/ragwortyard/ragwortyard/platform"
+	"github.com/ragwortyard/ragwortyard/source"
 )
 
 // Platform is what a process reads of its surroundings.
@@ -52,7 +52,7 @@
 	platform Platform
 	metrics  *metrics.Set
 	traffic  fleet.Traffic
-	loop     *control.Loop
+	loop     *control.Loop[control.Snapshot]
 	client   *fleet.Client
 	hop      *fleet.HopClient
 	source   *configSource
@@ -92,7 +92,7 @@
 		policies: &control.Policies{},
 		shares:   &control.ShareTable{},
 		source:   newConfigSource(reads.Config),
-		probes:   platform.NewClient(),
+		probes:   source.NewClient(),
 	}
 	n.ids.prefix = strconv.FormatUint(rand.Uint64(), 36) + "-"
 	registry := newRegistry()
@@ -312,7 +312,7 @@
 func (n *Node) readHosts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	list, err := n.platform.Hosts.Hosts(ctx)
+	list, err := n.source.Hosts.Hosts(ctx)
 	if err != nil {
 		n.log.Debug("host list not readable", zap.Error(err))
 		return
--- a/node/platform.go
+++ b/node/platform.go
@@ -4,21 +4,21 @@
 	"context"
 
 	"github.com/ragwortyard/ragwortyard/control"
-	"github.com/ragwortyard/ragwortyard/platform"
+	"github.com/ragwortyard/ragwortyard/source"
 )
 
 // HTTPPlatform reads the platform's services at their base URLs.
 func HTTPPlatform(configURL, hostsURL string) Platform {
-	client := platform.NewClient()
+	client := source.NewClient()
 	return Platform{
-		Config: platform.NewConfigReader(configURL, client),
-		Hosts:  &hostReader{reader: platform.NewHostListReader(hostsURL, client)},
+		Config: source.NewConfigReader(configURL, client),
+		Hosts:  &hostReader{reader: source.NewHostListReader(hostsURL, client)},
 	}
 }
 
 // hostReader converts the platform's host list to an event of the control loop.
 type hostReader struct {
-	reader *platform.HostListReader
+	reader *source.HostListReader
 }
 
 // Hosts returns the newest list.
@@ -37,11 +37,11 @@
 	return read, nil
 }
 
-func convertHost(h platform.Host) control.Host {
+func convertHost(h source.Host) control.Host {
 	host := control.Host{
 		ID:          h.ID,
 		Zone:        h.Zone,
-		Leaving:     h.State == platform.HostLeaving,
+		Leaving:     h.State == source.HostLeaving,
 		TrafficAddr: h.Traffic,
 		ControlAddr: h.Control,
 	}
--- a/node/probes.go
+++ b/node/probes.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/control"
-	"github.com/ragwortyard/ragwortyard/platform"
+	"github.com/ragwortyard/ragwortyard/source"
 )
 
 // probeInterval is the time between two reads of a health endpoint. What a
@@ -14,7 +14,7 @@
 
 // probe reads the health endpoint of a local backend server until ctx is done.
 func (n *Node) probe(ctx context.Context, local control.Local) {
-	backend := platform.NewBackend(local.Addr, n.probes)
+	backend := source.NewBackend(local.Addr, n.probes)
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
@@ -28,12 +28,12 @@
 }
 
 // readHealth asks once. No answer counts as failing.
-func readHealth(ctx context.Context, backend *platform.Backend, id string) control.BackendProbed {
+func readHealth(ctx context.Context, backend *source.Backend, id string) control.BackendProbed {
 	health, err := backend.Health(ctx)
 	return control.BackendProbed{
 		Backend:  id,
-		Failing:  err != nil || health.Status == platform.HealthFailing,
-		Starting: err == nil && health.Status == platform.HealthStarting,
-		Draining: err == nil && health.Status == platform.HealthDraining,
+		Failing:  err != nil || health.Status == source.HealthFailing,
+		Starting: err == nil && health.Status == source.HealthStarting,
+		Draining: err == nil && health.Status == source.HealthDraining,
 	}
 }
--- a/platform/backend.go
+++ b/source/backend.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 import (
 	"context"
--- a/platform/client.go
+++ b/source/client.go
@@ -1,11 +1,11 @@
-// Package platform reads what the platform offers: the configuration service,
+// Package source reads what the platform offers: the configuration service,
 // the host list, and the health and load endpoints of backend servers. It only
-// reads; nothing of the system writes shared state. docs/PLATFORM.md states the
+// reads; nothing of the system writes shared state. docs/SOURCES.md states the
 // interfaces expected.
 //
 // A reader makes one call at a time and neither retries nor caches. The caller
 // decides when to read again.
-package platform
+package source
 
 import (
 	"context"
