node, control: finish the rename of the readers

Cause: the rename also changed the field Node.platform, and the tests of control named the loop without its type parameter; both did not compile. Change: restore the field, name the type in the tests.

--- a/control/hosts_test.go
+++ b/control/hosts_test.go
@@ -21,7 +21,7 @@
 
 var testStart = time.Unix(1_800_000_000, 0)
 
-func newTestLoop() *Loop {
+func newTestLoop() *Loop[Snapshot] {
 	return New(Options{
 		Self:     Self{ID: "host-0", Zone: "a", Incarnation: 1, Started: testStart},
 		Seed:     1,
--- a/node/node.go
+++ b/node/node.go
@@ -312,7 +312,7 @@
 func (n *Node) readHosts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	list, err := n.source.Hosts.Hosts(ctx)
+	list, err := n.platform.Hosts.Hosts(ctx)
 	if err != nil {
 		n.log.Debug("host list not readable", zap.Error(err))
 		return
