sidecar: serve on a platform that owns configuration and server list

Cause: the users' platform fixes how services, operators and machines talk; the product needs an adapter and parts that its own interface did not ask for.

--- a/cmd/ragwortyard/main.go
+++ b/cmd/ragwortyard/main.go
@@ -25,6 +25,7 @@
 // commands are the subcommands.
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run the process beside the backend servers of a host."`
+	Sidecar  sidecarCommand  `cmd:"" help:"Run the process on a platform that owns the configuration; settings come from its file."`
 	Check    checkCommand    `cmd:"" help:"Validate a configuration before it is published."`
 	Status   statusCommand   `cmd:"" help:"Ask a running process for its state."`
 	Demo     demoCommand     `cmd:"" help:"Run a small fleet on loopback, bring about failures and compare what callers saw with the targets."`
--- /dev/null
+++ b/control/mesh/assemble.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/crashcount"
+	"github.com/ragwortyard/ragwortyard/decide/teamrate"
+)
+
+// Options configure the control loop.
+type Options struct {
+	Self Self
+	// KeyTrust is how long a key is trusted after the platform confirmed it.
+	KeyTrust time.Duration
+	// Load returns the load of the backend server of this host. It must not block.
+	Load func() Load
+}
+
+// Stop begins a planned stop.
+type Stop struct{}
+
+// ControlEvent marks Stop as an event.
+func (Stop) ControlEvent() {}
+
+// New returns the control loop with all its stages in order.
+func New(o Options, outbound control.Outbound) *control.Loop[Snapshot] {
+	st := &state{
+		self:    o.Self,
+		servers: make(map[string]*listed),
+		peers:   make(map[string]*Peer),
+	}
+	stages := []control.Stage{
+		&stopStage{state: st},
+		&configStage{state: st, trust: o.KeyTrust},
+		&serversStage{state: st},
+		&healthStage{state: st, load: o.Load, beliefs: make(map[string]belief.State)},
+		&teamsStage{
+			state:   st,
+			buckets: make(map[string]*teamrate.Bucket),
+			alone:   make(map[string]*teamrate.Bucket),
+			asks:    make(map[uint32]*ask),
+		},
+		&crashesStage{state: st, counter: crashcount.New()},
+	}
+	return control.NewLoop(stages, st.snapshot, outbound)
+}
+
+// stopStage marks the process as stopping.
+type stopStage struct{ state *state }
+
+// Name returns "stop".
+func (s *stopStage) Name() string { return "stop" }
+
+// Deadline returns the zero time.
+func (s *stopStage) Deadline() time.Time { return time.Time{} }
+
+// Handle reacts to Stop only.
+func (s *stopStage) Handle(_ time.Time, ev control.Event, out *control.Output) {
+	if _, ok := ev.(Stop); ok {
+		s.state.stopping = true
+		out.Publish()
+	}
+}
+
+// snapshot returns the state for traffic.
+func (s *state) snapshot(time.Time) *Snapshot {
+	snap := &Snapshot{
+		Table:     s.table,
+		KeysUntil: s.keysUntil,
+		Services:  make(map[string][]*Target),
+		Local:     make(map[string]*Target),
+		Blocked:   s.blocked,
+		Hosts:     len(s.peers) + 1,
+		Stopping:  s.stopping,
+	}
+	for id, server := range s.servers {
+		target := &Target{
+			Server:    server.Server,
+			Local:     server.Host == s.self.Host,
+			SameZone:  server.Zone == s.self.Zone,
+			ColdUntil: server.coldUntil,
+			Live:      server.live,
+		}
+		snap.Services[server.Service] = append(snap.Services[server.Service], target)
+		if target.Local {
+			snap.Local[id] = target
+		}
+	}
+	return snap
+}
--- /dev/null
+++ b/control/mesh/health.go
@@ -0,0 +1,197 @@
+package mesh
+
+import (
+	"math"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+// Observed is the outcome of a request at a backend server of this host.
+type Observed struct {
+	Backend string
+	Outcome belief.Outcome
+}
+
+// ControlEvent marks Observed as an event.
+func (Observed) ControlEvent() {}
+
+// LoadChanged says that the load of the backend server of this host changed.
+type LoadChanged struct{}
+
+// ControlEvent marks LoadChanged as an event.
+func (LoadChanged) ControlEvent() {}
+
+// Received is a datagram of another process.
+type Received struct {
+	Host    string // IP number of the sender
+	Message notice.Message
+}
+
+// ControlEvent marks Received as an event.
+func (Received) ControlEvent() {}
+
+// Load is the load of the backend server of this host.
+type Load struct {
+	Running, Waiting, Slots int
+	Held                    time.Duration
+}
+
+// Pace of the statuses that a process sends to the others.
+const (
+	// statusInterval is the longest time between two statuses: peers that were
+	// not heard for peerTimeout are taken for lost.
+	statusInterval = time.Second
+	// peerTimeout allows for a lost status and a busy host.
+	peerTimeout = 2500 * time.Millisecond
+	// changeInterval is the shortest time between two statuses about a change,
+	// for each changePeers peers: a larger fleet sends less often to more.
+	changeInterval = 100 * time.Millisecond
+	changePeers    = 40
+	// beliefStep and loadStep are the changes that are worth a status: a step of
+	// belief moves the choice of entries, two slots are about a third of a server.
+	beliefStep = 0.1
+	loadStep   = 2
+)
+
+// healthStage keeps what is known of each backend server, tells the others about
+// the one of this host, and takes in what they tell.
+type healthStage struct {
+	state   *state
+	load    func() Load
+	beliefs map[string]belief.State // of the backend servers of this host
+	seq     uint32
+	sent    time.Time     // of the last status
+	last    notice.Status // that was sent
+	urgent  bool          // a change waits to be sent
+}
+
+// Name returns "health".
+func (s *healthStage) Name() string { return "health" }
+
+// Deadline returns when the next status is due.
+func (s *healthStage) Deadline() time.Time {
+	if s.urgent {
+		return s.sent.Add(s.spaced(changeInterval))
+	}
+	return s.sent.Add(s.spaced(statusInterval))
+}
+
+// spaced stretches an interval in large fleets, so that the messages of a
+// process do not grow with the fleet.
+func (s *healthStage) spaced(interval time.Duration) time.Duration {
+	factor := max(1, float64(len(s.state.peers))/changePeers)
+	if interval == statusInterval {
+		factor = min(factor, 2) // peers are taken for lost otherwise
+	}
+	return time.Duration(float64(interval) * factor)
+}
+
+// Handle reacts to outcomes, to load and to statuses of others.
+func (s *healthStage) Handle(now time.Time, ev control.Event, out *control.Output) {
+	switch ev := ev.(type) {
+	case Observed:
+		s.observe(now, ev, out)
+	case LoadChanged:
+		load := s.load()
+		change := load.Running + load.Waiting - int(s.last.Running) - int(s.last.Waiting)
+		s.urgent = s.urgent || change >= loadStep || change <= -loadStep
+	case Received:
+		if ev.Message.Status != nil {
+			s.receive(now, ev.Host, ev.Message.Status, out)
+		}
+	case Stop:
+		s.urgent = true
+	}
+	if !now.Before(s.Deadline()) {
+		s.send(now, out)
+	}
+}
+
+func (s *healthStage) observe(now time.Time, ev Observed, out *control.Output) {
+	server := s.state.servers[ev.Backend]
+	if server == nil {
+		return
+	}
+	old, ok := s.beliefs[ev.Backend]
+	if !ok {
+		old = belief.New(now)
+	}
+	next := old.Observe(now, ev.Outcome)
+	s.beliefs[ev.Backend] = next
+	health := server.live.Health()
+	before := old.Bad(now)
+	health.Bad, health.Evidence = next.Bad(now), now
+	server.live.health.Store(&health)
+	if ev.Outcome != belief.Succeeded {
+		log(out, "backend server doubted", map[string]any{"backend": ev.Backend, "bad": round(health.Bad), "before": round(before)})
+	}
+	step := math.Abs(next.Bad(now) - belief.Drift(float64(s.last.Bad), now.Sub(s.sent)))
+	s.urgent = s.urgent || step >= beliefStep
+	for id := range s.beliefs {
+		if s.state.servers[id] == nil {
+			delete(s.beliefs, id)
+		}
+	}
+}
+
+func round(p float64) float64 { return math.Round(p*1000) / 1000 }
+
+// send tells all peers how the backend server of this host is.
+func (s *healthStage) send(now time.Time, out *control.Output) {
+	s.sent, s.urgent = now, false
+	s.seq++
+	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping}
+	load := s.load()
+	status.Running, status.Waiting = clamp(load.Running), clamp(load.Waiting)
+	status.HeldMS = uint32(load.Held.Milliseconds())
+	for id, server := range s.state.servers {
+		if server.Host != s.state.self.Host || (status.Backend != "" && server.Draining) {
+			continue
+		}
+		health := server.live.Health()
+		health.Running, health.Waiting, health.Held = load.Running, load.Waiting, load.Held
+		health.Heard, health.Stopping = now, s.state.stopping
+		server.live.health.Store(&health)
+		status.Backend = id
+		status.Bad = float32(belief.Drift(health.Bad, now.Sub(health.Evidence)))
+		status.AgeMS = uint32(now.Sub(health.Evidence).Milliseconds())
+	}
+	s.last = status
+	hosts := make([]string, 0, len(s.state.peers))
+	for host := range s.state.peers {
+		hosts = append(hosts, host)
+	}
+	if len(hosts) > 0 {
+		out.Emit(Send{Hosts: hosts, Message: notice.Message{Status: &status}})
+	}
+}
+
+func clamp(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
+
+// receive takes in a status unless a newer one came before it.
+func (s *healthStage) receive(now time.Time, host string, status *notice.Status, out *control.Output) {
+	peer := s.state.peers[host]
+	if peer == nil || (peer.Boot == status.Boot && status.Seq <= peer.Seq) {
+		return
+	}
+	if !peer.Heard.IsZero() && now.Sub(peer.Heard) > peerTimeout {
+		log(out, "peer regained", map[string]any{"host": host, "silent_ms": now.Sub(peer.Heard).Milliseconds()})
+	}
+	*peer = Peer{Heard: now, Boot: status.Boot, Seq: status.Seq, Stopping: status.Stopping}
+	server := s.state.servers[status.Backend]
+	if server == nil || server.Host != host {
+		return
+	}
+	server.live.health.Store(&Health{
+		Bad:      float64(status.Bad),
+		Evidence: now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
+		Running:  int(status.Running),
+		Waiting:  int(status.Waiting),
+		Held:     time.Duration(status.HeldMS) * time.Millisecond,
+		Heard:    now,
+		Stopping: status.Stopping,
+	})
+}
--- /dev/null
+++ b/control/mesh/state.go
@@ -0,0 +1,167 @@
+package mesh
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/crashcount"
+	"github.com/ragwortyard/ragwortyard/decide/routing"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+// Self identifies this process.
+type Self struct {
+	Host    string // IP number
+	Zone    string
+	Service string // of the backend server of this host
+	Boot    uint32 // random for each start
+	Started time.Time
+}
+
+// Server is one backend server as the platform lists it.
+type Server struct {
+	ID       string
+	Service  string
+	Zone     string
+	Host     string // IP number of its host
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer it is slow, when it was listed
+	Born     int64         // start in Unix milliseconds; 0 when not stated
+}
+
+// Health is the last that is known of a backend server.
+type Health struct {
+	Bad      float64   // probability of a gray failure at Evidence
+	Evidence time.Time // of the last outcome
+	Running  int
+	Waiting  int
+	Held     time.Duration // mean time that a request holds a slot
+	Heard    time.Time     // of the last status
+	Stopping bool          // the process in front of it takes no new work
+}
+
+// Live is what changes about a backend server between snapshots. The control
+// loop writes the health; entries count their own attempts.
+type Live struct {
+	health   atomic.Pointer[Health]
+	inFlight atomic.Int32
+	failed   atomic.Int64 // when a hop last failed, in nanoseconds since base; 0 for never
+}
+
+// base is the origin of times that are kept in atomics.
+var base = time.Now()
+
+// Health returns the last health.
+func (l *Live) Health() Health { return *l.health.Load() }
+
+// Started counts an attempt of this process; Ended takes it back.
+func (l *Live) Started() { l.inFlight.Add(1) }
+
+// Ended says that an attempt has ended.
+func (l *Live) Ended() { l.inFlight.Add(-1) }
+
+// InFlight returns the attempts of this process.
+func (l *Live) InFlight() int { return int(l.inFlight.Load()) }
+
+// PathFailed records that the process in front of the server was not reached.
+func (l *Live) PathFailed(now time.Time) { l.failed.Store(int64(now.Sub(base))) }
+
+// PathWorked forgets failures of the path.
+func (l *Live) PathWorked() { l.failed.Store(0) }
+
+// PathFailedWithin tells whether the path failed within the last d.
+func (l *Live) PathFailedWithin(now time.Time, d time.Duration) bool {
+	at := l.failed.Load()
+	return at != 0 && now.Sub(base.Add(time.Duration(at))) < d
+}
+
+// Target is a backend server that traffic may choose.
+type Target struct {
+	Server
+	Local     bool
+	SameZone  bool
+	ColdUntil time.Time
+	Live      *Live
+}
+
+// Snapshot is the control state that traffic reads.
+type Snapshot struct {
+	Table *routing.Table // nil until a configuration was read
+	// KeysUntil is when a withdrawal of a key can no longer be ruled out, on the
+	// clock that also counts suspended time. Traffic compares at the moment of use.
+	KeysUntil time.Duration
+	Services  map[string][]*Target
+	Local     map[string]*Target // backend servers of this host
+	Blocked   map[crashcount.Fingerprint]time.Time
+	Hosts     int // hosts with a backend server
+	Stopping  bool
+}
+
+// KeysValid tells whether keys can be trusted at a reading of the boot clock.
+func (s *Snapshot) KeysValid(boot time.Duration) bool { return boot < s.KeysUntil }
+
+// Ready tells whether the process takes callers.
+func (s *Snapshot) Ready(boot time.Duration) bool {
+	return s.Table != nil && len(s.Services) > 0 && s.KeysValid(boot) && !s.Stopping
+}
+
+// Peer is another process of the fleet.
+type Peer struct {
+	Heard    time.Time
+	Boot     uint32
+	Seq      uint32
+	Stopping bool
+}
+
+// listed is a server with what the process knows of it.
+type listed struct {
+	Server
+	coldUntil time.Time
+	missing   time.Time // since when the platform no longer lists it; zero while listed
+	live      *Live
+}
+
+// state is what the stages share. Each field is written by the stage that its
+// comment names.
+type state struct {
+	self Self
+
+	// Written by the configuration stage.
+	table     *routing.Table
+	keysUntil time.Duration
+
+	// Written by the servers stage.
+	servers map[string]*listed
+	peers   map[string]*Peer // by IP number, without this process
+
+	// Written by the crashes stage.
+	blocked map[crashcount.Fingerprint]time.Time
+
+	// Written by the stop stage.
+	stopping bool
+}
+
+// Send is a datagram to other processes.
+type Send struct {
+	Hosts   []string // IP numbers
+	Message notice.Message
+}
+
+// ControlCommand marks Send as a command.
+func (Send) ControlCommand() {}
+
+// Log is a line about a decision of the control loop.
+type Log struct {
+	Text   string
+	Fields map[string]any
+}
+
+// ControlCommand marks Log as a command.
+func (Log) ControlCommand() {}
+
+// log emits a line.
+func log(out *control.Output, text string, fields map[string]any) {
+	out.Emit(Log{Text: text, Fields: fields})
+}
--- /dev/null
+++ b/control/mesh/teams.go
@@ -0,0 +1,224 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/decide/routing"
+	"github.com/ragwortyard/ragwortyard/decide/teamrate"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+// TokenWanted asks for a token of a team. The verdict is sent to Reply, which
+// has room for it.
+type TokenWanted struct {
+	Team  *routing.Team
+	Reply chan TokenVerdict
+}
+
+// ControlEvent marks TokenWanted as an event.
+func (TokenWanted) ControlEvent() {}
+
+// TokenVerdict answers TokenWanted.
+type TokenVerdict struct {
+	Granted bool
+	Wait    time.Duration // until the next token when not granted
+	Source  string        // who decided: "self", "owner" or "alone"
+}
+
+// Timeouts of an ask. An answer takes a millisecond or two.
+const (
+	// askRepeat is when an ask is sent again: the datagram may be lost.
+	askRepeat = 40 * time.Millisecond
+	// askTimeout is when the share of this process decides instead.
+	askTimeout = 120 * time.Millisecond
+	// ownerDelay is how long after its start a process owns no team: it has not
+	// heard its peers yet and would take every team for its own.
+	ownerDelay = 2 * time.Second
+)
+
+// ask is a request for a token that was sent to the owner.
+type ask struct {
+	wanted TokenWanted
+	owner  string
+	sent   time.Time
+	again  bool
+}
+
+// teamsStage holds teams to their rates.
+type teamsStage struct {
+	state   *state
+	buckets map[string]*teamrate.Bucket // of the teams that this process owns
+	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
+	asks    map[uint32]*ask
+	nextID  uint32
+}
+
+// Name returns "teams".
+func (s *teamsStage) Name() string { return "teams" }
+
+// Deadline returns when the next ask is repeated or given up.
+func (s *teamsStage) Deadline() time.Time {
+	var next time.Time
+	for _, a := range s.asks {
+		if at := a.due(); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+func (a *ask) due() time.Time {
+	if a.again {
+		return a.sent.Add(askTimeout)
+	}
+	return a.sent.Add(askRepeat)
+}
+
+// Handle reacts to asks, of traffic and of peers, and to grants.
+func (s *teamsStage) Handle(now time.Time, ev control.Event, out *control.Output) {
+	switch ev := ev.(type) {
+	case TokenWanted:
+		s.want(now, ev, out)
+	case Received:
+		switch {
+		case ev.Message.Ask != nil:
+			s.serve(now, ev.Host, ev.Message.Ask, out)
+		case ev.Message.Grant != nil:
+			s.granted(ev.Message.Grant)
+		}
+	case TableRead:
+		s.forgetTeams()
+	case control.Tick:
+		s.expire(now, out)
+	}
+}
+
+func (s *teamsStage) want(now time.Time, wanted TokenWanted, out *control.Output) {
+	owner, known := s.owner(now, wanted.Team.Name)
+	switch {
+	case !known:
+		s.decideAlone(now, wanted)
+	case owner == s.state.self.Host:
+		n, wait := s.take(now, wanted.Team, 1)
+		wanted.Reply <- TokenVerdict{Granted: n > 0, Wait: wait, Source: "self"}
+	default:
+		s.nextID++
+		a := &ask{wanted: wanted, owner: owner, sent: now}
+		s.asks[s.nextID] = a
+		s.send(s.nextID, a, out)
+	}
+}
+
+func (s *teamsStage) send(id uint32, a *ask, out *control.Output) {
+	out.Emit(Send{
+		Hosts:   []string{a.owner},
+		Message: notice.Message{Ask: &notice.Ask{ID: id, Team: a.wanted.Team.Name, Count: 1}},
+	})
+}
+
+// owner returns the process that keeps the bucket of a team: the first by
+// rendezvous hash of the processes that were heard lately. It is not known while
+// less than half of the fleet is heard.
+func (s *teamsStage) owner(now time.Time, team string) (string, bool) {
+	var members []rendezvous.Member
+	if now.Sub(s.state.self.Started) >= ownerDelay && !s.state.stopping {
+		members = append(members, rendezvous.Member{ID: s.state.self.Host})
+	}
+	for host, peer := range s.state.peers {
+		if now.Sub(peer.Heard) < peerTimeout && !peer.Stopping {
+			members = append(members, rendezvous.Member{ID: host})
+		}
+	}
+	if 2*len(members) <= len(s.state.peers) {
+		return "", false
+	}
+	best := rendezvous.Rank(rendezvous.Hash(team), members, 1)
+	if len(best) == 0 {
+		return "", false
+	}
+	return best[0].ID, true
+}
+
+// take spends tokens of a team that this process owns.
+func (s *teamsStage) take(now time.Time, team *routing.Team, want int) (int, time.Duration) {
+	limit := limitOf(team)
+	bucket := s.buckets[team.Name]
+	if bucket == nil {
+		bucket = teamrate.NewBucket(now, limit)
+		s.buckets[team.Name] = bucket
+	}
+	n := bucket.Take(now, limit, want)
+	return n, bucket.Wait(limit)
+}
+
+func limitOf(team *routing.Team) teamrate.Limit {
+	return teamrate.Limit{Rate: team.Rate, Burst: team.Burst}
+}
+
+// serve answers the ask of a peer. A process that does not know the team yet
+// lets the peer decide alone.
+func (s *teamsStage) serve(now time.Time, host string, asked *notice.Ask, out *control.Output) {
+	if s.state.table == nil || s.state.peers[host] == nil {
+		return
+	}
+	team, ok := s.state.table.Team(asked.Team)
+	if !ok || team.Rate <= 0 {
+		return
+	}
+	n, wait := s.take(now, team, int(asked.Count))
+	grant := &notice.Grant{ID: asked.ID, Count: uint16(n)}
+	if n == 0 {
+		grant.WaitMS = uint32(wait.Milliseconds())
+	}
+	out.Emit(Send{Hosts: []string{host}, Message: notice.Message{Grant: grant}})
+}
+
+func (s *teamsStage) granted(grant *notice.Grant) {
+	a := s.asks[grant.ID]
+	if a == nil {
+		return
+	}
+	delete(s.asks, grant.ID)
+	wait := time.Duration(grant.WaitMS) * time.Millisecond
+	a.wanted.Reply <- TokenVerdict{Granted: grant.Count > 0, Wait: wait, Source: "owner"}
+}
+
+// expire repeats asks and decides those without an answer.
+func (s *teamsStage) expire(now time.Time, out *control.Output) {
+	for id, a := range s.asks {
+		switch {
+		case now.Before(a.due()):
+		case !a.again:
+			a.again = true
+			s.send(id, a, out)
+		default:
+			delete(s.asks, id)
+			s.decideAlone(now, a.wanted)
+		}
+	}
+}
+
+// decideAlone spends the share of this process.
+func (s *teamsStage) decideAlone(now time.Time, wanted TokenWanted) {
+	limit := limitOf(wanted.Team)
+	bucket := s.alone[wanted.Team.Name]
+	if bucket == nil {
+		bucket = teamrate.NewAloneBucket(now)
+		s.alone[wanted.Team.Name] = bucket
+	}
+	n := bucket.TakeAlone(now, limit, len(s.state.peers)+1, 1)
+	wanted.Reply <- TokenVerdict{Granted: n > 0, Wait: time.Second, Source: "alone"}
+}
+
+// forgetTeams drops the buckets of teams that the configuration no longer names.
+func (s *teamsStage) forgetTeams() {
+	for _, buckets := range []map[string]*teamrate.Bucket{s.buckets, s.alone} {
+		for name := range buckets {
+			if _, ok := s.state.table.Team(name); !ok {
+				delete(buckets, name)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/filters/dispatch/dispatch.go
@@ -0,0 +1,341 @@
+// Package dispatch chooses backend servers for the attempts of a request and
+// decides what is repeated.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/retry"
+	"github.com/ragwortyard/ragwortyard/decide/selection"
+	"github.com/ragwortyard/ragwortyard/fleet/hop"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Sender carries one attempt to the process on a host.
+type Sender interface {
+	Do(ctx context.Context, host string, req *pipeline.Request) hop.Answer
+}
+
+// Filter is the last filter of the entry chain.
+type Filter struct {
+	Snapshot func() *mesh.Snapshot
+	Sender   Sender
+	Budgets  *Budgets
+	NewID    func() string
+	Log      *zap.Logger
+}
+
+// Name returns "dispatch".
+func (f *Filter) Name() string { return "dispatch" }
+
+const (
+	// maxRefusals bounds the exits that may turn an attempt away before the
+	// request waits at one of them.
+	maxRefusals = 3
+	// maxSends bounds the attempts of one request, those that were not run
+	// included.
+	maxSends = 8
+	// endSlack lets an answer arrive that the backend server sent at the deadline.
+	endSlack = 60 * time.Millisecond
+	// hedgeShare is the part of its target latency after which a repeatable
+	// request without an answer is also sent to a second server.
+	hedgeShare = 0.85
+	// pathMemory is how long an entry prefers other hosts after a hop failed.
+	pathMemory = time.Second
+	// silence is how long a process may be silent before entries prefer others:
+	// statuses come each second.
+	silence = 2500 * time.Millisecond
+	// retryAfter is the advice to callers when no backend server takes the
+	// request: slots are free again after about a service time.
+	retryAfter = 500 * time.Millisecond
+	// usualAnswer is the size of an average answer with its header, in bytes.
+	usualAnswer = 2000
+)
+
+// Budgets holds the retries that each service has earned at this entry.
+type Budgets struct {
+	Share   float64                       // retries earned by each first attempt
+	Reserve func(snap *mesh.Snapshot) int // retries saved up at most
+	table   sync.Map                      // service to *retry.Budget
+}
+
+func (b *Budgets) get(snap *mesh.Snapshot, service string) *retry.Budget {
+	if budget, ok := b.table.Load(service); ok {
+		return budget.(*retry.Budget)
+	}
+	budget, _ := b.table.LoadOrStore(service, retry.NewBudget(b.Share, b.Reserve(snap)))
+	return budget.(*retry.Budget)
+}
+
+// run is one request on its way to an answer.
+type run struct {
+	filter   *Filter
+	req      *pipeline.Request
+	budget   *retry.Budget
+	results  chan ended
+	open     int // attempts without a result
+	sends    int // attempts sent
+	ran      int // attempts that may have run
+	refusals int
+	barred   map[string]bool // backend servers that are not chosen again
+	full     map[string]bool // exits that had no free slot
+	best     *pipeline.Result
+	refusal  *pipeline.Result // the last answer that says not run
+}
+
+// ended is the end of one attempt.
+type ended struct {
+	target *mesh.Target
+	answer hop.Answer
+}
+
+// Handle sends the request until it has an answer, may not be repeated or its
+// time is over.
+func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &run{
+		filter:  f,
+		req:     req,
+		budget:  f.Budgets.get(f.Snapshot(), req.Service),
+		results: make(chan ended, maxSends),
+		barred:  make(map[string]bool),
+		full:    make(map[string]bool),
+	}
+	r.budget.Earn()
+	if !r.send(ctx) {
+		return r.unserved()
+	}
+	return r.await(ctx)
+}
+
+func (r *run) await(ctx context.Context) *pipeline.Result {
+	end := time.NewTimer(time.Until(r.req.Deadline) + endSlack)
+	defer end.Stop()
+	hedge := r.hedgeTimer()
+	defer hedge.Stop()
+	for {
+		select {
+		case e := <-r.results:
+			r.open--
+			if result := r.take(ctx, e); result != nil {
+				return result
+			}
+		case <-hedge.C:
+			if r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend() {
+				r.send(ctx)
+			}
+		case <-end.C:
+			return r.expired()
+		case <-ctx.Done():
+			return pipeline.Refuse(pipeline.CodeCanceled, "")
+		}
+	}
+}
+
+func (r *run) hedgeTimer() *time.Timer {
+	if !r.req.Class.Idempotent || r.req.MaxAttempts < 2 || r.req.Class.Target <= 0 {
+		timer := time.NewTimer(time.Hour)
+		timer.Stop()
+		return timer
+	}
+	return time.NewTimer(time.Duration(hedgeShare * float64(r.req.Class.Target)))
+}
+
+// take decides after an attempt has ended. It returns the final result, or nil
+// while an attempt is still open or another one was sent.
+func (r *run) take(ctx context.Context, e ended) *pipeline.Result {
+	result := e.answer.Result
+	switch {
+	case good(result):
+		return result
+	case result.Outcome == pipeline.NotRun:
+		r.ran--
+		r.refusal = result
+		if r.again(ctx, e, result) {
+			return nil
+		}
+	default:
+		r.best = better(r.best, result)
+		if r.req.Class.Idempotent && r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend() && r.send(ctx) {
+			return nil
+		}
+	}
+	if r.open > 0 {
+		return nil
+	}
+	if r.best != nil {
+		return r.best
+	}
+	return r.unserved()
+}
+
+// good tells whether a result is final in any case.
+func good(result *pipeline.Result) bool {
+	return result.Outcome == pipeline.Answered && result.Status < http.StatusInternalServerError
+}
+
+// better prefers an answer of a backend server to an unknown outcome.
+func better(a, b *pipeline.Result) *pipeline.Result {
+	if a != nil && (a.Outcome == pipeline.Answered || b.Outcome != pipeline.Answered) {
+		return a
+	}
+	return b
+}
+
+// mayRepeat tells whether another attempt can be answered in time.
+func (r *run) mayRepeat() bool {
+	left := time.Until(r.req.Deadline)
+	return left > r.req.Class.Target/8 && r.sends < maxSends
+}
+
+// again sends a request elsewhere that was not run. A refusal of the backend
+// server itself counts against the budget, since it had reached the server.
+func (r *run) again(ctx context.Context, e ended, result *pipeline.Result) bool {
+	switch result.Code {
+	case pipeline.CodeQueueFull:
+		r.refusals++
+		r.full[e.target.ID] = true
+		if !r.budgetless() {
+			return false
+		}
+		return r.send(ctx)
+	case pipeline.CodeShed, pipeline.CodeWrongExit:
+		r.barred[e.target.ID] = true
+		if !r.mayRepeat() || !r.budget.Spend() {
+			return false
+		}
+		return r.send(ctx)
+	case pipeline.CodeDeadlineTooShort, pipeline.CodeQuarantined, pipeline.CodeDeadlinePassed:
+		return false
+	}
+	r.barred[e.target.ID] = true
+	return r.budgetless() && r.send(ctx)
+}
+
+// budgetless tells whether an attempt that reached no backend server may be
+// followed by another.
+func (r *run) budgetless() bool {
+	return r.sends < maxSends && time.Now().Before(r.req.Deadline)
+}
+
+// send starts the next attempt; false when no server is left.
+func (r *run) send(ctx context.Context) bool {
+	target := r.choose()
+	if target == nil {
+		return false
+	}
+	attempt := r.req.Copy()
+	attempt.ID = r.filter.NewID()
+	attempt.Backend = target.ID
+	attempt.MayWait = r.refusals >= maxRefusals || r.full[target.ID]
+	r.barred[target.ID] = r.barred[target.ID] || attempt.MayWait
+	r.open++
+	r.sends++
+	r.ran++
+	target.Live.Started()
+	go func() {
+		defer target.Live.Ended()
+		started := time.Now()
+		answer := r.filter.Sender.Do(ctx, target.Host, attempt)
+		r.note(ctx, target, attempt, answer, time.Since(started))
+		r.results <- ended{target, answer}
+	}()
+	return true
+}
+
+// note keeps what the attempt says about the path and logs it.
+func (r *run) note(ctx context.Context, target *mesh.Target, attempt *pipeline.Request, answer hop.Answer, took time.Duration) {
+	switch {
+	case answer.Reached:
+		target.Live.PathWorked()
+	case ctx.Err() == nil:
+		target.Live.PathFailed(time.Now())
+	}
+	health := target.Live.Health()
+	r.filter.Log.Info("attempt ended",
+		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID), zap.String("backend", target.ID),
+		zap.Float64("bad", belief.Drift(health.Bad, time.Since(health.Evidence))),
+		zap.Int64("evidence_ms", time.Since(health.Evidence).Milliseconds()),
+		zap.Int("running", health.Running), zap.Int("waiting", health.Waiting),
+		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
+		zap.Int64("took_ms", took.Milliseconds()))
+}
+
+// choose returns the server with the lowest expected cost, nil when none is
+// left. Servers without a free slot are barred only until the request waits.
+func (r *run) choose() *mesh.Target {
+	snap := r.filter.Snapshot()
+	targets := snap.Services[r.req.Service]
+	now := time.Now()
+	candidates := make([]selection.Candidate, len(targets))
+	for i, target := range targets {
+		candidates[i] = r.candidate(now, target)
+	}
+	want := selection.Request{
+		Idempotent: r.req.Class.Idempotent,
+		Target:     r.req.Class.Target,
+		Retryable:  r.ran+1 < r.req.MaxAttempts,
+		Bytes:      len(r.req.Payload) + usualAnswer,
+	}
+	at := selection.Choose(want, candidates, random())
+	if at < 0 && len(r.full) > 0 && r.refusals < maxRefusals {
+		r.refusals = maxRefusals
+		return r.choose()
+	}
+	if at < 0 {
+		return nil
+	}
+	return targets[at]
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (r *run) candidate(now time.Time, target *mesh.Target) selection.Candidate {
+	health := target.Live.Health()
+	return selection.Candidate{
+		Bad:      belief.Drift(health.Bad, now.Sub(health.Evidence)),
+		Evidence: now.Sub(health.Evidence),
+		Running:  max(health.Running, target.Live.InFlight()),
+		Waiting:  health.Waiting,
+		Slots:    target.Slots,
+		Service:  health.Held,
+		Cold:     target.ColdUntil.Sub(now),
+		Local:    target.Local,
+		SameZone: target.SameZone,
+		Suspect:  target.Live.PathFailedWithin(now, pathMemory) || (!target.Local && now.Sub(health.Heard) > silence),
+		Barred: target.Draining || health.Stopping || r.barred[target.ID] ||
+			(r.full[target.ID] && r.refusals < maxRefusals),
+	}
+}
+
+// unserved is the result when no server is left for a request that has not run.
+func (r *run) unserved() *pipeline.Result {
+	result := r.refusal
+	if result == nil {
+		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+	}
+	if result.RetryAfter <= 0 {
+		result.RetryAfter = retryAfter
+	}
+	return result
+}
+
+// expired is the result at the deadline: unknown while an attempt is open.
+func (r *run) expired() *pipeline.Result {
+	switch {
+	case r.best != nil:
+		return r.best
+	case r.open > 0:
+		return pipeline.Refuse(pipeline.CodeDeadlineInRun, "")
+	}
+	return r.unserved()
+}
--- /dev/null
+++ b/filters/ratelimit/ratelimit.go
@@ -0,0 +1,58 @@
+// Package ratelimit holds teams to their rate over all hosts.
+package ratelimit
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Filter asks the control loop for a token for each request of a team with a
+// rate.
+type Filter struct {
+	Snapshot func() *mesh.Snapshot
+	Submit   func(ctx context.Context, ev control.Event) error
+}
+
+// Name returns "ratelimit".
+func (f *Filter) Name() string { return "ratelimit" }
+
+// maxRetryAfter bounds the advice to a refused caller: a team that is far over
+// its rate may be within it a second later.
+const maxRetryAfter = time.Second
+
+// Handle refuses a request of a team that has used its rate.
+func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
+	if req.Principal.Team == "" {
+		return nil
+	}
+	team, ok := f.Snapshot().Table.Team(req.Principal.Team)
+	if !ok {
+		return pipeline.Refuse(pipeline.CodeKeyUnknown, "")
+	}
+	if team.Rate <= 0 {
+		return nil
+	}
+	wanted := mesh.TokenWanted{Team: team, Reply: make(chan mesh.TokenVerdict, 1)}
+	if err := f.Submit(ctx, wanted); err != nil {
+		return pipeline.Refuse(pipeline.CodeQuotaUnavailable, "")
+	}
+	select {
+	case verdict := <-wanted.Reply:
+		return refusal(verdict)
+	case <-ctx.Done():
+		return pipeline.Refuse(pipeline.CodeQuotaUnavailable, "")
+	}
+}
+
+func refusal(v mesh.TokenVerdict) *pipeline.Result {
+	if v.Granted {
+		return nil
+	}
+	result := pipeline.Refuse(pipeline.CodeRateExceeded, "decided by "+v.Source)
+	result.RetryAfter = min(v.Wait, maxRetryAfter)
+	return result
+}
--- /dev/null
+++ b/fleet/hop/client.go
@@ -0,0 +1,196 @@
+package hop
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/internal/httpconn"
+	"github.com/ragwortyard/ragwortyard/internal/httpsend"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Timeouts of a hop.
+const (
+	// ackTimeout is how long an entry waits for the acknowledgement before it
+	// withdraws the request. A lost packet is sent again after 200 ms.
+	ackTimeout = 500 * time.Millisecond
+	// withdrawTimeout bounds a withdrawal, connection included.
+	withdrawTimeout = 700 * time.Millisecond
+	// idleTimeout closes idle connections between processes.
+	idleTimeout = 20 * time.Second
+	// idlePerPeer is the number of idle connections kept to one peer.
+	idlePerPeer = 4
+)
+
+// Client sends attempts to exits.
+type Client struct {
+	conns *httpconn.Client
+}
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{conns: httpconn.NewClient(httpsend.Dial, idleTimeout, idlePerPeer)}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.conns.Close() }
+
+// Answer is the end of one attempt.
+type Answer struct {
+	Result *pipeline.Result
+	// Reached says that the exit took part; otherwise the path to it failed.
+	Reached bool
+	Load    Load // valid when Reached
+}
+
+// Do sends one attempt to the exit at addr. The outcome is NotRun only when the
+// exit says so or nothing was sent.
+func (c *Client) Do(ctx context.Context, addr string, req *pipeline.Request) Answer {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	acked := make(chan struct{})
+	done := make(chan Answer, 1)
+	go func() { done <- c.exchange(ctx, addr, req, acked) }()
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	select {
+	case answer := <-done:
+		return answer
+	case <-acked:
+		return <-done
+	case <-timer.C:
+	}
+	return c.resolve(ctx, cancel, addr, req, acked, done)
+}
+
+// resolve finds out what became of an attempt without an acknowledgement.
+func (c *Client) resolve(ctx context.Context, cancel func(), addr string, req *pipeline.Request, acked chan struct{}, done chan Answer) Answer {
+	withdrawn := make(chan bool, 1)
+	go func() { withdrawn <- c.withdraw(ctx, addr, req.ID) }()
+	select {
+	case answer := <-done:
+		return answer
+	case <-acked:
+		return <-done
+	case certain := <-withdrawn:
+		if certain {
+			cancel()
+			return Answer{Result: pipeline.Refuse(pipeline.CodePathBroken, "the exit withdrew the request")}
+		}
+	}
+	if req.Class.Idempotent {
+		cancel()
+		return Answer{Result: pipeline.Refuse(pipeline.CodeSilent, "")}
+	}
+	return <-done
+}
+
+func (c *Client) exchange(ctx context.Context, addr string, req *pipeline.Request, acked chan struct{}) Answer {
+	out := newRequest(req, addr)
+	out.Header[fieldRequest] = []string{encodeRequest(req, time.Until(req.Deadline))}
+	informed := false
+	answer, err := c.conns.Do(ctx, &httpconn.Exchange{
+		Addr:    addr,
+		Request: out,
+		Payload: req.Payload,
+		Matches: func(h http.Header) bool {
+			o, err := decodeResult(h)
+			return err == nil && o.id == req.ID
+		},
+		Informed: func() {
+			if !informed {
+				informed = true
+				close(acked)
+			}
+		},
+	})
+	if err != nil {
+		return failed(ctx, err)
+	}
+	return decodeAnswer(answer)
+}
+
+// newRequest returns the HTTP request for an attempt, without its body.
+func newRequest(req *pipeline.Request, addr string) *http.Request {
+	header := make(http.Header, len(req.Header)+2)
+	for name, values := range req.Header {
+		header[name] = values
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return &http.Request{
+		Method: req.Method,
+		URL:    &url.URL{Scheme: "http", Host: addr, Opaque: opaque(req.Path), RawQuery: req.RawQuery},
+		Header: header,
+		Host:   req.Host,
+	}
+}
+
+// opaque keeps the path as the caller wrote it.
+func opaque(path string) string {
+	if path == "" {
+		return "/"
+	}
+	return path
+}
+
+// failed maps a failed exchange. Once bytes were sent, the outcome is unknown.
+func failed(ctx context.Context, err error) Answer {
+	var exchange *httpconn.Error
+	switch {
+	case errors.As(err, &exchange) && exchange.Failure == httpconn.NotConnected:
+		return Answer{Result: pipeline.Refuse(pipeline.CodePathBroken, "")}
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return Answer{Result: pipeline.Refuse(pipeline.CodeDeadlineInRun, "")}
+	case ctx.Err() != nil:
+		return Answer{Result: pipeline.Refuse(pipeline.CodeCanceled, ""), Reached: true}
+	}
+	return Answer{Result: pipeline.Refuse(pipeline.CodeConnectionLost, "")}
+}
+
+func decodeAnswer(answer *httpconn.Answer) Answer {
+	o, err := decodeResult(answer.Header)
+	if err != nil {
+		return Answer{Result: pipeline.Refuse(pipeline.CodeConnectionLost, "the exit sent an unreadable result")}
+	}
+	if o.code != pipeline.CodeOK {
+		result := pipeline.Refuse(o.code, "")
+		result.RetryAfter = o.retryAfter
+		return Answer{Result: result, Reached: true, Load: o.load}
+	}
+	header := pipeline.Header(answer.Header)
+	delete(header, fieldResult)
+	return Answer{Result: Whole(answer.Status, header, answer.Body), Reached: true, Load: o.load}
+}
+
+// Whole returns the result for a complete answer of a backend server.
+func Whole(status int, header pipeline.Header, body []byte) *pipeline.Result {
+	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer"} {
+		delete(header, name)
+	}
+	return &pipeline.Result{
+		Outcome:       pipeline.Answered,
+		Status:        status,
+		Header:        header,
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+}
+
+// withdraw asks an exit over a new connection never to run an attempt. It
+// reports true only when the exit confirms that it has not and never will.
+func (c *Client) withdraw(ctx context.Context, addr, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
+	defer cancel()
+	out := newRequest(&pipeline.Request{Method: http.MethodPost, Path: withdrawPath, RawQuery: url.Values{keyID: {id}}.Encode(), Host: addr}, addr)
+	fresh := httpconn.NewClient(httpsend.Dial, idleTimeout, 0)
+	defer fresh.Close()
+	answer, err := fresh.Do(ctx, &httpconn.Exchange{Addr: addr, Request: out})
+	return err == nil && answer.Status == http.StatusOK
+}
--- /dev/null
+++ b/fleet/hop/server.go
@@ -0,0 +1,78 @@
+package hop
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/httpfront"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// Handler serves the attempts of other processes.
+type Handler struct {
+	Chain pipeline.Chain
+	Load  func() Load
+	// Withdraw makes sure that an attempt never runs. It reports false when the
+	// attempt was sent to the backend server already.
+	Withdraw func(ctx context.Context, id string) bool
+	Log      *zap.Logger
+}
+
+// ServeHTTP acknowledges the attempt, runs the exit chain and writes its result.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(fieldRequest) == "" {
+		h.serveWithdrawal(w, r)
+		return
+	}
+	w.WriteHeader(http.StatusProcessing)
+	payload, err := io.ReadAll(r.Body)
+	if err != nil {
+		h.Log.Info("attempt not read whole", zap.String("peer", r.RemoteAddr), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	req, err := decodeRequest(r, payload, time.Now())
+	if err != nil {
+		h.Log.Warn("attempt not readable", zap.String("peer", r.RemoteAddr), zap.Error(err))
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	result := h.Chain.Run(r.Context(), req)
+	write(w, req, result, h.Load())
+	req.Complete(pipeline.Completion{Outcome: result.Outcome, Code: result.Code, Status: result.Status, Duration: time.Since(req.Received)})
+}
+
+func (h *Handler) serveWithdrawal(w http.ResponseWriter, r *http.Request) {
+	id := r.URL.Query().Get(keyID)
+	if r.URL.Path != withdrawPath || id == "" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if h.Withdraw(r.Context(), id) {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusConflict)
+}
+
+func write(w http.ResponseWriter, req *pipeline.Request, result *pipeline.Result, load Load) {
+	header := w.Header()
+	for name, values := range result.Header {
+		header[name] = values
+	}
+	header["Date"] = nil // bytes between zones are priced
+	header.Set(fieldResult, encodeResult(req.ID, result, load))
+	header.Set("Content-Length", strconv.FormatInt(max(result.ContentLength, 0), 10))
+	status := result.Status
+	if status == 0 {
+		status = http.StatusInternalServerError
+	}
+	w.WriteHeader(status)
+	if _, err := httpfront.Stream(w, result); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/fleet/notice/notice.go
@@ -0,0 +1,70 @@
+// Package notice holds the datagrams that processes send each other about their
+// backend servers, about tokens of teams and about crashes. A datagram may be
+// lost; every kind is either repeated or has a fallback.
+//
+// The encoding is CBOR with arrays, about 30 bytes a message. JSON-RPC, the usual
+// choice between the processes of this project, would triple the bytes between
+// availability zones, which are priced on the deployments that use this package.
+package notice
+
+import (
+	"github.com/fxamacker/cbor/v2"
+)
+
+// MaxSize bounds a datagram in bytes, so that it is never fragmented.
+const MaxSize = 1200
+
+// Status says how the backend server of the sender is.
+type Status struct {
+	_        struct{} `cbor:",toarray"`
+	Boot     uint32   // random for each start of the sender
+	Seq      uint32   // grows with each message of a start
+	Backend  string   // empty when the sender knows no backend server
+	Bad      float32  // probability that the backend server is in a gray failure
+	AgeMS    uint32   // of the evidence for Bad
+	Running  uint16   // requests that hold a slot
+	Waiting  uint16   // requests that wait for one
+	HeldMS   uint32   // mean time that a request holds a slot
+	Stopping bool     // the sender takes no new work
+}
+
+// Ask asks the owner of a team for tokens.
+type Ask struct {
+	_     struct{} `cbor:",toarray"`
+	ID    uint32
+	Team  string
+	Count uint16
+}
+
+// Grant answers Ask.
+type Grant struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint32
+	Count  uint16
+	WaitMS uint32 // until the next token when Count is 0
+}
+
+// Crash names the requests that were in flight in a crash of a backend server.
+type Crash struct {
+	_        struct{} `cbor:",toarray"`
+	ID       uint64
+	InFlight []uint64 // fingerprints
+}
+
+// Message is one datagram; one field is set.
+type Message struct {
+	Status *Status `cbor:"1,keyasint,omitempty"`
+	Ask    *Ask    `cbor:"2,keyasint,omitempty"`
+	Grant  *Grant  `cbor:"3,keyasint,omitempty"`
+	Crash  *Crash  `cbor:"4,keyasint,omitempty"`
+}
+
+// Encode returns the datagram of a message.
+func Encode(m Message) ([]byte, error) { return cbor.Marshal(m) }
+
+// Decode reads a datagram.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	err := cbor.Unmarshal(data, &m)
+	return m, err
+}
--- /dev/null
+++ b/fleet/notice/notice_test.go
@@ -0,0 +1,41 @@
+package notice
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Guards against fields that do not survive the encoding and against messages
+// that outgrow a datagram.
+func TestMessagesSurviveTheEncoding(t *testing.T) {
+	inFlight := make([]uint64, 64)
+	for i := range inFlight {
+		inFlight[i] = ^uint64(i)
+	}
+	for _, m := range []Message{
+		{Status: &Status{Boot: 7, Seq: 9, Backend: "i-7f3a91c2", Bad: 0.25, AgeMS: 120, Running: 3, Waiting: 1, HeldMS: 700}},
+		{Ask: &Ask{ID: 4, Team: "bozi300", Count: 2}},
+		{Grant: &Grant{ID: 4, WaitMS: 30}},
+		{Crash: &Crash{ID: 5, InFlight: inFlight}},
+	} {
+		data, err := Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data) > MaxSize {
+			t.Errorf("%d bytes", len(data))
+		}
+		back, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(m, back) {
+			t.Errorf("%+v became %+v, %v", m, back, err)
+		}
+	}
+}
+
+// Guards against a process that a foreign datagram brings down.
+func FuzzDecode(f *testing.F) {
+	data, _ := Encode(Message{Ask: &Ask{ID: 1, Team: "a", Count: 1}})
+	f.Add(data)
+	f.Add([]byte{0xa1, 0x01, 0x80})
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode(data) })
+}
--- a/httpfront/decode.go
+++ b/httpfront/decode.go
@@ -146,21 +146,33 @@
 // hop-by-hop fields, without fleet headers, without credentials, and without
 // any field in which the caller repeats its key.
 func forwardable(h http.Header, credentials []string) pipeline.Header {
+	out := EndToEnd(h, credentials)
+	for name := range out {
+		if blockedName(name) {
+			delete(out, name)
+		}
+	}
+	return out
+}
+
+// EndToEnd copies the header fields that concern more than one connection,
+// without any field that repeats one of the credentials.
+func EndToEnd(h http.Header, credentials []string) pipeline.Header {
 	out := make(pipeline.Header, len(h))
 	named := connectionNames(h)
 	for name, values := range h {
-		if blockedName(name) || named[name] || containsAny(values, credentials) {
-			continue
+		if !isHopByHop(name) && !named[name] && !containsAny(values, credentials) {
+			out[name] = values
 		}
-		out[name] = values
 	}
 	return out
 }
 
 func blockedName(name string) bool {
-	if name == "Authorization" || strings.HasPrefix(name, HeaderPrefix) {
-		return true
-	}
+	return name == "Authorization" || strings.HasPrefix(name, HeaderPrefix) || isHopByHop(name)
+}
+
+func isHopByHop(name string) bool {
 	for _, hop := range hopByHop {
 		if name == hop {
 			return true
--- a/internal/httpsend/transport.go
+++ b/internal/httpsend/transport.go
@@ -92,3 +92,8 @@
 func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	return dialer().DialContext(ctx, "tcp", addr)
 }
+
+// DialTCP is Dial in the form that http.Transport takes.
+func DialTCP(ctx context.Context, network, addr string) (net.Conn, error) {
+	return dialer().DialContext(ctx, network, addr)
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -74,6 +74,20 @@
 	// sent it.
 	RunEnd RunEnd
 
+	// Caller is the service of the host at which the request began.
+	Caller string
+	// Rank orders requests that wait for the same backend server; 0 is the most
+	// urgent.
+	Rank int
+	// MaxAttempts bounds the backend servers that the request may be sent to; 0
+	// means one.
+	MaxAttempts int
+	// Backend is the backend server that an attempt is for.
+	Backend string
+	// MayWait says that the attempt may wait for a slot; otherwise it is refused
+	// when none is free, so that it can go elsewhere.
+	MayWait bool
+
 	hooks     []func(Completion)
 	hookSpace [hookCount]func(Completion) // first storage of hooks
 }
--- /dev/null
+++ b/sidecar/metrics.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/ragwortyard/ragwortyard/internal/bootclock"
+)
+
+func (s *Sidecar) registerMetrics() {
+	gauges := map[string]func() float64{
+		"ragwortyard_slots_running":        func() float64 { return float64(s.queue.Load().Running) },
+		"ragwortyard_slots_waiting":        func() float64 { return float64(s.queue.Load().Waiting) },
+		"ragwortyard_requests_open":        func() float64 { return float64(s.open.Load()) },
+		"ragwortyard_events_total":         func() float64 { return float64(s.loop.Stats().Events.Load()) },
+		"ragwortyard_events_dropped_total": func() float64 { return float64(s.loop.Stats().DroppedEvents.Load()) },
+		"ragwortyard_commands_dropped_total": func() float64 {
+			return float64(s.loop.Stats().DroppedCommands.Load())
+		},
+		"ragwortyard_config_version": func() float64 {
+			if table := s.loop.Snapshot().Table; table != nil {
+				return float64(table.Version())
+			}
+			return 0
+		},
+		"ragwortyard_keys_trusted_seconds": func() float64 {
+			return (s.loop.Snapshot().KeysUntil - bootclock.Now()).Seconds()
+		},
+		"ragwortyard_hosts": func() float64 { return float64(s.loop.Snapshot().Hosts) },
+	}
+	for name, read := range gauges {
+		s.metrics.NewGauge(name, read)
+	}
+}
+
+// metricsHandler serves the metrics of the process.
+func (s *Sidecar) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return mux
+}
