teamrate, httpconn: use the tolerance of the deployment; keep no connection without a crash

Change: guard the list; a bucket uses shares of the tolerance such that two owners in turn stay within it, and starts from the moment the fleet last changed.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -14,6 +14,8 @@
 	Self Self
 	// KeyTrust is how long a key is trusted after the platform confirmed it.
 	KeyTrust time.Duration
+	// Tolerance is how far teams may exceed their rates.
+	Tolerance teamrate.Tolerance
 	// Load returns the load of the backend server of this host. It must not block.
 	Load func() Load
 }
@@ -41,6 +43,9 @@
 			buckets: make(map[string]*teamrate.Bucket),
 			alone:   make(map[string]*teamrate.Bucket),
 			asks:    make(map[uint32]*ask),
+
+			tolerance: o.Tolerance,
+			settled:   o.Self.Started,
 		},
 		&crashesStage{state: st, counter: crashcount.New()},
 	}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -115,6 +115,11 @@
 	Stopping bool
 }
 
+// live tells whether the peer was heard lately and takes part.
+func (p *Peer) live(now time.Time) bool {
+	return now.Sub(p.Heard) < peerTimeout && !p.Stopping
+}
+
 // listed is a server with what the process knows of it.
 type listed struct {
 	Server
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -53,6 +53,10 @@
 	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
 	asks    map[uint32]*ask
 	nextID  uint32
+	// tolerance is how far teams may exceed their rates.
+	tolerance teamrate.Tolerance
+	members   int       // processes that were heard at the last look
+	settled   time.Time // when that number last changed
 }
 
 // Name returns "teams".
@@ -93,6 +97,7 @@
 	case control.Tick:
 		s.expire(now, out)
 	}
+	s.settle(now, s.heard(now))
 }
 
 func (s *teamsStage) want(now time.Time, wanted TokenWanted, out *control.Output) {
@@ -122,39 +127,64 @@
 // rendezvous hash of the processes that were heard lately. It is not known while
 // less than half of the fleet is heard.
 func (s *teamsStage) owner(now time.Time, team string) (string, bool) {
+	members := s.owners(now)
+	if 2*len(members) <= len(s.state.peers) {
+		return "", false
+	}
+	best := rendezvous.Rank(rendezvous.Hash(team), members, 1)
+	if len(best) == 0 {
+		return "", false
+	}
+	return best[0].ID, true
+}
+
+// owners returns the processes that may own teams.
+func (s *teamsStage) owners(now time.Time) []rendezvous.Member {
 	var members []rendezvous.Member
 	if now.Sub(s.state.self.Started) >= ownerDelay && !s.state.stopping {
 		members = append(members, rendezvous.Member{ID: s.state.self.Host})
 	}
 	for host, peer := range s.state.peers {
-		if now.Sub(peer.Heard) < peerTimeout && !peer.Stopping {
+		if peer.live(now) {
 			members = append(members, rendezvous.Member{ID: host})
 		}
 	}
-	if 2*len(members) <= len(s.state.peers) {
-		return "", false
+	return members
+}
+
+// heard counts the other processes that may own teams.
+func (s *teamsStage) heard(now time.Time) int {
+	n := 0
+	for _, peer := range s.state.peers {
+		if peer.live(now) {
+			n++
+		}
 	}
-	best := rendezvous.Rank(rendezvous.Hash(team), members, 1)
-	if len(best) == 0 {
-		return "", false
+	return n
+}
+
+// settle notes when the processes that share the teams last changed: before it,
+// another process may have owned a team.
+func (s *teamsStage) settle(now time.Time, members int) {
+	if members != s.members {
+		s.members, s.settled = members, now
 	}
-	return best[0].ID, true
 }
 
 // take spends tokens of a team that this process owns.
 func (s *teamsStage) take(now time.Time, team *routing.Team, want int) (int, time.Duration) {
-	limit := limitOf(team)
+	limit := s.limit(team)
 	bucket := s.buckets[team.Name]
 	if bucket == nil {
-		bucket = teamrate.NewBucket(now, limit)
+		bucket = teamrate.NewBucket(s.settled, limit)
 		s.buckets[team.Name] = bucket
 	}
 	n := bucket.Take(now, limit, want)
 	return n, bucket.Wait(limit)
 }
 
-func limitOf(team *routing.Team) teamrate.Limit {
-	return teamrate.Limit{Rate: team.Rate, Burst: team.Burst}
+func (s *teamsStage) limit(team *routing.Team) teamrate.Limit {
+	return teamrate.Limit{Rate: team.Rate, Burst: team.Burst, Tolerance: s.tolerance}
 }
 
 // serve answers the ask of a peer. A process that does not know the team yet
@@ -202,7 +232,7 @@
 
 // decideAlone spends the share of this process.
 func (s *teamsStage) decideAlone(now time.Time, wanted TokenWanted) {
-	limit := limitOf(wanted.Team)
+	limit := s.limit(wanted.Team)
 	bucket := s.alone[wanted.Team.Name]
 	if bucket == nil {
 		bucket = teamrate.NewAloneBucket(now)
--- a/decide/teamrate/teamrate.go
+++ b/decide/teamrate/teamrate.go
@@ -13,36 +13,66 @@
 	"time"
 )
 
-// Shape of a bucket in relation to the rate and burst of its team. A deployment
-// tolerates a quarter above both and a fixed number of requests.
+// Shares of the tolerance that one owner uses. The rest covers a second owner for
+// a moment: with all of them, an owner that starts anew within a window still
+// keeps the fleet within the tolerance.
 const (
-	rateMargin  = 1.1 // covers tokens that were granted and not used
-	burstMargin = 4   // tokens; small bursts would refuse what arrives together
-	// startShare is the part of the burst that a bucket holds when a process
-	// becomes the owner: the predecessor may have granted the rest just before.
-	startShare = 0.5
+	rateExcess  = 0.6  // of the excess, on top of the rate
+	rateSlack   = 0.4  // of the slack, spread over the window
+	burstExcess = 0.4  // of the excess, on top of the burst
+	burstSlack  = 0.3  // of the slack, on top of the burst
+	startBurst  = 0.15 // of the burst, in the bucket of a new owner
+	startSlack  = 0.2  // of the slack, in the bucket of a new owner
 	// aloneShare is the part of its even share that a process spends when no
 	// owner answers: the owner may be granting the full rate to the others.
 	aloneShare = 0.6
 )
 
+// Tolerance is how far a deployment lets a team exceed its rate and burst within
+// any window: by a share of both and by a number of requests. Requests within
+// the rate are refused less often the more of it is used.
+type Tolerance struct {
+	Window time.Duration
+	Excess float64 // share
+	Slack  float64 // requests
+}
+
 // Limit is the rate of a team over all hosts.
 type Limit struct {
 	Rate  float64 // tokens per second
 	Burst float64 // tokens
+	Tolerance
+}
+
+// Permitted returns how many tokens may be granted within the tolerance's window.
+func (l Limit) Permitted() float64 {
+	return (l.Rate*l.Window.Seconds()+l.Burst)*(1+l.Excess) + l.Slack
 }
 
 // Bound returns how many tokens one owner grants at most within a window.
 func (l Limit) Bound(window time.Duration) float64 {
-	return rateMargin*l.Rate*window.Seconds() + l.capacity()
+	return l.speed()*window.Seconds() + l.capacity()
+}
+
+// speed returns the tokens per second of an owner's bucket.
+func (l Limit) speed() float64 {
+	speed := l.Rate * (1 + rateExcess*l.Excess)
+	if l.Window > 0 {
+		speed += rateSlack * l.Slack / l.Window.Seconds()
+	}
+	return speed
+}
+
+func (l Limit) capacity() float64 {
+	return l.Burst*(1+burstExcess*l.Excess) + max(burstSlack*l.Slack, 1)
 }
 
-func (l Limit) capacity() float64 { return l.Burst + burstMargin }
+func (l Limit) start() float64 { return startBurst*l.Burst + startSlack*l.Slack }
 
 // alone returns what one of n processes may spend without an owner.
 func (l Limit) alone(n int) Limit {
 	share := aloneShare / float64(max(n, 1))
-	return Limit{Rate: l.Rate * share / rateMargin, Burst: math.Max(l.Burst*share, 1) - burstMargin}
+	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
 }
 
 // Bucket is the token bucket of one team. The zero value is not valid.
@@ -51,9 +81,10 @@
 	at    time.Time
 }
 
-// NewBucket returns the bucket of a process that has just become the owner.
-func NewBucket(now time.Time, l Limit) *Bucket {
-	return &Bucket{level: startShare*l.Burst + burstMargin, at: now}
+// NewBucket returns the bucket of a process that has owned the team since a
+// moment.
+func NewBucket(since time.Time, l Limit) *Bucket {
+	return &Bucket{level: l.start(), at: since}
 }
 
 // NewAloneBucket returns the bucket of a process that has lost the owner; it
@@ -64,7 +95,7 @@
 
 // Take grants up to want tokens and returns how many.
 func (b *Bucket) Take(now time.Time, l Limit, want int) int {
-	b.level = math.Min(b.level+rateMargin*l.Rate*now.Sub(b.at).Seconds(), l.capacity())
+	b.level = math.Min(b.level+l.speed()*now.Sub(b.at).Seconds(), l.capacity())
 	b.at = now
 	n := min(want, int(b.level))
 	if n <= 0 {
@@ -81,9 +112,9 @@
 
 // Wait returns how long it takes until a token is there.
 func (b *Bucket) Wait(l Limit) time.Duration {
-	if l.Rate <= 0 {
+	if l.speed() <= 0 {
 		return time.Second
 	}
 	missing := math.Max(1-b.level, 0)
-	return time.Duration(missing / (rateMargin * l.Rate) * float64(time.Second))
+	return time.Duration(missing / l.speed() * float64(time.Second))
 }
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -174,7 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := append(c.idle[addr], channel)
-	for len(list) > c.keep || channel.since.Sub(list[0].since) > c.maxIdle {
+	for len(list) > 0 && (len(list) > c.keep || channel.since.Sub(list[0].since) > c.maxIdle) {
 		_ = list[0].Close()
 		list = list[1:]
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -102,8 +102,9 @@
 			Host: settings.IP, Zone: settings.Zone, Service: settings.Service,
 			Boot: rand.Uint32(), Started: time.Now(),
 		},
-		KeyTrust: settings.KeyDeadline - keyMargin,
-		Load:     s.queue.Load,
+		KeyTrust:  settings.KeyDeadline - keyMargin,
+		Tolerance: settings.Tolerance,
+		Load:      s.queue.Load,
 	}, s.outbound)
 	s.entry = s.entryChain()
 	s.exit = s.exitChain()
