--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -152,7 +152,8 @@
 			continue
 		}
 		health := server.live.Health()
-		health.Running, health.Waiting, health.Held = load.Running, load.Waiting, load.Held
+		server.live.SetLoad(load.Running, load.Waiting)
+		health.Held = load.Held
 		health.Heard, health.Stopping = now, s.state.stopping
 		server.live.health.Store(&health)
 		status.Backend = id
@@ -185,11 +186,10 @@
 	if server == nil || server.Host != host {
 		return
 	}
+	server.live.SetLoad(int(status.Running), int(status.Waiting))
 	server.live.health.Store(&Health{
 		Bad:      float64(status.Bad),
 		Evidence: now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
-		Running:  int(status.Running),
-		Waiting:  int(status.Waiting),
 		Held:     time.Duration(status.HeldMS) * time.Millisecond,
 		Heard:    now,
 		Stopping: status.Stopping,
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -35,8 +35,6 @@
 type Health struct {
 	Bad      float64   // probability of a gray failure at Evidence
 	Evidence time.Time // of the last outcome
-	Running  int
-	Waiting  int
 	Held     time.Duration // mean time that a request holds a slot
 	Heard    time.Time     // of the last status
 	Stopping bool          // the process in front of it takes no new work
@@ -46,6 +44,8 @@
 // loop writes the health; entries count their own attempts.
 type Live struct {
 	health   atomic.Pointer[Health]
+	running  atomic.Int32 // as its process last said, in a status or with an answer
+	waiting  atomic.Int32
 	inFlight atomic.Int32
 	failed   atomic.Int64 // when a hop last failed, in nanoseconds since base; 0 for never
 }
@@ -56,6 +56,18 @@
 // Health returns the last health.
 func (l *Live) Health() Health { return *l.health.Load() }
 
+// SetLoad records what the process in front of the server says of its load.
+func (l *Live) SetLoad(running, waiting int) {
+	l.running.Store(int32(running))
+	l.waiting.Store(int32(waiting))
+}
+
+// Load returns the requests that hold a slot and those that wait for one, as far
+// as this process knows.
+func (l *Live) Load() (running, waiting int) {
+	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load())
+}
+
 // Started counts an attempt of this process; Ended takes it back.
 func (l *Live) Started() { l.inFlight.Add(1) }
 
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -62,8 +62,8 @@
 
 // Budgets holds the retries that each service has earned at this entry.
 type Budgets struct {
-	Share   float64                       // retries earned by each first attempt
-	Reserve func(snap *mesh.Snapshot) int // retries saved up at most
+	Share   float64                           // retries earned by each first attempt
+	Reserve func(snap *mesh.Snapshot) float64 // retries saved up at most
 	table   sync.Map                      // service to *retry.Budget
 }
 
@@ -229,14 +229,14 @@
 
 // send starts the next attempt; false when no server is left.
 func (r *run) send(ctx context.Context) bool {
-	target := r.choose()
+	target, known := r.choose()
 	if target == nil {
 		return false
 	}
 	attempt := r.req.Copy()
 	attempt.ID = r.filter.NewID()
 	attempt.Backend = target.ID
-	attempt.MayWait = r.refusals >= maxRefusals || r.full[target.ID]
+	attempt.MayWait = r.refusals >= maxRefusals || known.Running >= known.Slots
 	r.barred[target.ID] = r.barred[target.ID] || attempt.MayWait
 	r.open++
 	r.sends++
@@ -246,33 +246,40 @@
 		defer target.Live.Ended()
 		started := time.Now()
 		answer := r.filter.Sender.Do(ctx, target.Host, attempt)
-		r.note(ctx, target, attempt, answer, time.Since(started))
+		r.note(ctx, target, answer)
+		r.log(target, &known, attempt, answer, time.Since(started))
 		r.results <- ended{target, answer}
 	}()
 	return true
 }
 
-// note keeps what the attempt says about the path and logs it.
-func (r *run) note(ctx context.Context, target *mesh.Target, attempt *pipeline.Request, answer hop.Answer, took time.Duration) {
+// note keeps what the attempt says about the path and the load.
+func (r *run) note(ctx context.Context, target *mesh.Target, answer hop.Answer) {
 	switch {
 	case answer.Reached:
 		target.Live.PathWorked()
 	case ctx.Err() == nil:
 		target.Live.PathFailed(time.Now())
 	}
-	health := target.Live.Health()
+	if answer.Loaded {
+		target.Live.SetLoad(answer.Load.Running, answer.Load.Waiting)
+	}
+}
+
+// log writes what decided the choice and how the attempt ended.
+func (r *run) log(target *mesh.Target, known *selection.Candidate, attempt *pipeline.Request, answer hop.Answer, took time.Duration) {
 	r.filter.Log.Info("attempt ended",
-		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID), zap.String("backend", target.ID),
-		zap.Float64("bad", belief.Drift(health.Bad, time.Since(health.Evidence))),
-		zap.Int64("evidence_ms", time.Since(health.Evidence).Milliseconds()),
-		zap.Int("running", health.Running), zap.Int("waiting", health.Waiting),
+		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID),
+		zap.String("backend", target.ID), zap.String("host", target.Host),
+		zap.Float64("bad", known.Bad), zap.Int64("evidence_ms", known.Evidence.Milliseconds()),
+		zap.Int("running", known.Running), zap.Int("waiting", known.Waiting), zap.Bool("same_zone", known.SameZone),
 		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
 		zap.Int64("took_ms", took.Milliseconds()))
 }
 
 // choose returns the server with the lowest expected cost, nil when none is
 // left. Servers without a free slot are barred only until the request waits.
-func (r *run) choose() *mesh.Target {
+func (r *run) choose() (*mesh.Target, selection.Candidate) {
 	snap := r.filter.Snapshot()
 	targets := snap.Services[r.req.Service]
 	now := time.Now()
@@ -292,20 +299,21 @@
 		return r.choose()
 	}
 	if at < 0 {
-		return nil
+		return nil, selection.Candidate{}
 	}
-	return targets[at]
+	return targets[at], candidates[at]
 }
 
 func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func (r *run) candidate(now time.Time, target *mesh.Target) selection.Candidate {
 	health := target.Live.Health()
+	running, waiting := target.Live.Load()
 	return selection.Candidate{
 		Bad:      belief.Drift(health.Bad, now.Sub(health.Evidence)),
 		Evidence: now.Sub(health.Evidence),
-		Running:  max(health.Running, target.Live.InFlight()),
-		Waiting:  health.Waiting,
+		Running:  running,
+		Waiting:  waiting,
 		Slots:    target.Slots,
 		Service:  health.Held,
 		Cold:     target.ColdUntil.Sub(now),
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -45,7 +45,8 @@
 	Result *pipeline.Result
 	// Reached says that the exit took part; otherwise the path to it failed.
 	Reached bool
-	Load    Load // valid when Reached
+	Load    Load
+	Loaded  bool // Load was reported
 }
 
 // Do sends one attempt to the exit at addr. The outcome is NotRun only when the
@@ -162,11 +163,11 @@
 	if o.code != pipeline.CodeOK {
 		result := pipeline.Refuse(o.code, "")
 		result.RetryAfter = o.retryAfter
-		return Answer{Result: result, Reached: true, Load: o.load}
+		return Answer{Result: result, Reached: true, Load: o.load, Loaded: true}
 	}
 	header := pipeline.Header(answer.Header)
 	delete(header, fieldResult)
-	return Answer{Result: Whole(answer.Status, header, answer.Body), Reached: true, Load: o.load}
+	return Answer{Result: Whole(answer.Status, header, answer.Body), Reached: true, Load: o.load, Loaded: true}
 }
 
 // Whole returns the result for a complete answer of a backend server.
--- a/fleet/hop/server.go
+++ b/fleet/hop/server.go
@@ -42,8 +42,9 @@
 		return
 	}
 	result := h.Chain.Run(r.Context(), req)
-	write(w, req, result, h.Load())
+	// The answer is whole in memory, so the slot is free before it is delivered.
 	req.Complete(pipeline.Completion{Outcome: result.Outcome, Code: result.Code, Status: result.Status, Duration: time.Since(req.Received)})
+	write(w, req, result, h.Load())
 }
 
 func (h *Handler) serveWithdrawal(w http.ResponseWriter, r *http.Request) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -56,7 +56,7 @@
 	defaultSlots = 4
 	// retryShare is the part of the permitted retries that entries earn; the rest
 	// covers calls that repeated requests make.
-	retryShare = 0.7
+	retryShare = 0.8
 	// headerLimit is larger than operators allow, so that their limit decides.
 	headerLimit = 64 << 10
 	// headerTime and idleTime bound connections of callers; callers reuse
@@ -142,8 +142,8 @@
 
 // retryReserve is the share of this process of the retries that all machines may
 // send beyond the share of requests.
-func (s *Sidecar) retryReserve(snap *mesh.Snapshot) int {
-	return int(retryShare * s.settings.RetryReserve / float64(max(snap.Hosts, 1)))
+func (s *Sidecar) retryReserve(snap *mesh.Snapshot) float64 {
+	return retryShare * s.settings.RetryReserve / float64(max(snap.Hosts, 1))
 }
 
 func (s *Sidecar) exitChain() pipeline.Chain {
