--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -81,6 +81,9 @@
 		Stopping:  s.stopping,
 	}
 	for id, server := range s.servers {
+		if s.superseded(server) {
+			continue
+		}
 		target := &Target{
 			Server:    server.Server,
 			Local:     server.Host == s.self.Host,
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -148,7 +148,7 @@
 	status.Running, status.Waiting = clamp(load.Running), clamp(load.Waiting)
 	status.HeldMS = uint32(load.Held.Milliseconds())
 	for id, server := range s.state.servers {
-		if server.Host != s.state.self.Host || (status.Backend != "" && server.Draining) {
+		if server.Host != s.state.self.Host || s.state.superseded(server) || (status.Backend != "" && server.Draining) {
 			continue
 		}
 		health := server.live.Health()
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -168,6 +168,17 @@
 	}
 }
 
+// superseded tells whether a later server has the address of this one: the entry
+// of a server that ended without leaving stays listed for some seconds.
+func (s *state) superseded(server *listed) bool {
+	for _, other := range s.servers {
+		if other.Addr == server.Addr && other.Created > server.Created && other.missing.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // updatePeers follows the hosts of the listed servers.
 func (s *serversStage) updatePeers() {
 	hosts := make(map[string]bool)
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -25,6 +25,8 @@
 	Service  string
 	Zone     string
 	Host     string // IP number of its host
+	Addr     string // "ip:port", reached from its host only
+	Created  uint64 // grows with each entry that the platform creates
 	Slots    int
 	Draining bool
 	Cold     time.Duration // how much longer it is slow, when it was listed
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -256,6 +256,8 @@
 // note keeps what the attempt says about the path and the load.
 func (r *run) note(ctx context.Context, target *mesh.Target, answer hop.Answer) {
 	switch {
+	case answer.Result.Code == pipeline.CodeWrongExit:
+		target.Live.PathFailed(time.Now()) // another server has the address
 	case answer.Reached:
 		target.Live.PathWorked()
 	case ctx.Err() == nil:
