belief: forget evidence more slowly

Cause: servers estimated at 0.2 to 0.35 failed 30 to 50% of their requests: the estimate drifted back to good with a time constant of 2.4 s. Change: good 14 s, bad 6 s, 3% failures on good servers (failed calls count, too).

--- a/decide/belief/belief.go
+++ b/decide/belief/belief.go
@@ -16,11 +16,11 @@
 // Parameters of the chain.
 const (
 	// GoodTime and BadTime are the mean lengths of the two states.
-	GoodTime = 12 * time.Second
-	BadTime  = 3 * time.Second
+	GoodTime = 14 * time.Second
+	BadTime  = 6 * time.Second
 	// failGood and failBad are the probabilities that a request fails in each
 	// state. Requests fail at about 1% on servers in order.
-	failGood = 0.02
+	failGood = 0.03
 	failBad  = 0.7
 	// slowGood and slowBad are the probabilities that a request takes several
 	// times as long as usual in each state.
