mesh, retry, selection: window budget, sheds as evidence, exploring joiners, bounded keeping

Change: keep vanished servers for less than the drain time and only after outages that let entries lapse; retries bounded by a sliding window; a shed counts as a failure; joiners are explored.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -14,6 +14,8 @@
 	Self Self
 	// KeyTrust is how long a key is trusted after the platform confirmed it.
 	KeyTrust time.Duration
+	// Drain is how long a server that leaves may still get requests.
+	Drain time.Duration
 	// Tolerance is how far teams may exceed their rates.
 	Tolerance teamrate.Tolerance
 	// Load returns the load of the backend server of this host. It must not block.
@@ -36,7 +38,7 @@
 	stages := []control.Stage{
 		&stopStage{state: st},
 		&configStage{state: st, trust: o.KeyTrust},
-		&serversStage{state: st},
+		&serversStage{state: st, drain: o.Drain},
 		&healthStage{state: st, load: o.Load, beliefs: make(map[string]belief.State)},
 		&teamsStage{
 			state:   st,
--- /dev/null
+++ b/control/mesh/mesh_test.go
@@ -0,0 +1,263 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/crashcount"
+	"github.com/ragwortyard/ragwortyard/decide/routing"
+	"github.com/ragwortyard/ragwortyard/decide/teamrate"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+const drain = 2 * time.Second
+
+// process is a control loop in virtual time with what it sent.
+type process struct {
+	t    *testing.T
+	loop *control.Loop[Snapshot]
+	now  time.Time
+	sent []Send
+}
+
+// Send implements control.Outbound.
+func (p *process) Send(cmd control.Command) bool {
+	if send, ok := cmd.(Send); ok {
+		p.sent = append(p.sent, send)
+	}
+	return true
+}
+
+func start(t *testing.T, host string) *process {
+	p := &process{t: t, now: time.Now()}
+	p.loop = New(Options{
+		Self:      Self{Host: host, Zone: "a", Service: "roster", Boot: 1, Started: p.now},
+		KeyTrust:  4 * time.Second,
+		Drain:     drain,
+		Tolerance: teamrate.Tolerance{Window: 5 * time.Second, Excess: 0.25, Slack: 20},
+		Load:      func() Load { return Load{Slots: 7} },
+	}, p)
+	return p
+}
+
+func (p *process) post(ev control.Event) { p.loop.Step(p.now, ev) }
+
+// pass lets time pass with the ticks that the stages ask for.
+func (p *process) pass(d time.Duration) {
+	end := p.now.Add(d)
+	for next := p.loop.NextDeadline(p.now); next.Before(end); next = p.loop.NextDeadline(p.now) {
+		p.now = next
+		p.post(control.Tick{})
+	}
+	p.now = end
+	p.post(control.Tick{})
+}
+
+func server(id, host string, created uint64) Server {
+	return Server{ID: id, Service: "roster", Zone: "a", Host: host, Addr: host + ":80", Slots: 7, Created: created}
+}
+
+func (p *process) listed(id string) bool {
+	for _, target := range p.loop.Snapshot().Services["roster"] {
+		if target.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against attempts at a server that ended without leaving while its entry
+// is still listed beside that of its successor.
+func TestLaterServerSupersedesTheEntryAtItsAddress(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("old", "10.0.0.2", 5), server("new", "10.0.0.2", 9)}})
+	if p.listed("old") || !p.listed("new") {
+		t.Errorf("old listed %v, new listed %v", p.listed("old"), p.listed("new"))
+	}
+	p.post(ServersRead{Gone: []string{"new"}})
+	if !p.listed("old") {
+		t.Error("the only entry at the address is not listed")
+	}
+}
+
+// Guards against requests that reach a server later than the drain time after it
+// was taken off the list.
+func TestServerThatIsGoneIsDroppedWithinTheDrainTime(t *testing.T) {
+	for name, outage := range map[string]time.Duration{"calm": 0, "short outage": 300 * time.Millisecond, "long outage": 5 * time.Second} {
+		p := start(t, "10.0.0.1")
+		p.post(ServersRead{Whole: true, Put: []Server{server("s", "10.0.0.2", 5)}})
+		if outage > 0 {
+			p.post(StoreLost{})
+			p.pass(outage)
+			p.post(StoreFound{})
+		}
+		p.post(ServersRead{Gone: []string{"s"}})
+		if outage < lapseOutage && p.listed("s") {
+			t.Errorf("%s: kept although its entry cannot have lapsed", name)
+		}
+		p.pass(drain - 300*time.Millisecond)
+		if p.listed("s") {
+			t.Errorf("%s: still listed near the end of the drain time", name)
+		}
+	}
+}
+
+// Guards against capacity that is lost because entries lapsed while the store
+// was away.
+func TestServerThatLapsedInAnOutageIsKeptUntilItIsBack(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("s", "10.0.0.2", 5)}})
+	p.post(StoreLost{})
+	p.pass(5 * time.Second)
+	p.post(StoreFound{})
+	p.post(ServersRead{Whole: true})
+	p.pass(time.Second)
+	if !p.listed("s") {
+		t.Error("a server whose entry lapsed was dropped at once")
+	}
+	p.post(ServersRead{Put: []Server{server("s", "10.0.0.2", 9)}})
+	p.pass(5 * time.Second)
+	if !p.listed("s") {
+		t.Error("a server that is back was dropped")
+	}
+}
+
+// Guards against a configuration that reverts.
+func TestConfigurationNeverReverts(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(TableRead{table(t, 7)})
+	p.post(TableRead{table(t, 6)})
+	if got := p.loop.Snapshot().Table.Version(); got != 7 {
+		t.Errorf("version %d", got)
+	}
+}
+
+func table(t *testing.T, version uint64) *routing.Table {
+	t.Helper()
+	made, err := routing.NewTable(routing.Document{
+		Version: version, HasTeams: true,
+		Teams: []routing.Team{{Name: "team", Keys: []string{"k"}, Rate: 5, Burst: 5}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+// Guards against keys that are trusted for longer than the platform's last
+// confirmation allows, and against a confirmation that shortens the trust.
+func TestKeysAreTrustedForALimitedTime(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(TableConfirmed{Boot: 100 * time.Second})
+	p.post(TableConfirmed{Boot: 99 * time.Second})
+	snap := p.loop.Snapshot()
+	if !snap.KeysValid(103*time.Second) || snap.KeysValid(104*time.Second) {
+		t.Errorf("keys are trusted until %v", snap.KeysUntil)
+	}
+}
+
+// Guards against a failure that the other entries learn of late.
+func TestFailureIsToldAtOnce(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("mine", "10.0.0.1", 1), server("s", "10.0.0.2", 2)}})
+	p.pass(3 * time.Second)
+	p.sent = nil
+	p.post(Observed{Backend: "mine", Outcome: belief.Failed})
+	p.pass(150 * time.Millisecond)
+	for _, send := range p.sent {
+		if s := send.Message.Status; s != nil && s.Backend == "mine" && s.Bad > 0.8 {
+			return
+		}
+	}
+	t.Errorf("not told within 150 ms: %+v", p.sent)
+}
+
+// Guards against an old status that arrives after a newer one.
+func TestOldStatusIsIgnored(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("s", "10.0.0.2", 2)}})
+	for _, s := range []notice.Status{
+		{Boot: 4, Seq: 9, Backend: "s", Bad: 0.9},
+		{Boot: 4, Seq: 8, Backend: "s", Bad: 0.1},
+	} {
+		p.post(Received{Host: "10.0.0.2", Message: notice.Message{Status: &s}})
+	}
+	if bad := p.loop.Snapshot().Services["roster"][0].Live.Health().Bad; bad < 0.8 {
+		t.Errorf("bad %.2f, want that of the newer status", bad)
+	}
+}
+
+// want asks for a token and returns the verdict once the asks are over.
+func (p *process) want(rate float64) TokenVerdict {
+	p.t.Helper()
+	reply := make(chan TokenVerdict, 1)
+	p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: rate, Burst: rate}, Reply: reply})
+	p.pass(askTimeout + time.Millisecond)
+	select {
+	case v := <-reply:
+		return v
+	default:
+		p.t.Fatal("no verdict")
+		return TokenVerdict{}
+	}
+}
+
+// Guards against requests that are held when the owner of a team is lost, and
+// against a process that exceeds its share then.
+func TestTokensWithoutAnOwner(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	servers := []Server{server("mine", "10.0.0.1", 1)}
+	for _, host := range []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"} {
+		servers = append(servers, server("s"+host, host, 2))
+	}
+	p.post(ServersRead{Whole: true, Put: servers})
+	granted := 0
+	for range 20 {
+		if v := p.want(10); v.Granted {
+			granted++
+		} else if v.Source != "alone" {
+			t.Fatalf("decided by %s", v.Source)
+		}
+	}
+	if granted < 2 || granted > 10 {
+		t.Errorf("%d of 20 granted in 2.4 s, want about the share of one of four processes", granted)
+	}
+}
+
+// Guards against a lost datagram that refuses a request: asks are repeated.
+func TestAskIsRepeated(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("mine", "10.0.0.1", 1), server("s", "10.0.0.2", 2)}})
+	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+	p.sent = nil
+	reply := make(chan TokenVerdict, 1)
+	p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: reply})
+	p.pass(askRepeat + time.Millisecond)
+	var asks []notice.Ask
+	for _, send := range p.sent {
+		if send.Message.Ask != nil {
+			asks = append(asks, *send.Message.Ask)
+		}
+	}
+	if len(asks) != 2 || asks[0].ID != asks[1].ID {
+		t.Fatalf("asks %+v", asks)
+	}
+	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Grant: &notice.Grant{ID: asks[0].ID, Count: 1}}})
+	if v := <-reply; !v.Granted || v.Source != "owner" {
+		t.Errorf("verdict %+v", v)
+	}
+}
+
+// Guards against a crashing request that goes on crashing servers of other hosts.
+func TestCrashesOfAllHostsBlockARequest(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(Crashed{ID: 1, InFlight: []crashcount.Fingerprint{7}})
+	for id := uint64(2); id <= 3; id++ {
+		p.post(Received{Host: "10.0.0.2", Message: notice.Message{Crash: &notice.Crash{ID: id, InFlight: []uint64{7}}}})
+	}
+	if _, ok := p.loop.Snapshot().Blocked[7]; !ok {
+		t.Error("not blocked after three crashes")
+	}
+}
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -30,18 +30,33 @@
 // ControlEvent marks StoreFound as an event.
 func (StoreFound) ControlEvent() {}
 
-// returnTime is how long a server that vanished around an outage of the store
-// is kept: servers whose entries lapsed meanwhile register again within 2 s.
-const returnTime = 2200 * time.Millisecond
+// Servers that vanish around an outage of the store are kept for a while: those
+// whose entries lapsed meanwhile register again within 2 s. They are not kept for
+// longer than a server that leaves may still get requests.
+const (
+	// drainMargin is the part of the drain time that is left for requests on
+	// their way and for the delay of the list.
+	drainMargin = 400 * time.Millisecond
+	// lapseOutage is the shortest outage in which entries lapse: they live for
+	// three heartbeats.
+	lapseOutage = time.Second
+)
 
 // serversStage keeps the list of backend servers and of the processes in front
 // of them.
 type serversStage struct {
 	state *state
-	away  bool      // the store does not answer
-	found time.Time // when it last began to answer again
+	// drain is how long a server that leaves may still get requests.
+	drain  time.Duration
+	away   bool      // the store does not answer
+	lost   time.Time // when it stopped
+	found  time.Time // when it last began to answer again
+	lapsed bool      // the last outage was long enough for entries to lapse
 }
 
+// keep is how long a server that may only have lapsed is kept.
+func (s *serversStage) keep() time.Duration { return max(s.drain-drainMargin, 0) }
+
 // Name returns "servers".
 func (s *serversStage) Name() string { return "servers" }
 
@@ -52,7 +67,7 @@
 		if server.missing.IsZero() {
 			continue
 		}
-		if at := server.missing.Add(returnTime); next.IsZero() || at.Before(next) {
+		if at := server.missing.Add(s.keep()); next.IsZero() || at.Before(next) {
 			next = at
 		}
 	}
@@ -67,12 +82,13 @@
 	case StoreLost:
 		if !s.away {
 			log(out, "platform store lost", nil)
+			s.lost = now
 		}
 		s.away = true
 	case StoreFound:
 		if s.away {
-			log(out, "platform store regained", nil)
-			s.found = now
+			log(out, "platform store regained", map[string]any{"away_ms": now.Sub(s.lost).Milliseconds()})
+			s.found, s.lapsed = now, now.Sub(s.lost) >= lapseOutage
 		}
 		s.away = false
 	case control.Tick:
@@ -143,7 +159,7 @@
 	if server == nil {
 		return false
 	}
-	if s.away || now.Sub(s.found) < returnTime {
+	if s.away || (s.lapsed && now.Sub(s.found) < s.keep()) {
 		if server.missing.IsZero() {
 			server.missing = now
 		}
@@ -159,7 +175,7 @@
 		return
 	}
 	for id, server := range s.state.servers {
-		if !server.missing.IsZero() && now.Sub(server.missing) >= returnTime {
+		if !server.missing.IsZero() && now.Sub(server.missing) >= s.keep() {
 			delete(s.state.servers, id)
 			log(out, "backend server gone", map[string]any{"backend": id, "after": "store outage"})
 			s.updatePeers()
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -35,8 +35,8 @@
 
 // Health is the last that is known of a backend server.
 type Health struct {
-	Bad      float64   // probability of a gray failure at Evidence
-	Evidence time.Time // of the last outcome
+	Bad      float64       // probability of a gray failure at Evidence
+	Evidence time.Time     // of the last outcome
 	Held     time.Duration // mean time that a request holds a slot
 	Heard    time.Time     // of the last status
 	Stopping bool          // the process in front of it takes no new work
--- a/decide/retry/budget.go
+++ b/decide/retry/budget.go
@@ -25,10 +25,10 @@
 // at most reserve of them. It starts with one, so that the first failure of a
 // quiet service can be repaired. A share outside 0..1 is clamped; a reserve below
 // 1 becomes 1.
-func NewBudget(share, reserve float64) *Budget {
+func NewBudget(share float64, reserve int) *Budget {
 	b := &Budget{
 		share: int64(min(max(share, 0), 1) * unit),
-		limit: int64(max(reserve, 1) * unit),
+		limit: int64(max(reserve, 1)) * unit,
 	}
 	b.level.Store(unit)
 	return b
--- a/decide/retry/retry_test.go
+++ b/decide/retry/retry_test.go
@@ -33,7 +33,7 @@
 
 // hedging returns a policy whose 95th percentile is 40 ms.
 func hedging(reserve int) *Policy {
-	p := &Policy{Budget: NewBudget(1, float64(reserve)), Latency: &Quantile{}}
+	p := &Policy{Budget: NewBudget(1, reserve), Latency: &Quantile{}}
 	for range minQuantileSamples {
 		p.Latency.Observe(40 * time.Millisecond)
 		p.Budget.Earn()
@@ -99,7 +99,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		share := rapid.Float64Range(0, 1).Draw(t, "share")
 		reserve := rapid.IntRange(1, 20).Draw(t, "reserve")
-		p := &Policy{Budget: NewBudget(share, float64(reserve)), Latency: hedging(1).Latency}
+		p := &Policy{Budget: NewBudget(share, reserve), Latency: hedging(1).Latency}
 		requests, paid := 0, 0
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "request") {
@@ -144,7 +144,7 @@
 // Guards against spending the same retry twice from two goroutines.
 func TestBudgetUnderConcurrentUse(t *testing.T) {
 	const requests = 1000
-	b := NewBudget(DefaultShare, float64(8*requests))
+	b := NewBudget(DefaultShare, 8*requests)
 	var spent atomic.Int64
 	var wg sync.WaitGroup
 	for range 8 {
--- /dev/null
+++ b/decide/retry/window_test.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against more retries in any window than its requests and the fixed
+// number permit.
+func TestWindowIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length = 10 * time.Second
+		share := rapid.Float64Range(0, 0.3).Draw(t, "share")
+		extra := rapid.Float64Range(0, 8).Draw(t, "extra")
+		w := NewWindow(length, share, extra)
+		var requests, retries []time.Time
+		now := time.Unix(1_700_000_000, 0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				w.Earn(now)
+				requests = append(requests, now)
+				continue
+			}
+			if w.Spend(now) {
+				retries = append(retries, now)
+			}
+		}
+		for i, first := range retries {
+			inWindow := 0
+			for _, at := range retries[i:] {
+				if at.Sub(first) < length {
+					inWindow++
+				}
+			}
+			// Requests of the window and of the slices around it may have paid.
+			paying := 0
+			for _, at := range requests {
+				if at.After(first.Add(-length-length/5)) && at.Before(first.Add(length)) {
+					paying++
+				}
+			}
+			if limit := share*float64(paying) + extra; float64(inWindow) > limit+1e-9 {
+				t.Fatalf("%d retries in a window, permitted %.2f", inWindow, limit)
+			}
+		}
+	})
+}
+
+// Guards against what was earned being lost before the window ends: failures
+// come together.
+func TestWindowKeepsWhatWasEarned(t *testing.T) {
+	w := NewWindow(10*time.Second, 0.2, 0)
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 40 {
+		w.Earn(now.Add(time.Duration(i) * 200 * time.Millisecond))
+	}
+	spent := 0
+	for w.Spend(now.Add(9 * time.Second)) {
+		spent++
+	}
+	if spent < 7 {
+		t.Errorf("%d retries, want 8", spent)
+	}
+}
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -38,10 +38,10 @@
 	// costFailRetry is lost when a request is repeated: it is late or meets
 	// another failure. It stays well below costFailOnce, so that repeatable
 	// requests find out whether a server is well again.
-	costFailRetry = 0.35
+	costFailRetry = 0.6
 	// explore is gained when a repeatable request brings fresh evidence about a
 	// server that nobody has heard of for exploreAge.
-	explore    = 0.08
+	explore    = 0.2
 	exploreAge = 3 * time.Second
 	// costWait is lost for each target latency that a request waits in a queue.
 	costWait = 0.8
--- a/filters/deliver/deliver.go
+++ b/filters/deliver/deliver.go
@@ -92,6 +92,7 @@
 func (f *Filter) judge(req *pipeline.Request, answer *httpconn.Answer) *pipeline.Result {
 	switch f.Codec.Judge(answer) {
 	case Refused:
+		f.Observe(req.Backend, belief.Failed)
 		f.log(req, "backend server refused a request", answer.Status, nil)
 		return pipeline.Refuse(pipeline.CodeShed, "")
 	case WrongPlace:
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -60,26 +60,27 @@
 	usualAnswer = 2000
 )
 
-// Budgets holds the retries that each service has earned at this entry.
+// Budgets holds the retries to each service that this entry is permitted.
 type Budgets struct {
-	Share   float64                           // retries earned by each first attempt
-	Reserve func(snap *mesh.Snapshot) float64 // retries saved up at most
-	table   sync.Map                      // service to *retry.Budget
+	Window time.Duration
+	Share  float64                           // retries permitted for each request
+	Extra  func(snap *mesh.Snapshot) float64 // retries permitted besides in each window
+	table  sync.Map                          // service to *retry.Window
 }
 
-func (b *Budgets) get(snap *mesh.Snapshot, service string) *retry.Budget {
-	if budget, ok := b.table.Load(service); ok {
-		return budget.(*retry.Budget)
+func (b *Budgets) get(snap *mesh.Snapshot, service string) *retry.Window {
+	if window, ok := b.table.Load(service); ok {
+		return window.(*retry.Window)
 	}
-	budget, _ := b.table.LoadOrStore(service, retry.NewBudget(b.Share, b.Reserve(snap)))
-	return budget.(*retry.Budget)
+	window, _ := b.table.LoadOrStore(service, retry.NewWindow(b.Window, b.Share, b.Extra(snap)))
+	return window.(*retry.Window)
 }
 
 // run is one request on its way to an answer.
 type run struct {
 	filter   *Filter
 	req      *pipeline.Request
-	budget   *retry.Budget
+	budget   *retry.Window
 	results  chan ended
 	open     int // attempts without a result
 	sends    int // attempts sent
@@ -110,7 +111,7 @@
 		barred:  make(map[string]bool),
 		full:    make(map[string]bool),
 	}
-	r.budget.Earn()
+	r.budget.Earn(time.Now())
 	if !r.send(ctx) {
 		return r.unserved()
 	}
@@ -130,7 +131,7 @@
 				return result
 			}
 		case <-hedge.C:
-			if r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend() {
+			if r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend(time.Now()) {
 				r.send(ctx)
 			}
 		case <-end.C:
@@ -165,7 +166,7 @@
 		}
 	default:
 		r.best = better(r.best, result)
-		if r.req.Class.Idempotent && r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend() && r.send(ctx) {
+		if r.req.Class.Idempotent && r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend(time.Now()) && r.send(ctx) {
 			return nil
 		}
 	}
@@ -210,7 +211,7 @@
 		return r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.barred[e.target.ID] = true
-		if !r.mayRepeat() || !r.budget.Spend() {
+		if !r.mayRepeat() || !r.budget.Spend(time.Now()) {
 			return false
 		}
 		return r.send(ctx)
@@ -292,7 +293,7 @@
 	want := selection.Request{
 		Idempotent: r.req.Class.Idempotent,
 		Target:     r.req.Class.Target,
-		Retryable:  r.ran+1 < r.req.MaxAttempts,
+		Retryable:  r.ran+1 < r.req.MaxAttempts && r.budget.Left(now) >= 1,
 		Bytes:      len(r.req.Payload) + usualAnswer,
 	}
 	at := selection.Choose(want, candidates, random())
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,7 +54,7 @@
 	backendKeep = 16
 	// defaultSlots is assumed until the platform lists the backend server.
 	defaultSlots = 4
-	// retryShare is the part of the permitted retries that entries earn; the rest
+	// retryShare is the part of the permitted retries that entries use; the rest
 	// covers calls that repeated requests make.
 	retryShare = 0.8
 	// headerLimit is larger than operators allow, so that their limit decides.
@@ -103,6 +103,7 @@
 			Boot: rand.Uint32(), Started: time.Now(),
 		},
 		KeyTrust:  settings.KeyDeadline - keyMargin,
+		Drain:     settings.Drain,
 		Tolerance: settings.Tolerance,
 		Load:      s.queue.Load,
 	}, s.outbound)
@@ -133,17 +134,19 @@
 		&dispatch.Filter{
 			Snapshot: s.loop.Snapshot,
 			Sender:   s,
-			Budgets:  &dispatch.Budgets{Share: retryShare * s.settings.RetryShare, Reserve: s.retryReserve},
-			NewID:    s.ids.next,
-			Log:      s.log,
+			Budgets: &dispatch.Budgets{
+				Window: s.settings.RetryWindow, Share: retryShare * s.settings.RetryShare, Extra: s.retryExtra,
+			},
+			NewID: s.ids.next,
+			Log:   s.log,
 		},
 	}
 }
 
-// retryReserve is the share of this process of the retries that all machines may
+// retryExtra is the part of this process of the retries that all machines may
 // send beyond the share of requests.
-func (s *Sidecar) retryReserve(snap *mesh.Snapshot) float64 {
-	return retryShare * s.settings.RetryReserve / float64(max(snap.Hosts, 1))
+func (s *Sidecar) retryExtra(snap *mesh.Snapshot) float64 {
+	return retryShare * s.settings.RetryExtra / float64(max(snap.Hosts, 1))
 }
 
 func (s *Sidecar) exitChain() pipeline.Chain {
