mesh: one owner of a team through partial partitions; leaving servers get nothing late

Change: statuses name the hosts that the sender does not hear; the owner is the first of all that anyone hears, and asks go around a cut path; exits look at the list again after the wait; calls of repeated requests are charged. Tests: TestAskGoesAroundACutPath, TestAskIsPassedOnToTheOwner, TestChargedRetriesCount.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -45,6 +45,7 @@
 			buckets: make(map[string]*teamrate.Bucket),
 			alone:   make(map[string]*teamrate.Bucket),
 			asks:    make(map[uint32]*ask),
+			relays:  make(map[uint32]relay),
 
 			tolerance: o.Tolerance,
 			settled:   o.Self.Started,
@@ -78,6 +79,7 @@
 		KeysUntil: s.keysUntil,
 		Services:  make(map[string][]*Target),
 		Local:     make(map[string]*Target),
+		Left:      s.left,
 		Blocked:   s.blocked,
 		Hosts:     len(s.peers) + 1,
 		Stopping:  s.stopping,
@@ -91,6 +93,7 @@
 			Local:     server.Host == s.self.Host,
 			SameZone:  server.Zone == s.self.Zone,
 			ColdUntil: server.coldUntil,
+			QuietFrom: server.quietFrom,
 			Live:      server.live,
 		}
 		snap.Services[server.Service] = append(snap.Services[server.Service], target)
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -160,6 +160,7 @@
 		status.Bad = float32(belief.Drift(health.Bad, now.Sub(health.Evidence)))
 		status.AgeMS = uint32(now.Sub(health.Evidence).Milliseconds())
 	}
+	status.Unheard = s.unheard(now)
 	s.last = status
 	hosts := make([]string, 0, len(s.state.peers))
 	for host := range s.state.peers {
@@ -170,6 +171,24 @@
 	}
 }
 
+// maxUnheard bounds the hosts in a status, so that it fits a datagram.
+const maxUnheard = 32
+
+// unheard lists the peers that were not heard for a while. A process that has
+// just started cannot tell.
+func (s *healthStage) unheard(now time.Time) []string {
+	if now.Sub(s.state.self.Started) < peerTimeout {
+		return nil
+	}
+	var hosts []string
+	for host, peer := range s.state.peers {
+		if now.Sub(peer.Heard) >= peerTimeout && len(hosts) < maxUnheard {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 func clamp(n int) uint16 { return uint16(min(max(n, 0), math.MaxUint16)) }
 
 // receive takes in a status unless a newer one came before it.
@@ -182,6 +201,12 @@
 		log(out, "peer regained", map[string]any{"host": host, "silent_ms": now.Sub(peer.Heard).Milliseconds()})
 	}
 	*peer = Peer{Heard: now, Boot: status.Boot, Seq: status.Seq, Stopping: status.Stopping}
+	if len(status.Unheard) > 0 {
+		peer.Unheard = make(map[string]bool, len(status.Unheard))
+		for _, unheard := range status.Unheard {
+			peer.Unheard[unheard] = true
+		}
+	}
 	server := s.state.servers[status.Backend]
 	if server == nil || server.Host != host {
 		return
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -261,3 +261,74 @@
 		t.Error("not blocked after three crashes")
 	}
 }
+
+// Guards against two owners of a team that both grant its rate: a process that
+// does not hear the owner asks through one that does.
+func TestAskGoesAroundACutPath(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	hosts := []string{"10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"}
+	var servers []Server
+	for i, host := range hosts {
+		servers = append(servers, server(host, host, uint64(i+1)))
+	}
+	p.post(ServersRead{Whole: true, Put: servers})
+	owner := ""
+	hear := func(seq uint32, from []string, unheard ...string) {
+		for _, host := range from {
+			p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: seq, Unheard: unheard}}})
+		}
+	}
+	hear(1, hosts)
+	ask := func() Send {
+		p.sent = nil
+		p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: make(chan TokenVerdict, 1)})
+		for _, send := range p.sent {
+			if send.Message.Ask != nil {
+				return send
+			}
+		}
+		return Send{Hosts: []string{""}}
+	}
+	owner = ask().Hosts[0]
+	others := without(map[string]bool{hosts[0]: true, hosts[1]: true, hosts[2]: true, hosts[3]: true}, owner)
+	var rest []string
+	for host := range others {
+		rest = append(rest, host)
+	}
+	p.pass(peerTimeout)
+	hear(2, rest)
+	if via := ask().Hosts[0]; via == owner || !others[via] {
+		t.Errorf("ask sent to %q while only others hear the owner %q", via, owner)
+	}
+	hear(3, rest, owner)
+	p.sent = nil
+	if to := ask().Hosts[0]; to == owner {
+		t.Error("ask sent to an owner that nobody hears")
+	}
+}
+
+// Guards against an ask that ends at a process that is not the owner.
+func TestAskIsPassedOnToTheOwner(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	p.post(ServersRead{Whole: true, Put: []Server{server("s", "10.0.0.2", 2), server("r", "10.0.0.3", 3)}})
+	for _, host := range []string{"10.0.0.2", "10.0.0.3"} {
+		p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+	}
+	p.post(TableRead{table(t, 7)})
+	p.sent = nil
+	p.post(Received{Host: "10.0.0.3", Message: notice.Message{Ask: &notice.Ask{ID: 9, Team: "team", Count: 1}}})
+	var passed *notice.Ask
+	for _, send := range p.sent {
+		if send.Message.Ask != nil {
+			passed = send.Message.Ask
+		}
+	}
+	if passed == nil || !passed.Relayed {
+		t.Fatalf("not passed on: %+v", p.sent)
+	}
+	p.sent = nil
+	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Grant: &notice.Grant{ID: passed.ID, Count: 1}}})
+	if len(p.sent) != 1 || p.sent[0].Hosts[0] != "10.0.0.3" || p.sent[0].Message.Grant.ID != 9 {
+		t.Errorf("the grant did not come back: %+v", p.sent)
+	}
+}
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -130,12 +130,21 @@
 		next.live = newLive(now)
 		log(out, "backend server listed", map[string]any{"backend": server.ID, "service": server.Service, "host": server.Host})
 	} else {
-		next.live = old.live
-		if server.Draining && !old.Draining {
+		next.live, next.quietFrom = old.live, old.quietFrom
+	}
+	switch {
+	case !server.Draining:
+		next.quietFrom = time.Time{}
+	case next.quietFrom.IsZero():
+		next.quietFrom = now.Add(s.keep())
+		if !fresh {
 			log(out, "backend server drains", map[string]any{"backend": server.ID})
 		}
 	}
 	s.state.servers[server.ID] = next
+	if s.state.left[server.ID] {
+		s.state.left = without(s.state.left, server.ID)
+	}
 	return true
 }
 
@@ -165,18 +174,40 @@
 		}
 		return false
 	}
-	delete(s.state.servers, id)
+	s.drop(id)
 	log(out, "backend server gone", map[string]any{"backend": id})
 	return true
 }
 
+// drop takes a server off the list. Those of this host are remembered, so that
+// entries that do not know yet are refused.
+func (s *serversStage) drop(id string) {
+	if s.state.servers[id].Host == s.state.self.Host {
+		left := without(s.state.left, id)
+		left[id] = true
+		s.state.left = left
+	}
+	delete(s.state.servers, id)
+}
+
+// without returns a copy; snapshots hold the original.
+func without(set map[string]bool, id string) map[string]bool {
+	copied := make(map[string]bool, len(set)+1)
+	for known := range set {
+		if known != id {
+			copied[known] = true
+		}
+	}
+	return copied
+}
+
 func (s *serversStage) dropMissing(now time.Time, out *control.Output) {
 	if s.away {
 		return
 	}
 	for id, server := range s.state.servers {
 		if !server.missing.IsZero() && now.Sub(server.missing) >= s.keep() {
-			delete(s.state.servers, id)
+			s.drop(id)
 			log(out, "backend server gone", map[string]any{"backend": id, "after": "store outage"})
 			s.updatePeers()
 			out.Publish()
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -97,6 +97,7 @@
 	Local     bool
 	SameZone  bool
 	ColdUntil time.Time
+	QuietFrom time.Time // when a leaving server must get no more requests; zero while it stays
 	Live      *Live
 }
 
@@ -108,6 +109,7 @@
 	KeysUntil time.Duration
 	Services  map[string][]*Target
 	Local     map[string]*Target // backend servers of this host
+	Left      map[string]bool    // backend servers of this host that the platform took off the list
 	Blocked   map[crashcount.Fingerprint]time.Time
 	Hosts     int // hosts with a backend server
 	Stopping  bool
@@ -127,6 +129,7 @@
 	Boot     uint32
 	Seq      uint32
 	Stopping bool
+	Unheard  map[string]bool // hosts that the peer has not heard for a while
 }
 
 // live tells whether the peer was heard lately and takes part.
@@ -138,6 +141,7 @@
 type listed struct {
 	Server
 	coldUntil time.Time
+	quietFrom time.Time
 	missing   time.Time // since when the platform no longer lists it; zero while listed
 	live      *Live
 }
@@ -154,6 +158,7 @@
 	// Written by the servers stage.
 	servers map[string]*listed
 	peers   map[string]*Peer // by IP number, without this process
+	left    map[string]bool  // backend servers of this host that were taken off the list
 
 	// Written by the crashes stage.
 	blocked map[crashcount.Fingerprint]time.Time
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -42,16 +42,25 @@
 type ask struct {
 	wanted TokenWanted
 	owner  string
+	via    string // the owner, or a process that passes the ask on
 	sent   time.Time
 	again  bool
 }
 
+// relay is an ask that was passed on for a peer that does not reach the owner.
+type relay struct {
+	host string // that asked
+	id   uint32 // of its ask
+	sent time.Time
+}
+
 // teamsStage holds teams to their rates.
 type teamsStage struct {
 	state   *state
 	buckets map[string]*teamrate.Bucket // of the teams that this process owns
 	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
 	asks    map[uint32]*ask
+	relays  map[uint32]relay // asks of peers that were passed on to the owner
 	nextID  uint32
 	// tolerance is how far teams may exceed their rates.
 	tolerance teamrate.Tolerance
@@ -90,7 +99,7 @@
 		case ev.Message.Ask != nil:
 			s.serve(now, ev.Host, ev.Message.Ask, out)
 		case ev.Message.Grant != nil:
-			s.granted(ev.Message.Grant)
+			s.granted(ev.Message.Grant, out)
 		}
 	case TableRead:
 		s.forgetTeams()
@@ -101,16 +110,16 @@
 }
 
 func (s *teamsStage) want(now time.Time, wanted TokenWanted, out *control.Output) {
-	owner, known := s.owner(now, wanted.Team.Name)
+	owner, via := s.owner(now, wanted.Team.Name)
 	switch {
-	case !known:
-		s.decideAlone(now, wanted)
+	case owner == "":
+		s.decideAlone(now, wanted, "", out)
 	case owner == s.state.self.Host:
-		n, wait := s.take(now, wanted.Team, 1)
+		n, wait := s.take(now, wanted.Team, 1, out)
 		wanted.Reply <- TokenVerdict{Granted: n > 0, Wait: wait, Source: "self"}
 	default:
 		s.nextID++
-		a := &ask{wanted: wanted, owner: owner, sent: now}
+		a := &ask{wanted: wanted, owner: owner, via: via, sent: now}
 		s.asks[s.nextID] = a
 		s.send(s.nextID, a, out)
 	}
@@ -118,38 +127,59 @@
 
 func (s *teamsStage) send(id uint32, a *ask, out *control.Output) {
 	out.Emit(Send{
-		Hosts:   []string{a.owner},
+		Hosts:   []string{a.via},
 		Message: notice.Message{Ask: &notice.Ask{ID: id, Team: a.wanted.Team.Name, Count: 1}},
 	})
 }
 
-// owner returns the process that keeps the bucket of a team: the first by
-// rendezvous hash of the processes that were heard lately. It is not known while
-// less than half of the fleet is heard.
-func (s *teamsStage) owner(now time.Time, team string) (string, bool) {
-	members := s.owners(now)
-	if 2*len(members) <= len(s.state.peers) {
-		return "", false
+// owner returns the process that keeps the bucket of a team, and the process to
+// send asks to: the owner, or one that hears it when this one does not. The owner
+// is the first by rendezvous hash of the processes that anyone was heard to hear;
+// processes that are cut from each other in part agree on it that way, since two
+// owners would grant the rate twice. It is empty while less than half of the
+// fleet is heard.
+func (s *teamsStage) owner(now time.Time, team string) (owner, via string) {
+	members, heard := s.owners(now)
+	if 2*heard <= len(s.state.peers) {
+		return "", ""
 	}
 	best := rendezvous.Rank(rendezvous.Hash(team), members, 1)
 	if len(best) == 0 {
-		return "", false
+		return "", ""
 	}
-	return best[0].ID, true
+	return best[0].ID, s.via(now, best[0].ID)
 }
 
-// owners returns the processes that may own teams.
-func (s *teamsStage) owners(now time.Time) []rendezvous.Member {
-	var members []rendezvous.Member
+// owners returns the processes that may own teams, and how many of them this one
+// hears itself.
+func (s *teamsStage) owners(now time.Time) (members []rendezvous.Member, heard int) {
 	if now.Sub(s.state.self.Started) >= ownerDelay && !s.state.stopping {
 		members = append(members, rendezvous.Member{ID: s.state.self.Host})
+		heard++
 	}
 	for host, peer := range s.state.peers {
 		if peer.live(now) {
+			heard++
+		}
+		if peer.live(now) || (!peer.Stopping && s.via(now, host) != "") {
 			members = append(members, rendezvous.Member{ID: host})
 		}
 	}
-	return members
+	return members, heard
+}
+
+// via returns a process through which a host is reached: the host itself, or a
+// peer that hears it; empty when there is none.
+func (s *teamsStage) via(now time.Time, host string) string {
+	if host == s.state.self.Host || s.state.peers[host].live(now) {
+		return host
+	}
+	for other, peer := range s.state.peers {
+		if peer.live(now) && !peer.Unheard[host] {
+			return other
+		}
+	}
+	return ""
 }
 
 // heard counts the other processes that may own teams.
@@ -172,10 +202,11 @@
 }
 
 // take spends tokens of a team that this process owns.
-func (s *teamsStage) take(now time.Time, team *routing.Team, want int) (int, time.Duration) {
+func (s *teamsStage) take(now time.Time, team *routing.Team, want int, out *control.Output) (int, time.Duration) {
 	limit := s.limit(team)
 	bucket := s.buckets[team.Name]
 	if bucket == nil {
+		log(out, "team owned", map[string]any{"team": team.Name, "since_ms": now.Sub(s.settled).Milliseconds()})
 		bucket = teamrate.NewBucket(s.settled, limit)
 		s.buckets[team.Name] = bucket
 	}
@@ -197,7 +228,11 @@
 	if !ok || team.Rate <= 0 {
 		return
 	}
-	n, wait := s.take(now, team, int(asked.Count))
+	if owner, via := s.owner(now, team.Name); owner == via && owner != "" && owner != s.state.self.Host && !asked.Relayed {
+		s.pass(now, host, owner, asked, out)
+		return
+	}
+	n, wait := s.take(now, team, int(asked.Count), out)
 	grant := &notice.Grant{ID: asked.ID, Count: uint16(n)}
 	if n == 0 {
 		grant.WaitMS = uint32(wait.Milliseconds())
@@ -205,7 +240,30 @@
 	out.Emit(Send{Hosts: []string{host}, Message: notice.Message{Grant: grant}})
 }
 
-func (s *teamsStage) granted(grant *notice.Grant) {
+// pass sends an ask on to the owner: the peer takes this process for the owner,
+// since it does not hear the owner. Two owners would grant the rate twice.
+func (s *teamsStage) pass(now time.Time, host, owner string, asked *notice.Ask, out *control.Output) {
+	for id, r := range s.relays {
+		if now.Sub(r.sent) > askTimeout {
+			delete(s.relays, id)
+		}
+	}
+	s.nextID++
+	s.relays[s.nextID] = relay{host: host, id: asked.ID, sent: now}
+	out.Emit(Send{
+		Hosts:   []string{owner},
+		Message: notice.Message{Ask: &notice.Ask{ID: s.nextID, Team: asked.Team, Count: asked.Count, Relayed: true}},
+	})
+}
+
+func (s *teamsStage) granted(grant *notice.Grant, out *control.Output) {
+	if r, ok := s.relays[grant.ID]; ok {
+		delete(s.relays, grant.ID)
+		back := *grant
+		back.ID = r.id
+		out.Emit(Send{Hosts: []string{r.host}, Message: notice.Message{Grant: &back}})
+		return
+	}
 	a := s.asks[grant.ID]
 	if a == nil {
 		return
@@ -225,13 +283,14 @@
 			s.send(id, a, out)
 		default:
 			delete(s.asks, id)
-			s.decideAlone(now, a.wanted)
+			s.decideAlone(now, a.wanted, a.owner, out)
 		}
 	}
 }
 
-// decideAlone spends the share of this process.
-func (s *teamsStage) decideAlone(now time.Time, wanted TokenWanted) {
+// decideAlone spends the share of this process. silent is the owner that did not
+// answer, empty when none is known.
+func (s *teamsStage) decideAlone(now time.Time, wanted TokenWanted, silent string, out *control.Output) {
 	limit := s.limit(wanted.Team)
 	bucket := s.alone[wanted.Team.Name]
 	if bucket == nil {
@@ -239,6 +298,9 @@
 		s.alone[wanted.Team.Name] = bucket
 	}
 	n := bucket.TakeAlone(now, limit, len(s.state.peers)+1, 1)
+	log(out, "token decided without the owner of the team", map[string]any{
+		"team": wanted.Team.Name, "granted": n > 0, "silent_owner": silent, "heard": s.heard(now), "peers": len(s.state.peers),
+	})
 	wanted.Reply <- TokenVerdict{Granted: n > 0, Wait: time.Second, Source: "alone"}
 }
 
--- a/decide/retry/window.go
+++ b/decide/retry/window.go
@@ -25,7 +25,7 @@
 type slice struct {
 	number   atomic.Int64 // of the slice, counted from the zero time
 	requests atomic.Int64
-	retries  atomic.Int64
+	retries  atomic.Int64 // in thousandths
 }
 
 // NewWindow returns a window of a length that permits share retries for each
@@ -62,7 +62,7 @@
 			retries += s.retries.Load()
 		}
 	}
-	return w.share*float64(requests) + w.extra - float64(retries)
+	return w.share*float64(requests) + w.extra - float64(retries)/unit
 }
 
 // Spend takes one retry; false means that none is permitted.
@@ -70,6 +70,12 @@
 	if w.Left(now) < 1 {
 		return false
 	}
-	w.at(now).retries.Add(1)
+	w.Charge(now, 1)
 	return true
 }
+
+// Charge counts retries that were not asked for: requests that a repeated request
+// makes are repeats, too. The amount may be a fraction.
+func (w *Window) Charge(now time.Time, amount float64) {
+	w.at(now).retries.Add(int64(amount * unit))
+}
--- a/decide/retry/window_test.go
+++ b/decide/retry/window_test.go
@@ -65,3 +65,14 @@
 		t.Errorf("%d retries, want 8", spent)
 	}
 }
+
+// Guards against requests that repeated requests make being left out.
+func TestChargedRetriesCount(t *testing.T) {
+	w := NewWindow(10*time.Second, 0, 2)
+	now := time.Unix(1_700_000_000, 0)
+	w.Charge(now, 0.5)
+	w.Charge(now, 0.75)
+	if w.Spend(now) {
+		t.Error("a retry was permitted although 1.25 of 2 are used")
+	}
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -30,6 +30,9 @@
 	Sender   Sender
 	Budgets  *Budgets
 	NewID    func() string
+	// Repeated returns the share of the requests at the backend server of this
+	// host that are repeats. Calls that they make count as repeats.
+	Repeated func() float64
 	Log      *zap.Logger
 }
 
@@ -112,6 +115,9 @@
 		full:    make(map[string]bool),
 	}
 	r.budget.Earn(time.Now())
+	if req.Principal.Team == "" {
+		r.budget.Charge(time.Now(), f.Repeated())
+	}
 	if !r.send(ctx) {
 		return r.unserved()
 	}
@@ -237,6 +243,7 @@
 	attempt := r.req.Copy()
 	attempt.ID = r.filter.NewID()
 	attempt.Backend = target.ID
+	attempt.Repeat = r.ran > 0
 	attempt.MayWait = r.refusals >= maxRefusals || known.Running >= known.Slots
 	r.barred[target.ID] = r.barred[target.ID] || attempt.MayWait
 	r.open++
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -38,6 +38,7 @@
 	tickets   map[uint64]*ticket // that wait or run
 	withdrawn map[string]time.Time
 	load      atomic.Pointer[mesh.Load]
+	repeated  atomic.Int64 // share of the running requests that are repeats, in thousandths
 	ids       atomic.Uint64
 	post      func(control.Event) bool
 	crashedAt time.Time
@@ -50,6 +51,7 @@
 	attempt     string
 	fingerprint crashcount.Fingerprint
 	wait        bool
+	repeat      bool
 	verdict     chan pipeline.Code
 }
 
@@ -132,9 +134,19 @@
 		Slots:   slots,
 		Held:    q.queue.Service(),
 	})
+	repeats := 0
+	for _, t := range q.tickets {
+		if t.repeat {
+			repeats++
+		}
+	}
+	q.repeated.Store(int64(1000 * repeats / max(len(q.tickets), 1)))
 	q.post(mesh.LoadChanged{})
 }
 
+// Repeated returns the share of the running requests that are repeats.
+func (q *Queue) Repeated() float64 { return float64(q.repeated.Load()) / 1000 }
+
 func (q *Queue) enter(now time.Time, t *ticket) {
 	if until, ok := q.withdrawn[t.attempt]; ok && now.Before(until) {
 		t.verdict <- pipeline.CodeDuplicateSend
@@ -261,6 +273,7 @@
 		attempt:     req.ID,
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
 		wait:        req.MayWait,
+		repeat:      req.Repeat,
 		verdict:     make(chan pipeline.Code, 1),
 	}
 	t.item.Payload = t
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -46,6 +46,7 @@
 	keyWait     = "w"
 	keyRepeat   = "e"
 	keyPrint    = "f"
+	keyRepeated = "p"
 	keyTarget   = "g"
 	keyCode     = "c"
 	keyRetry    = "a"
@@ -79,6 +80,9 @@
 	if req.Class.Idempotent {
 		v.Set(keyRepeat, "1")
 	}
+	if req.Repeat {
+		v.Set(keyRepeated, "1")
+	}
 	return v.Encode()
 }
 
@@ -128,6 +132,7 @@
 		Rank:          rank,
 		Backend:       v.Get(keyBackend),
 		MayWait:       v.Get(keyWait) == "1",
+		Repeat:        v.Get(keyRepeated) == "1",
 	}, nil
 }
 
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -26,6 +26,7 @@
 	Waiting  uint16   // requests that wait for one
 	HeldMS   uint32   // mean time that a request holds a slot
 	Stopping bool     // the sender takes no new work
+	Unheard  []string // hosts that the sender has not heard for a while
 }
 
 // Ask asks the owner of a team for tokens.
@@ -34,6 +35,8 @@
 	ID    uint32
 	Team  string
 	Count uint16
+	// Relayed says that a process that is not the owner passes the ask on.
+	Relayed bool
 }
 
 // Grant answers Ask.
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -84,6 +84,8 @@
 	MaxAttempts int
 	// Backend is the backend server that an attempt is for.
 	Backend string
+	// Repeat says that a backend server may have run the request before.
+	Repeat bool
 	// MayWait says that the attempt may wait for a slot; otherwise it is refused
 	// when none is free, so that it can go elsewhere.
 	MayWait bool
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,7 +5,7 @@
 // backend server:
 //
 //	entry: decode -> observe -> lookup -> fingerprint -> blocked -> ratelimit -> dispatch
-//	exit:  decode -> blocked -> admission -> slots -> deliver
+//	exit:  decode -> blocked -> admission -> slots -> after-wait -> deliver
 //
 // control/mesh holds the control state; platform translates.
 package sidecar
@@ -56,7 +56,7 @@
 	defaultSlots = 4
 	// retryShare is the part of the permitted retries that entries use; the rest
 	// covers calls that repeated requests make.
-	retryShare = 0.8
+	retryShare = 0.85
 	// headerLimit is larger than operators allow, so that their limit decides.
 	headerLimit = 64 << 10
 	// headerTime and idleTime bound connections of callers; callers reuse
@@ -137,8 +137,9 @@
 			Budgets: &dispatch.Budgets{
 				Window: s.settings.RetryWindow, Share: retryShare * s.settings.RetryShare, Extra: s.retryExtra,
 			},
-			NewID: s.ids.next,
-			Log:   s.log,
+			NewID:    s.ids.next,
+			Repeated: s.queue.Repeated,
+			Log:      s.log,
 		},
 	}
 }
@@ -154,6 +155,7 @@
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
 		admission{s},
 		&slots.Filter{Queue: s.queue},
+		afterWait{s},
 		&deliver.Filter{
 			Addr:    s.settings.BackendAddr,
 			Codec:   platform.BackendCodec{},
@@ -176,13 +178,34 @@
 func (admission) Name() string { return "admission" }
 
 // Handle refuses attempts while the process stops and those for a backend server
-// that leaves or is not here.
+// that leaves.
 func (a admission) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
 	if a.sidecar.refusing.Load() {
 		return pipeline.Refuse(pipeline.CodeStopping, "")
 	}
-	target := a.sidecar.loop.Snapshot().Local[req.Backend]
-	if target != nil && target.Draining {
+	if target := a.sidecar.loop.Snapshot().Local[req.Backend]; target != nil && target.Draining {
+		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
+	}
+	return a.sidecar.staying(req)
+}
+
+// afterWait refuses attempts whose backend server left while they waited.
+type afterWait struct{ sidecar *Sidecar }
+
+// Name returns "after-wait".
+func (afterWait) Name() string { return "after-wait" }
+
+// Handle looks at the list again.
+func (a afterWait) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
+	return a.sidecar.staying(req)
+}
+
+// staying refuses an attempt for a backend server that must get no more requests.
+func (s *Sidecar) staying(req *pipeline.Request) *pipeline.Result {
+	snap := s.loop.Snapshot()
+	target := snap.Local[req.Backend]
+	quiet := target != nil && !target.QuietFrom.IsZero() && !time.Now().Before(target.QuietFrom)
+	if quiet || snap.Left[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
 	}
 	return nil
