mesh: few processes read the store and tell the others

Change: three readers by rendezvous hash over zones (one for each 50 hosts more) follow the store and tell changes at once; the others ask one of them each second whether configuration and list are current, and read themselves when they differ or nobody confirms within 2.8 s.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -18,6 +18,8 @@
 	Drain time.Duration
 	// Tolerance is how far teams may exceed their rates.
 	Tolerance teamrate.Tolerance
+	// Boot reads the clock that also counts suspended time.
+	Boot func() time.Duration
 	// Load returns the load of the backend server of this host. It must not block.
 	Load func() Load
 }
@@ -35,10 +37,12 @@
 		servers: make(map[string]*listed),
 		peers:   make(map[string]*Peer),
 	}
+	config := &configStage{state: st, trust: o.KeyTrust}
 	stages := []control.Stage{
 		&stopStage{state: st},
-		&configStage{state: st, trust: o.KeyTrust},
+		config,
 		&serversStage{state: st, drain: o.Drain},
+		&storeStage{state: st, config: config, boot: o.Boot, asked: make(map[uint32]time.Duration)},
 		&healthStage{state: st, load: o.Load, beliefs: make(map[string]belief.State)},
 		&teamsStage{
 			state:   st,
@@ -82,6 +86,7 @@
 		Left:      s.left,
 		Blocked:   s.blocked,
 		Hosts:     len(s.peers) + 1,
+		Reading:   s.reading,
 		Stopping:  s.stopping,
 	}
 	for id, server := range s.servers {
--- a/control/mesh/configuration.go
+++ b/control/mesh/configuration.go
@@ -40,10 +40,16 @@
 	case TableRead:
 		s.read(ev.Table, out)
 	case TableConfirmed:
-		if until := ev.Boot + s.trust; until > s.state.keysUntil {
-			s.state.keysUntil = until
-			out.Publish()
-		}
+		s.confirm(ev.Boot, out)
+	}
+}
+
+// confirm says that the platform held no newer configuration at a reading of the
+// boot clock.
+func (s *configStage) confirm(boot time.Duration, out *control.Output) {
+	if until := boot + s.trust; until > s.state.keysUntil {
+		s.state.keysUntil = until
+		out.Publish()
 	}
 }
 
--- a/control/mesh/crashes.go
+++ b/control/mesh/crashes.go
@@ -58,11 +58,7 @@
 	for _, f := range ev.InFlight {
 		crash.InFlight = append(crash.InFlight, uint64(f))
 	}
-	hosts := make([]string, 0, len(s.state.peers))
-	for host := range s.state.peers {
-		hosts = append(hosts, host)
-	}
-	out.Emit(Send{Hosts: hosts, Message: notice.Message{Crash: crash}})
+	out.Emit(Send{Hosts: s.state.peerHosts(), Message: notice.Message{Crash: crash}})
 	log(out, "backend server crashed", map[string]any{"crash": ev.ID, "in_flight": len(ev.InFlight)})
 }
 
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -162,11 +162,7 @@
 	}
 	status.Unheard = s.unheard(now)
 	s.last = status
-	hosts := make([]string, 0, len(s.state.peers))
-	for host := range s.state.peers {
-		hosts = append(hosts, host)
-	}
-	if len(hosts) > 0 {
+	if hosts := s.state.peerHosts(); len(hosts) > 0 {
 		out.Emit(Send{Hosts: hosts, Message: notice.Message{Status: &status}})
 	}
 }
@@ -200,7 +196,7 @@
 	if !peer.Heard.IsZero() && now.Sub(peer.Heard) > peerTimeout {
 		log(out, "peer regained", map[string]any{"host": host, "silent_ms": now.Sub(peer.Heard).Milliseconds()})
 	}
-	*peer = Peer{Heard: now, Boot: status.Boot, Seq: status.Seq, Stopping: status.Stopping}
+	*peer = Peer{Zone: peer.Zone, Heard: now, Boot: status.Boot, Seq: status.Seq, Stopping: status.Stopping}
 	if len(status.Unheard) > 0 {
 		peer.Unheard = make(map[string]bool, len(status.Unheard))
 		for _, unheard := range status.Unheard {
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -16,28 +16,35 @@
 
 // process is a control loop in virtual time with what it sent.
 type process struct {
-	t    *testing.T
-	loop *control.Loop[Snapshot]
-	now  time.Time
-	sent []Send
+	t       *testing.T
+	started time.Time
+	woken   []Wake
+	loop    *control.Loop[Snapshot]
+	now     time.Time
+	sent    []Send
 }
 
 // Send implements control.Outbound.
 func (p *process) Send(cmd control.Command) bool {
-	if send, ok := cmd.(Send); ok {
-		p.sent = append(p.sent, send)
+	switch cmd := cmd.(type) {
+	case Send:
+		p.sent = append(p.sent, cmd)
+	case Wake:
+		p.woken = append(p.woken, cmd)
 	}
 	return true
 }
 
 func start(t *testing.T, host string) *process {
 	p := &process{t: t, now: time.Now()}
+	p.started = p.now
 	p.loop = New(Options{
 		Self:      Self{Host: host, Zone: "a", Service: "roster", Boot: 1, Started: p.now},
 		KeyTrust:  4 * time.Second,
 		Drain:     drain,
 		Tolerance: teamrate.Tolerance{Window: 5 * time.Second, Excess: 0.25, Slack: 20},
 		Load:      func() Load { return Load{Slots: 7} },
+		Boot:      func() time.Duration { return p.now.Sub(p.started) + time.Hour },
 	}, p)
 	return p
 }
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -1,15 +1,19 @@
 package mesh
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
 )
 
 // ServersRead is a change of the platform's list of backend servers.
 type ServersRead struct {
-	Whole bool // Put is the whole list
+	At    uint64 // revision of the store; 0 when not stated
+	Whole bool   // Put is the whole list
 	Put   []Server
 	Gone  []string
 }
@@ -79,6 +83,10 @@
 	switch ev := ev.(type) {
 	case ServersRead:
 		s.read(now, ev, out)
+	case Received:
+		if m := ev.Message.Servers; m != nil && s.state.peers[ev.Host] != nil {
+			s.relayed(now, m, out)
+		}
 	case StoreLost:
 		if !s.away {
 			log(out, "platform store lost", nil)
@@ -96,31 +104,100 @@
 	}
 }
 
+// read takes in what this process read of the store.
 func (s *serversStage) read(now time.Time, ev ServersRead, out *control.Output) {
-	changed := false
+	change := notice.Servers{At: ev.At}
 	seen := make(map[string]bool, len(ev.Put))
 	for _, server := range ev.Put {
 		seen[server.ID] = true
-		changed = s.put(now, server, out) || changed
-	}
-	for _, id := range ev.Gone {
-		changed = s.gone(now, id, out) || changed
+		if s.put(now, server, out) {
+			change.Put = append(change.Put, encodeServer(server))
+		}
 	}
+	gone := ev.Gone
 	if ev.Whole {
 		for id := range s.state.servers {
 			if !seen[id] {
-				changed = s.gone(now, id, out) || changed
+				gone = append(gone, id)
 			}
 		}
 	}
+	for _, id := range gone {
+		if s.gone(now, id, ev.At, out) {
+			change.Gone = append(change.Gone, id)
+		}
+	}
+	s.changed(&change, out)
+}
+
+// changed publishes a change and tells the others when this process reads the
+// store for them.
+func (s *serversStage) changed(change *notice.Servers, out *control.Output) {
+	if len(change.Put) == 0 && len(change.Gone) == 0 {
+		return
+	}
+	s.updatePeers()
+	out.Publish()
+	if !s.state.reading {
+		return
+	}
+	hosts := s.state.peerHosts()
+	for _, part := range split(change) {
+		out.Emit(Send{Hosts: hosts, Message: notice.Message{Servers: &part}})
+	}
+}
+
+// split divides a change into parts that fit a datagram.
+func split(change *notice.Servers) []notice.Servers {
+	var parts []notice.Servers
+	for put := range slices.Chunk(change.Put, notice.ServersPerMessage) {
+		parts = append(parts, notice.Servers{At: change.At, Put: put})
+	}
+	for gone := range slices.Chunk(change.Gone, notice.ServersPerMessage) {
+		parts = append(parts, notice.Servers{At: change.At, Gone: gone})
+	}
+	return parts
+}
+
+// relayed takes in a change that a reader of the store tells.
+func (s *serversStage) relayed(now time.Time, change *notice.Servers, out *control.Output) {
+	changed := false
+	for _, entry := range change.Put {
+		changed = s.put(now, decodeServer(entry), out) || changed
+	}
+	for _, id := range change.Gone {
+		if server := s.state.servers[id]; server != nil && server.Revision <= change.At {
+			s.drop(id)
+			log(out, "backend server gone", map[string]any{"backend": id, "after": "message of a reader"})
+			changed = true
+		}
+	}
 	if changed {
 		s.updatePeers()
 		out.Publish()
 	}
 }
 
+func encodeServer(s Server) notice.Server {
+	return notice.Server{
+		ID: s.ID, Service: s.Service, Zone: s.Zone, Addr: s.Addr, Created: s.Created, Revision: s.Revision,
+		Slots: clamp(s.Slots), Draining: s.Draining, ColdMS: uint32(s.Cold.Milliseconds()), Born: s.Born,
+	}
+}
+
+func decodeServer(n notice.Server) Server {
+	host, _, _ := strings.Cut(n.Addr, ":")
+	return Server{
+		ID: n.ID, Service: n.Service, Zone: n.Zone, Host: host, Addr: n.Addr, Created: n.Created, Revision: n.Revision,
+		Slots: int(n.Slots), Draining: n.Draining, Cold: time.Duration(n.ColdMS) * time.Millisecond, Born: n.Born,
+	}
+}
+
 func (s *serversStage) put(now time.Time, server Server, out *control.Output) bool {
 	old := s.state.servers[server.ID]
+	if old != nil && server.Revision < old.Revision {
+		return false
+	}
 	fresh := old == nil || old.Born != server.Born || old.Host != server.Host
 	if !fresh && old.missing.IsZero() && sameEntry(old.Server, server) {
 		return false
@@ -148,10 +225,11 @@
 	return true
 }
 
-// sameEntry compares what traffic depends on. The remaining cold time falls with
-// each entry and is taken from the first.
+// sameEntry compares what traffic depends on. The remaining cold time falls and
+// the revision grows with each entry.
 func sameEntry(a, b Server) bool {
 	a.Cold, b.Cold = 0, 0
+	a.Revision, b.Revision = 0, 0
 	return a == b
 }
 
@@ -163,9 +241,9 @@
 
 // gone drops a server at once unless the store was away just before: its entry
 // may only have lapsed.
-func (s *serversStage) gone(now time.Time, id string, out *control.Output) bool {
+func (s *serversStage) gone(now time.Time, id string, at uint64, out *control.Output) bool {
 	server := s.state.servers[id]
-	if server == nil {
+	if server == nil || (at != 0 && server.Revision > at) {
 		return false
 	}
 	if s.away || (s.lapsed && now.Sub(s.found) < s.keep()) {
@@ -205,14 +283,16 @@
 	if s.away {
 		return
 	}
+	var change notice.Servers
 	for id, server := range s.state.servers {
 		if !server.missing.IsZero() && now.Sub(server.missing) >= s.keep() {
+			change.At = max(change.At, server.Revision)
+			change.Gone = append(change.Gone, id)
 			s.drop(id)
 			log(out, "backend server gone", map[string]any{"backend": id, "after": "store outage"})
-			s.updatePeers()
-			out.Publish()
 		}
 	}
+	s.changed(&change, out)
 }
 
 // superseded tells whether a later server has the address of this one: the entry
@@ -228,19 +308,20 @@
 
 // updatePeers follows the hosts of the listed servers.
 func (s *serversStage) updatePeers() {
-	hosts := make(map[string]bool)
+	hosts := make(map[string]string) // to their zones
 	for _, server := range s.state.servers {
-		hosts[server.Host] = true
+		hosts[server.Host] = server.Zone
 	}
 	delete(hosts, s.state.self.Host)
 	for host := range s.state.peers {
-		if !hosts[host] {
+		if _, ok := hosts[host]; !ok {
 			delete(s.state.peers, host)
 		}
 	}
-	for host := range hosts {
+	for host, zone := range hosts {
 		if s.state.peers[host] == nil {
 			s.state.peers[host] = &Peer{}
 		}
+		s.state.peers[host].Zone = zone
 	}
 }
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -27,6 +27,7 @@
 	Host     string // IP number of its host
 	Addr     string // "ip:port", reached from its host only
 	Created  uint64 // grows with each entry that the platform creates
+	Revision uint64 // grows with each change of an entry
 	Slots    int
 	Draining bool
 	Cold     time.Duration // how much longer it is slow, when it was listed
@@ -111,7 +112,8 @@
 	Local     map[string]*Target // backend servers of this host
 	Left      map[string]bool    // backend servers of this host that the platform took off the list
 	Blocked   map[crashcount.Fingerprint]time.Time
-	Hosts     int // hosts with a backend server
+	Hosts     int  // hosts with a backend server
+	Reading   bool // this process reads the platform's store for others
 	Stopping  bool
 }
 
@@ -125,6 +127,7 @@
 
 // Peer is another process of the fleet.
 type Peer struct {
+	Zone     string
 	Heard    time.Time
 	Boot     uint32
 	Seq      uint32
@@ -160,6 +163,9 @@
 	peers   map[string]*Peer // by IP number, without this process
 	left    map[string]bool  // backend servers of this host that were taken off the list
 
+	// Written by the store stage.
+	reading bool // this process reads the platform's store for others
+
 	// Written by the crashes stage.
 	blocked map[crashcount.Fingerprint]time.Time
 
@@ -167,6 +173,15 @@
 	stopping bool
 }
 
+// peerHosts returns the hosts of all peers.
+func (s *state) peerHosts() []string {
+	hosts := make([]string, 0, len(s.peers))
+	for host := range s.peers {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
 // Send is a datagram to other processes.
 type Send struct {
 	Hosts   []string // IP numbers
--- /dev/null
+++ b/control/mesh/store.go
@@ -0,0 +1,244 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+// Calls to the platform's store are limited and priced, so only a few processes,
+// the readers, follow it. They tell the others each change at once; the others
+// ask one of them each second whether their configuration and their list are
+// current, and read the store themselves when they differ or no reader answers.
+const (
+	// minReaders readers are spread over availability zones, so that the loss of
+	// a zone leaves some.
+	minReaders = 3
+	// peersPerReader bounds the asks that a reader answers in a second.
+	peersPerReader = 50
+	// storeAskInterval is how often a process asks a reader. It is the delay of a
+	// change whose message was lost.
+	storeAskInterval = time.Second
+	// staleConfirm is the age of the last confirmation from which a process reads
+	// the store itself; keys are trusted for several seconds.
+	staleConfirm = 2800 * time.Millisecond
+	// ownReadPause is the time between two reads of a process that is no reader.
+	ownReadPause = time.Second
+	// differences is the number of answers in a row with another list before the
+	// list is read: a change may be on its way.
+	differences = 2
+)
+
+// Wake asks the followers of the store for a read.
+type Wake struct {
+	Config  bool
+	Servers bool
+}
+
+// ControlCommand marks Wake as a command.
+func (Wake) ControlCommand() {}
+
+// storeStage decides which processes read the store and keeps the others current.
+type storeStage struct {
+	state  *state
+	config *configStage
+	boot   func() time.Duration // reads the boot clock
+
+	reader    bool
+	confirmed time.Duration // boot time at which the store confirmed the configuration
+	told      uint64        // version that the others were told
+	next      time.Time     // when the next ask is due
+	nextID    uint32
+	asked     map[uint32]time.Duration // boot time of each ask without an answer
+	turn      int                      // which reader is asked next
+	differs   int                      // answers in a row with another list
+	heard     time.Time                // of the last answer that confirmed the list
+	woken     time.Time                // of the last own read
+}
+
+// Name returns "store".
+func (s *storeStage) Name() string { return "store" }
+
+// Deadline returns when the next ask is due.
+func (s *storeStage) Deadline() time.Time { return s.next }
+
+// Handle reacts to what was read and to messages about it.
+func (s *storeStage) Handle(now time.Time, ev control.Event, out *control.Output) {
+	switch ev := ev.(type) {
+	case TableConfirmed:
+		s.confirmed = max(s.confirmed, ev.Boot)
+	case TableRead:
+		s.tellVersion(out)
+	case Received:
+		s.receive(now, ev, out)
+	}
+	if !now.Before(s.next) {
+		s.next = now.Add(storeAskInterval)
+		s.check(now, out)
+	}
+}
+
+func (s *storeStage) receive(now time.Time, ev Received, out *control.Output) {
+	switch m := ev.Message; {
+	case s.state.peers[ev.Host] == nil:
+	case m.StoreAsk != nil:
+		s.answer(ev.Host, m.StoreAsk, out)
+	case m.StoreState != nil:
+		s.compare(now, m.StoreState, out)
+	case m.Version != nil:
+		if m.Version.Version > s.version() && !s.reader {
+			out.Emit(Wake{Config: true})
+		}
+	}
+}
+
+// check decides anew who reads, and asks a reader unless this process is one.
+func (s *storeStage) check(now time.Time, out *control.Output) {
+	readers := s.readers(now)
+	reader := slices.Contains(readers, s.state.self.Host)
+	if reader != s.reader {
+		s.reader = reader
+		s.state.reading = reader
+		out.Publish()
+		log(out, "reading of the store decided", map[string]any{"reader": reader, "readers": readers})
+		if reader {
+			out.Emit(Wake{Config: true, Servers: true})
+		}
+	}
+	if reader {
+		return
+	}
+	s.ask(readers, out)
+	s.readStale(now, out)
+}
+
+// readers returns the hosts that read the store.
+func (s *storeStage) readers(now time.Time) []string {
+	members := []rendezvous.Member{{ID: s.state.self.Host, Zone: s.state.self.Zone}}
+	for host, peer := range s.state.peers {
+		if peer.live(now) {
+			members = append(members, rendezvous.Member{ID: host, Zone: peer.Zone})
+		}
+	}
+	n := max(minReaders, len(members)/peersPerReader)
+	var hosts []string
+	for _, member := range rendezvous.Rank(rendezvous.Hash("store"), members, n) {
+		hosts = append(hosts, member.ID)
+	}
+	return hosts
+}
+
+func (s *storeStage) ask(readers []string, out *control.Output) {
+	if len(readers) == 0 {
+		return
+	}
+	for id := range s.asked {
+		if int(s.nextID-id) > minReaders {
+			delete(s.asked, id)
+		}
+	}
+	s.nextID++
+	s.turn++
+	s.asked[s.nextID] = s.boot()
+	out.Emit(Send{
+		Hosts:   []string{readers[s.turn%len(readers)]},
+		Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: s.nextID}},
+	})
+}
+
+// readStale reads the store when no reader has confirmed what this process knows.
+func (s *storeStage) readStale(now time.Time, out *control.Output) {
+	if now.Sub(s.woken) < ownReadPause {
+		return
+	}
+	wake := Wake{
+		Config:  s.boot()-s.confirmed > staleConfirm,
+		Servers: now.Sub(s.heard) > staleConfirm,
+	}
+	if wake.Config || wake.Servers {
+		s.woken = now
+		log(out, "no reader of the store confirms", map[string]any{"config": wake.Config, "servers": wake.Servers})
+		out.Emit(wake)
+	}
+}
+
+// answer tells what this process last read or was told.
+func (s *storeStage) answer(host string, ask *notice.StoreAsk, out *control.Output) {
+	if s.state.table == nil {
+		return
+	}
+	age := max(s.boot()-s.confirmed, 0)
+	out.Emit(Send{Hosts: []string{host}, Message: notice.Message{StoreState: &notice.StoreState{
+		ID: ask.ID, Version: s.version(), AgeMS: uint32(age.Milliseconds()), Digest: s.digest(),
+	}}})
+}
+
+// compare takes in the state of a reader. Its confirmation counts from the moment
+// of the ask, so that a process that paused in between trusts no key for longer.
+func (s *storeStage) compare(now time.Time, state *notice.StoreState, out *control.Output) {
+	asked, ok := s.asked[state.ID]
+	if !ok {
+		return
+	}
+	delete(s.asked, state.ID)
+	switch {
+	case state.Version > s.version():
+		out.Emit(Wake{Config: true})
+	case s.state.table != nil:
+		boot := asked - time.Duration(state.AgeMS+1)*time.Millisecond
+		s.confirmed = max(s.confirmed, boot)
+		s.config.confirm(boot, out)
+	}
+	if state.Digest == s.digest() {
+		s.differs, s.heard = 0, now
+		return
+	}
+	s.differs++
+	if s.differs >= differences {
+		s.differs, s.heard = 0, now
+		log(out, "list of backend servers differs from a reader's", nil)
+		out.Emit(Wake{Servers: true})
+	}
+}
+
+func (s *storeStage) version() uint64 {
+	if s.state.table == nil {
+		return 0
+	}
+	return s.state.table.Version()
+}
+
+// tellVersion tells the others that there is a newer configuration.
+func (s *storeStage) tellVersion(out *control.Output) {
+	if !s.reader || s.version() <= s.told {
+		return
+	}
+	s.told = s.version()
+	out.Emit(Send{Hosts: s.state.peerHosts(), Message: notice.Message{Version: &notice.Version{Version: s.told}}})
+}
+
+// digest identifies the list of backend servers.
+func (s *storeStage) digest() uint64 {
+	var sum uint64
+	for _, server := range s.state.servers {
+		if !server.missing.IsZero() {
+			continue
+		}
+		var digest xxhash.Digest
+		digest.Reset()
+		for _, field := range []string{server.ID, server.Addr, server.Service} {
+			_, _ = digest.WriteString(field)
+			_, _ = digest.Write([]byte{0})
+		}
+		if server.Draining {
+			_, _ = digest.Write([]byte{1})
+		}
+		sum += digest.Sum64() // independent of the order
+	}
+	return sum
+}
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -54,12 +54,64 @@
 	InFlight []uint64 // fingerprints
 }
 
+// StoreAsk asks a process that reads the platform's store what it last read.
+type StoreAsk struct {
+	_  struct{} `cbor:",toarray"`
+	ID uint32
+}
+
+// StoreState answers StoreAsk.
+type StoreState struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint32
+	Version uint64 // of the configuration
+	AgeMS   uint32 // since the store confirmed that version
+	Digest  uint64 // of the list of backend servers
+}
+
+// Version says that a configuration was read.
+type Version struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+}
+
+// Server is an entry of the list of backend servers.
+type Server struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Service  string
+	Zone     string
+	Addr     string
+	Created  uint64
+	Revision uint64
+	Slots    uint16
+	Draining bool
+	ColdMS   uint32
+	Born     int64
+}
+
+// Servers is a change of the list of backend servers.
+type Servers struct {
+	_    struct{} `cbor:",toarray"`
+	At   uint64   // revision of the store
+	Put  []Server
+	Gone []string
+}
+
+// ServersPerMessage bounds the entries of a change, so that it fits a datagram.
+const ServersPerMessage = 8
+
 // Message is one datagram; one field is set.
 type Message struct {
 	Status *Status `cbor:"1,keyasint,omitempty"`
 	Ask    *Ask    `cbor:"2,keyasint,omitempty"`
 	Grant  *Grant  `cbor:"3,keyasint,omitempty"`
 	Crash  *Crash  `cbor:"4,keyasint,omitempty"`
+
+	StoreAsk   *StoreAsk   `cbor:"5,keyasint,omitempty"`
+	StoreState *StoreState `cbor:"6,keyasint,omitempty"`
+	Version    *Version    `cbor:"7,keyasint,omitempty"`
+	Servers    *Servers    `cbor:"8,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message.
--- a/fleet/notice/notice_test.go
+++ b/fleet/notice/notice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 )
 
@@ -12,11 +13,19 @@
 	for i := range inFlight {
 		inFlight[i] = ^uint64(i)
 	}
+	entry := Server{
+		ID: "i-17f5369d68", Service: "registro-consulta", Zone: "stgo-a", Addr: "10.128.10.132:18080",
+		Created: 1 << 40, Revision: 1 << 40, Slots: 13, Draining: true, ColdMS: 3000, Born: 1_771_000_000_000,
+	}
 	for _, m := range []Message{
 		{Status: &Status{Boot: 7, Seq: 9, Backend: "i-7f3a91c2", Bad: 0.25, AgeMS: 120, Running: 3, Waiting: 1, HeldMS: 700, Unheard: []string{"10.0.0.1"}}},
 		{Ask: &Ask{ID: 4, Team: "bozi300", Count: 2}},
 		{Grant: &Grant{ID: 4, WaitMS: 30}},
 		{Crash: &Crash{ID: 5, InFlight: inFlight}},
+		{StoreAsk: &StoreAsk{ID: 3}},
+		{StoreState: &StoreState{ID: 3, Version: 44, AgeMS: 1200, Digest: ^uint64(0)}},
+		{Version: &Version{Version: 44}},
+		{Servers: &Servers{Put: slices.Repeat([]Server{entry}, ServersPerMessage), Gone: []string{"i-7746208cbf"}}},
 	} {
 		data, err := Encode(m)
 		if err != nil {
--- a/sidecar/outbound.go
+++ b/sidecar/outbound.go
@@ -26,6 +26,7 @@
 	commands chan control.Command
 	conn     *net.UDPConn
 	failed   *metrics.Counter
+	wake     func(mesh.Wake) // asks for a read of the store
 }
 
 func newOutbound(log *zap.Logger, port string, set *metrics.Set) *outbound {
@@ -76,6 +77,8 @@
 	switch cmd := cmd.(type) {
 	case mesh.Send:
 		o.send(cmd)
+	case mesh.Wake:
+		o.wake(cmd)
 	case mesh.Log:
 		fields := make([]zap.Field, 0, len(cmd.Fields))
 		for name, value := range cmd.Fields {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -106,6 +106,7 @@
 		Drain:     settings.Drain,
 		Tolerance: settings.Tolerance,
 		Load:      s.queue.Load,
+		Boot:      bootclock.Now,
 	}, s.outbound)
 	s.entry = s.entryChain()
 	s.exit = s.exitChain()
@@ -322,7 +323,8 @@
 }
 
 func (s *Sidecar) startBackground(ctx context.Context, notices *net.UDPConn, reload <-chan struct{}) {
-	follower := &platform.Follower{Store: s.store, Post: s.loop.Submit, Log: s.log}
+	follower := platform.NewFollower(s.store, func() bool { return s.loop.Snapshot().Reading }, s.loop.Submit, s.log)
+	s.outbound.wake = follower.Wake
 	go s.loop.Run(ctx)
 	go s.queue.Run(ctx, s.slots)
 	go s.outbound.run(ctx)
