mesh: ask readers each half second and read the list at the first difference

Change: asks each 0.5 s, answered by readers only; the list is read when one answer differs or none comes for 1.1 s.

--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -22,16 +22,17 @@
 	// peersPerReader bounds the asks that a reader answers in a second.
 	peersPerReader = 50
 	// storeAskInterval is how often a process asks a reader. It is the delay of a
-	// change whose message was lost.
-	storeAskInterval = time.Second
+	// change whose message was lost, a quarter of the time in which a server that
+	// leaves may still get requests.
+	storeAskInterval = 500 * time.Millisecond
+	// staleList is the time without an answer about the list from which a process
+	// reads the list itself: two asks.
+	staleList = 1100 * time.Millisecond
 	// staleConfirm is the age of the last confirmation from which a process reads
 	// the store itself; keys are trusted for several seconds.
 	staleConfirm = 2800 * time.Millisecond
 	// ownReadPause is the time between two reads of a process that is no reader.
 	ownReadPause = time.Second
-	// differences is the number of answers in a row with another list before the
-	// list is read: a change may be on its way.
-	differences = 2
 )
 
 // Wake asks the followers of the store for a read.
@@ -56,7 +57,6 @@
 	nextID    uint32
 	asked     map[uint32]time.Duration // boot time of each ask without an answer
 	turn      int                      // which reader is asked next
-	differs   int                      // answers in a row with another list
 	heard     time.Time                // of the last answer that confirmed the list
 	woken     time.Time                // of the last own read
 }
@@ -158,7 +158,7 @@
 	}
 	wake := Wake{
 		Config:  s.boot()-s.confirmed > staleConfirm,
-		Servers: now.Sub(s.heard) > staleConfirm,
+		Servers: now.Sub(s.heard) > staleList,
 	}
 	if wake.Config || wake.Servers {
 		s.woken = now
@@ -167,9 +167,10 @@
 	}
 }
 
-// answer tells what this process last read or was told.
+// answer tells what this process last read. Only readers answer: what others were
+// told may be older than they know.
 func (s *storeStage) answer(host string, ask *notice.StoreAsk, out *control.Output) {
-	if s.state.table == nil {
+	if s.state.table == nil || !s.reader {
 		return
 	}
 	age := max(s.boot()-s.confirmed, 0)
@@ -194,13 +195,8 @@
 		s.confirmed = max(s.confirmed, boot)
 		s.config.confirm(boot, out)
 	}
-	if state.Digest == s.digest() {
-		s.differs, s.heard = 0, now
-		return
-	}
-	s.differs++
-	if s.differs >= differences {
-		s.differs, s.heard = 0, now
+	s.heard = now
+	if state.Digest != s.digest() {
 		log(out, "list of backend servers differs from a reader's", nil)
 		out.Emit(Wake{Servers: true})
 	}
