dispatch, slots, lookup: bounded first wait, urgency by team and route, faster word of failures

Change: a first attempt may wait 150 ms, a second one as long as needed; the rank joins the priorities of team and route; a change of belief is told within 20 ms.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -49,6 +49,9 @@
 	// changeInterval is the shortest time between two statuses about a change,
 	// for each changePeers peers: a larger fleet sends less often to more.
 	changeInterval = 100 * time.Millisecond
+	// beliefInterval is the same for a change of belief: a server that fails at
+	// once attracts requests until the entries know.
+	beliefInterval = 20 * time.Millisecond
 	changePeers    = 40
 	// beliefStep and loadStep are the changes that are worth a status: a step of
 	// belief moves the choice of entries, two slots are about a third of a server.
@@ -66,6 +69,7 @@
 	sent    time.Time     // of the last status
 	last    notice.Status // that was sent
 	urgent  bool          // a change waits to be sent
+	doubt   bool          // a change of belief waits to be sent
 }
 
 // Name returns "health".
@@ -73,6 +77,9 @@
 
 // Deadline returns when the next status is due.
 func (s *healthStage) Deadline() time.Time {
+	if s.doubt {
+		return s.sent.Add(s.spaced(beliefInterval))
+	}
 	if s.urgent {
 		return s.sent.Add(s.spaced(changeInterval))
 	}
@@ -129,7 +136,7 @@
 		log(out, "backend server doubted", map[string]any{"backend": ev.Backend, "bad": round(health.Bad), "before": round(before)})
 	}
 	step := math.Abs(next.Bad(now) - belief.Drift(float64(s.last.Bad), now.Sub(s.sent)))
-	s.urgent = s.urgent || step >= beliefStep
+	s.doubt = s.doubt || step >= beliefStep
 	for id := range s.beliefs {
 		if s.state.servers[id] == nil {
 			delete(s.beliefs, id)
@@ -141,7 +148,7 @@
 
 // send tells all peers how the backend server of this host is.
 func (s *healthStage) send(now time.Time, out *control.Output) {
-	s.sent, s.urgent = now, false
+	s.sent, s.urgent, s.doubt = now, false, false
 	s.seq++
 	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping}
 	load := s.load()
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -10,7 +10,7 @@
 
 // RankDelay is how much longer a request may have waited than one that is a
 // rank more urgent before it goes first. It keeps lower ranks from starving.
-const RankDelay = 400 * time.Millisecond
+const RankDelay = 250 * time.Millisecond
 
 // serviceSmoothing is the weight of one request in the mean time that a slot is
 // held: about the last 16 count.
@@ -59,14 +59,14 @@
 	TooLate // it would not start in time
 )
 
-// Push asks for a slot. A request that does not want to wait is refused when
-// none is free.
-func (q *Queue) Push(now time.Time, item Item, wait bool) Verdict {
+// Push asks for a slot. A request is refused at once when it would wait for
+// longer than maxWait.
+func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) Verdict {
 	if q.running < q.slots && len(q.items) == 0 {
 		q.running++
 		return Granted
 	}
-	if !wait || len(q.items) >= q.bound {
+	if maxWait <= 0 || len(q.items) >= q.bound {
 		return Full
 	}
 	item.due = now.Add(time.Duration(item.Rank) * RankDelay)
@@ -76,6 +76,9 @@
 		}
 		return -1
 	})
+	if q.waitAt(at) > maxWait {
+		return Full
+	}
 	if q.late(now.Add(q.waitAt(at)), item) {
 		return TooLate
 	}
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -24,7 +24,7 @@
 			case 0:
 				id++
 				item := Item{ID: id, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Deadline: now.Add(time.Second)}
-				switch q.Push(now, item, true) {
+				switch q.Push(now, item, time.Hour) {
 				case Granted:
 					running++
 				case Queued:
@@ -62,10 +62,10 @@
 func TestUrgentRequestsGoFirstButNobodyStarves(t *testing.T) {
 	q := New(1, 10)
 	deadline := start.Add(time.Minute)
-	q.Push(start, Item{ID: 1, Deadline: deadline}, true)
-	q.Push(start, Item{ID: 2, Rank: 2, Deadline: deadline}, true)
-	q.Push(start.Add(time.Millisecond), Item{ID: 3, Deadline: deadline}, true)
-	q.Push(start.Add(3*RankDelay), Item{ID: 4, Deadline: deadline}, true)
+	q.Push(start, Item{ID: 1, Deadline: deadline}, time.Hour)
+	q.Push(start, Item{ID: 2, Rank: 2, Deadline: deadline}, time.Hour)
+	q.Push(start.Add(time.Millisecond), Item{ID: 3, Deadline: deadline}, time.Hour)
+	q.Push(start.Add(3*RankDelay), Item{ID: 4, Deadline: deadline}, time.Hour)
 	for _, want := range []uint64{3, 2, 4} {
 		q.Release(0)
 		if item, _ := q.Next(start.Add(3 * RankDelay)); item.ID != want {
@@ -78,13 +78,29 @@
 // a late refusal leaves the caller no time to go elsewhere.
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
 	q := New(1, 10)
-	q.Push(start, Item{ID: 1, Deadline: start.Add(time.Minute)}, true)
+	q.Push(start, Item{ID: 1, Deadline: start.Add(time.Minute)}, time.Hour)
 	q.Release(2 * time.Second)
-	q.Push(start, Item{ID: 2, Deadline: start.Add(time.Minute)}, true)
-	if v := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, true); v != TooLate {
+	q.Push(start, Item{ID: 2, Deadline: start.Add(time.Minute)}, time.Hour)
+	if v := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, time.Hour); v != TooLate {
 		t.Errorf("verdict %d for a request that cannot start in time", v)
 	}
-	if v := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, false); v != Full {
+	if v := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, 0); v != Full {
 		t.Errorf("verdict %d for a request that does not wait", v)
 	}
 }
+
+// Guards against a request that waits for a slot for longer than it would take
+// to go to another server.
+func TestWaitIsBounded(t *testing.T) {
+	q := New(1, 10)
+	deadline := start.Add(time.Minute)
+	q.Push(start, Item{ID: 1, Deadline: deadline}, time.Hour)
+	q.Release(100 * time.Millisecond)
+	q.Push(start, Item{ID: 2, Deadline: deadline}, time.Hour)
+	if v := q.Push(start, Item{ID: 3, Deadline: deadline}, 150*time.Millisecond); v != Queued {
+		t.Errorf("verdict %d for a wait of one service time", v)
+	}
+	if v := q.Push(start, Item{ID: 4, Deadline: deadline}, 150*time.Millisecond); v != Full {
+		t.Errorf("verdict %d for a wait of two service times", v)
+	}
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -40,9 +40,13 @@
 func (f *Filter) Name() string { return "dispatch" }
 
 const (
-	// maxRefusals bounds the exits that may turn an attempt away before the
-	// request waits at one of them.
-	maxRefusals = 3
+	// maxRefusals bounds the exits that may turn an attempt away for want of a slot
+	// before the request waits at one of them: each refusal costs the bytes of the
+	// request.
+	maxRefusals = 1
+	// firstWait is how long a first attempt may wait for a slot where the entry
+	// expected a free one; a second attempt costs the bytes of the request again.
+	firstWait = 150 * time.Millisecond
 	// maxSends bounds the attempts of one request, those that were not run
 	// included.
 	maxSends = 8
@@ -244,8 +248,11 @@
 	attempt.ID = r.filter.NewID()
 	attempt.Backend = target.ID
 	attempt.Repeat = r.ran > 0
-	attempt.MayWait = r.refusals >= maxRefusals || known.Running >= known.Slots
-	r.barred[target.ID] = r.barred[target.ID] || attempt.MayWait
+	attempt.MaxWait = firstWait
+	if r.refusals >= maxRefusals || known.Wait() > 0 {
+		attempt.MaxWait = time.Until(r.req.Deadline)
+		r.barred[target.ID] = true
+	}
 	r.open++
 	r.sends++
 	r.ran++
--- a/filters/lookup/lookup.go
+++ b/filters/lookup/lookup.go
@@ -25,12 +25,14 @@
 // defaultTimeout bounds a request whose route and caller state no bound.
 const defaultTimeout = 30 * time.Second
 
-// Ranks of requests that wait for a slot. Calls of backend servers go first:
-// when one fails, the request that made it fails, too, and its work is lost.
+// Ranks of requests that wait for a slot. The priority of the team weighs more
+// than that of the route. Calls of backend servers come right after the most
+// urgent requests: when one fails, the request that made it fails, too, and its
+// work is lost.
 const (
-	rankCall    = 0
-	rankHighest = 1 // of requests with priority 0
-	rankLowest  = 4
+	teamRank = 3 // steps of a team's priority
+	rankCall = 1
+	rankLast = 9
 )
 
 // Handle sets what the other filters need to know of the request.
@@ -59,7 +61,7 @@
 func (f *Filter) authenticate(snap *mesh.Snapshot, route *routing.Route, req *pipeline.Request) *pipeline.Result {
 	keys := req.Credentials
 	req.Credentials = nil
-	req.Rank = rank(route.Priority)
+	req.Rank = min(route.Priority, rankLast)
 	if route.Open || !snap.Table.NeedsKeys() {
 		if len(keys) == 0 {
 			req.Rank = rankCall
@@ -79,12 +81,10 @@
 		return pipeline.Refuse(pipeline.CodeKeyUnknown, "")
 	}
 	req.Principal = pipeline.Principal{Team: team.Name}
-	req.Rank = rank(team.Priority)
+	req.Rank = min(teamRank*team.Priority+route.Priority, rankLast)
 	return nil
 }
 
-func rank(priority int) int { return min(rankHighest+priority, rankLowest) }
-
 // limitTime ends the request at the earlier of the caller's deadline and the
 // route's timeout.
 func limitTime(req *pipeline.Request, timeout time.Duration) {
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -50,7 +50,7 @@
 	item        slotqueue.Item
 	attempt     string
 	fingerprint crashcount.Fingerprint
-	wait        bool
+	wait        time.Duration
 	repeat      bool
 	verdict     chan pipeline.Code
 }
@@ -272,7 +272,7 @@
 		item:        slotqueue.Item{ID: q.ids.Add(1), Rank: req.Rank, Deadline: req.Deadline},
 		attempt:     req.ID,
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
-		wait:        req.MayWait,
+		wait:        req.MaxWait,
 		repeat:      req.Repeat,
 		verdict:     make(chan pipeline.Code, 1),
 	}
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -74,8 +74,8 @@
 	if req.Rank != 0 {
 		v.Set(keyRank, strconv.Itoa(req.Rank))
 	}
-	if req.MayWait {
-		v.Set(keyWait, "1")
+	if req.MaxWait > 0 {
+		v.Set(keyWait, strconv.FormatInt(req.MaxWait.Milliseconds(), 10))
 	}
 	if req.Class.Idempotent {
 		v.Set(keyRepeat, "1")
@@ -104,6 +104,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("rank: %w", err)
 	}
+	wait, err := optionalInt(v, keyWait)
+	if err != nil {
+		return nil, fmt.Errorf("wait: %w", err)
+	}
 	target, err := optionalInt(v, keyTarget)
 	if err != nil {
 		return nil, fmt.Errorf("target latency: %w", err)
@@ -131,7 +135,7 @@
 		Caller:        v.Get(keyCaller),
 		Rank:          rank,
 		Backend:       v.Get(keyBackend),
-		MayWait:       v.Get(keyWait) == "1",
+		MaxWait:       time.Duration(wait) * time.Millisecond,
 		Repeat:        v.Get(keyRepeated) == "1",
 	}, nil
 }
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -86,9 +86,9 @@
 	Backend string
 	// Repeat says that a backend server may have run the request before.
 	Repeat bool
-	// MayWait says that the attempt may wait for a slot; otherwise it is refused
-	// when none is free, so that it can go elsewhere.
-	MayWait bool
+	// MaxWait is how long the attempt may wait for a slot; it is refused at once
+	// when the wait would be longer, so that it can go elsewhere.
+	MaxWait time.Duration
 
 	hooks     []func(Completion)
 	hookSpace [hookCount]func(Completion) // first storage of hooks
