selection, mesh: servers with little doubt count as equal; no rush of readers at the start

Cause: estimates below 0.08 do not tell servers apart (5 to 7% fail in each), yet entries crossed zones for them; all processes read the store until they had heard each other.

--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -120,8 +120,10 @@
 // readers returns the hosts that read the store.
 func (s *storeStage) readers(now time.Time) []string {
 	members := []rendezvous.Member{{ID: s.state.self.Host, Zone: s.state.self.Zone}}
+	// A process that has just started takes all listed hosts for live.
+	starting := now.Sub(s.state.self.Started) < peerTimeout
 	for host, peer := range s.state.peers {
-		if peer.live(now) {
+		if peer.live(now) || (starting && peer.Heard.IsZero()) {
 			members = append(members, rendezvous.Member{ID: host, Zone: peer.Zone})
 		}
 	}
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -39,6 +39,9 @@
 	// another failure. It stays well below costFailOnce, so that repeatable
 	// requests find out whether a server is well again.
 	costFailRetry = 0.6
+	// indistinct is the probability below which servers fail equally often, 5 to
+	// 7% of their requests on both deployments; load and distance decide there.
+	indistinct = 0.08
 	// explore is gained when a repeatable request brings fresh evidence about a
 	// server that nobody has heard of for exploreAge.
 	explore    = 0.2
@@ -96,11 +99,12 @@
 }
 
 func (c *Candidate) failureCost(r Request) float64 {
+	bad := max(c.Bad, indistinct)
 	if !r.Idempotent || !r.Retryable {
-		return costFailOnce * c.Bad
+		return costFailOnce * bad
 	}
 	age := min(c.Evidence, exploreAge)
-	return costFailRetry*c.Bad - explore*float64(age)/float64(exploreAge)
+	return costFailRetry*bad - explore*float64(age)/float64(exploreAge)
 }
 
 // loadCost grows with the share of busy slots and, beyond them, with the time
