--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -98,7 +98,6 @@
 			Local:     server.Host == s.self.Host,
 			SameZone:  server.Zone == s.self.Zone,
 			ColdUntil: server.coldUntil,
-			QuietFrom: server.quietFrom,
 			Live:      server.live,
 		}
 		snap.Services[server.Service] = append(snap.Services[server.Service], target)
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -207,14 +207,8 @@
 		next.live = newLive(now)
 		log(out, "backend server listed", map[string]any{"backend": server.ID, "service": server.Service, "host": server.Host})
 	} else {
-		next.live, next.quietFrom = old.live, old.quietFrom
-	}
-	switch {
-	case !server.Draining:
-		next.quietFrom = time.Time{}
-	case next.quietFrom.IsZero():
-		next.quietFrom = now.Add(s.keep())
-		if !fresh {
+		next.live = old.live
+		if server.Draining && !old.Draining {
 			log(out, "backend server drains", map[string]any{"backend": server.ID})
 		}
 	}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -98,7 +98,6 @@
 	Local     bool
 	SameZone  bool
 	ColdUntil time.Time
-	QuietFrom time.Time // when a leaving server must get no more requests; zero while it stays
 	Live      *Live
 }
 
@@ -144,7 +143,6 @@
 type listed struct {
 	Server
 	coldUntil time.Time
-	quietFrom time.Time
 	missing   time.Time // since when the platform no longer lists it; zero while listed
 	live      *Live
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -5,7 +5,7 @@
 // backend server:
 //
 //	entry: decode -> observe -> lookup -> fingerprint -> blocked -> ratelimit -> dispatch
-//	exit:  decode -> blocked -> admission -> slots -> after-wait -> deliver
+//	exit:  decode -> blocked -> admission -> slots -> admission -> deliver
 //
 // control/mesh holds the control state; platform translates.
 package sidecar
@@ -156,7 +156,7 @@
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
 		admission{s},
 		&slots.Filter{Queue: s.queue},
-		afterWait{s},
+		admission{s},
 		&deliver.Filter{
 			Addr:    s.settings.BackendAddr,
 			Codec:   platform.BackendCodec{},
@@ -172,41 +172,22 @@
 	s.post(mesh.Observed{Backend: backend, Outcome: outcome})
 }
 
-// admission refuses attempts that this exit must not run any more.
+// admission refuses attempts that this exit must not run any more. It stands
+// before and after the wait for a slot, since a backend server may leave meanwhile.
 type admission struct{ sidecar *Sidecar }
 
 // Name returns "admission".
 func (admission) Name() string { return "admission" }
 
 // Handle refuses attempts while the process stops and those for a backend server
-// that leaves.
+// that leaves or has left.
 func (a admission) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
 	if a.sidecar.refusing.Load() {
 		return pipeline.Refuse(pipeline.CodeStopping, "")
 	}
-	if target := a.sidecar.loop.Snapshot().Local[req.Backend]; target != nil && target.Draining {
-		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
-	}
-	return a.sidecar.staying(req)
-}
-
-// afterWait refuses attempts whose backend server left while they waited.
-type afterWait struct{ sidecar *Sidecar }
-
-// Name returns "after-wait".
-func (afterWait) Name() string { return "after-wait" }
-
-// Handle looks at the list again.
-func (a afterWait) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
-	return a.sidecar.staying(req)
-}
-
-// staying refuses an attempt for a backend server that must get no more requests.
-func (s *Sidecar) staying(req *pipeline.Request) *pipeline.Result {
-	snap := s.loop.Snapshot()
+	snap := a.sidecar.loop.Snapshot()
 	target := snap.Local[req.Backend]
-	quiet := target != nil && !target.QuietFrom.IsZero() && !time.Now().Before(target.QuietFrom)
-	if quiet || snap.Left[req.Backend] {
+	if (target != nil && target.Draining) || snap.Left[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
 	}
 	return nil
