mesh: readers that are cut from the store fall silent

Change: readers answer for a list of at most 1.2 s only, asks are repeated to the next reader after 80 ms, silent readers are replaced; entries use 0.8 of the budget.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -42,7 +42,10 @@
 		&stopStage{state: st},
 		config,
 		&serversStage{state: st, drain: o.Drain},
-		&storeStage{state: st, config: config, boot: o.Boot, asked: make(map[uint32]time.Duration)},
+		&storeStage{
+			state: st, config: config, boot: o.Boot,
+			asked: make(map[uint32]storeAsk), misses: make(map[string]int), away: make(map[string]time.Time),
+		},
 		&healthStage{state: st, load: o.Load, beliefs: make(map[string]belief.State)},
 		&teamsStage{
 			state:   st,
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -339,3 +339,116 @@
 		t.Errorf("the grant did not come back: %+v", p.sent)
 	}
 }
+
+// fleet starts a process among hosts that it has not heard yet.
+func fleet(t *testing.T, self string, hosts ...string) *process {
+	p := start(t, self)
+	servers := []Server{server("mine", self, 1)}
+	for _, host := range hosts {
+		servers = append(servers, server(host, host, 2))
+	}
+	p.post(TableRead{table(t, 7)})
+	p.post(ServersRead{Whole: true, Put: servers})
+	return p
+}
+
+// asks returns the asks of readers since the last call and their hosts.
+func (p *process) asks() map[uint32]string {
+	asks := make(map[uint32]string)
+	for _, send := range p.sent {
+		if send.Message.StoreAsk != nil {
+			asks[send.Message.StoreAsk.ID] = send.Hosts[0]
+		}
+	}
+	p.sent = nil
+	return asks
+}
+
+// notReader starts a process that leaves reading the store to others.
+func notReader(t *testing.T) *process {
+	t.Helper()
+	for _, self := range []string{"10.0.1.1", "10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"} {
+		p := fleet(t, self, "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7", "10.0.0.8")
+		p.pass(storeAskInterval + time.Millisecond)
+		if !p.loop.Snapshot().Reading {
+			return p
+		}
+	}
+	t.Fatal("every process is a reader")
+	return nil
+}
+
+// Guards against a list that stays old because the readers are cut from the
+// store, or because their messages were lost.
+func TestListIsReadWhenNoReaderAnswers(t *testing.T) {
+	p := notReader(t)
+	p.woken = nil
+	p.pass(time.Second)
+	for _, wake := range p.woken {
+		if wake.Servers {
+			return
+		}
+	}
+	t.Errorf("the list was not read within a second without answers: %+v", p.woken)
+}
+
+// Guards against a difference that is noticed late.
+func TestListIsReadWhenItDiffers(t *testing.T) {
+	p := notReader(t)
+	p.asks()
+	var asks map[uint32]string
+	for len(asks) == 0 {
+		p.pass(10 * time.Millisecond)
+		asks = p.asks()
+	}
+	for id, host := range asks {
+		p.woken = nil
+		p.post(Received{Host: host, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7}}})
+		if len(p.woken) != 1 || !p.woken[0].Servers {
+			t.Fatalf("woken %+v", p.woken)
+		}
+	}
+}
+
+// Guards against a key that is trusted for longer because the answer of a reader
+// was late: it counts from the ask.
+func TestConfirmationCountsFromTheAsk(t *testing.T) {
+	p := notReader(t)
+	p.asks()
+	p.pass(storeAskInterval)
+	before := p.loop.Snapshot().KeysUntil
+	boot := p.now.Sub(p.started) + time.Hour
+	for id, host := range p.asks() {
+		p.now = p.now.Add(60 * time.Millisecond)
+		p.post(Received{Host: host, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7, AgeMS: 500}}})
+	}
+	until := p.loop.Snapshot().KeysUntil
+	if latest := boot - 500*time.Millisecond + 4*time.Second; until <= before || until > latest {
+		t.Errorf("trusted until %v, want after %v and at most %v", until, before, latest)
+	}
+}
+
+// Guards against a reader that answers for a list that it can no longer read.
+func TestReaderThatIsCutFallsSilent(t *testing.T) {
+	p := fleet(t, "10.0.0.1", "10.0.0.2")
+	p.pass(time.Millisecond)
+	p.post(TableConfirmed{Boot: p.now.Sub(p.started) + time.Hour})
+	answers := func() int {
+		p.sent = nil
+		p.post(Received{Host: "10.0.0.2", Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: 1}}})
+		n := 0
+		for _, send := range p.sent {
+			if send.Message.StoreState != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if answers() != 1 {
+		t.Fatal("a reader does not answer")
+	}
+	p.pass(freshList + time.Millisecond)
+	if answers() != 0 {
+		t.Error("a reader answers for a list that it read long ago")
+	}
+}
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -13,7 +13,7 @@
 
 // Calls to the platform's store are limited and priced, so only a few processes,
 // the readers, follow it. They tell the others each change at once; the others
-// ask one of them each second whether their configuration and their list are
+// ask one of them twice a second whether their configuration and their list are
 // current, and read the store themselves when they differ or no reader answers.
 const (
 	// minReaders readers are spread over availability zones, so that the loss of
@@ -25,14 +25,27 @@
 	// change whose message was lost, a quarter of the time in which a server that
 	// leaves may still get requests.
 	storeAskInterval = 500 * time.Millisecond
+	// storeAskRepeat is when another reader is asked because the first has not
+	// answered; an answer takes a few milliseconds.
+	storeAskRepeat = 80 * time.Millisecond
 	// staleList is the time without an answer about the list from which a process
-	// reads the list itself: two asks.
-	staleList = 1100 * time.Millisecond
+	// reads the list itself: an ask and its repetition had no answer.
+	staleList = 700 * time.Millisecond
 	// staleConfirm is the age of the last confirmation from which a process reads
-	// the store itself; keys are trusted for several seconds.
+	// the configuration itself; keys are trusted for several seconds.
 	staleConfirm = 2800 * time.Millisecond
+	// freshList and freshConfirm are the ages up to which a reader answers for
+	// what it read. A reader that is cut from the store falls silent that way.
+	freshList    = 1200 * time.Millisecond
+	freshConfirm = 2 * time.Second
 	// ownReadPause is the time between two reads of a process that is no reader.
 	ownReadPause = time.Second
+	// maxMisses is the number of asks in a row without an answer from which a
+	// reader is left out: a single datagram may be lost.
+	maxMisses = 2
+	// readerAway is how long a reader that did not answer is left out, so that the
+	// next in the order takes its place.
+	readerAway = 4 * time.Second
 )
 
 // Wake asks the followers of the store for a read.
@@ -44,6 +57,13 @@
 // ControlCommand marks Wake as a command.
 func (Wake) ControlCommand() {}
 
+// storeAsk is an ask without an answer.
+type storeAsk struct {
+	host string
+	boot time.Duration
+	sent time.Time
+}
+
 // storeStage decides which processes read the store and keeps the others current.
 type storeStage struct {
 	state  *state
@@ -52,20 +72,29 @@
 
 	reader    bool
 	confirmed time.Duration // boot time at which the store confirmed the configuration
+	listRead  time.Time     // when this process last read the list itself
 	told      uint64        // version that the others were told
 	next      time.Time     // when the next ask is due
+	repeat    time.Time     // when the last ask is repeated; zero once it was
 	nextID    uint32
-	asked     map[uint32]time.Duration // boot time of each ask without an answer
-	turn      int                      // which reader is asked next
-	heard     time.Time                // of the last answer that confirmed the list
-	woken     time.Time                // of the last own read
+	asked     map[uint32]storeAsk
+	misses    map[string]int       // asks in a row that a reader did not answer
+	away      map[string]time.Time // until when a reader is left out
+	turn      int                  // which reader is asked next
+	heard     time.Time            // of the last answer about the list
+	woken     time.Time            // of the last own read
 }
 
 // Name returns "store".
 func (s *storeStage) Name() string { return "store" }
 
 // Deadline returns when the next ask is due.
-func (s *storeStage) Deadline() time.Time { return s.next }
+func (s *storeStage) Deadline() time.Time {
+	if !s.repeat.IsZero() {
+		return s.repeat
+	}
+	return s.next
+}
 
 // Handle reacts to what was read and to messages about it.
 func (s *storeStage) Handle(now time.Time, ev control.Event, out *control.Output) {
@@ -74,12 +103,18 @@
 		s.confirmed = max(s.confirmed, ev.Boot)
 	case TableRead:
 		s.tellVersion(out)
+	case ServersRead:
+		s.listRead = now
 	case Received:
 		s.receive(now, ev, out)
 	}
-	if !now.Before(s.next) {
+	switch {
+	case !now.Before(s.next):
 		s.next = now.Add(storeAskInterval)
 		s.check(now, out)
+	case !s.repeat.IsZero() && !now.Before(s.repeat):
+		s.ask(now, s.readers(now), out)
+		s.repeat = time.Time{}
 	}
 }
 
@@ -87,7 +122,7 @@
 	switch m := ev.Message; {
 	case s.state.peers[ev.Host] == nil:
 	case m.StoreAsk != nil:
-		s.answer(ev.Host, m.StoreAsk, out)
+		s.answer(now, ev.Host, m.StoreAsk, out)
 	case m.StoreState != nil:
 		s.compare(now, m.StoreState, out)
 	case m.Version != nil:
@@ -99,6 +134,7 @@
 
 // check decides anew who reads, and asks a reader unless this process is one.
 func (s *storeStage) check(now time.Time, out *control.Output) {
+	s.expire(now, out)
 	readers := s.readers(now)
 	reader := slices.Contains(readers, s.state.self.Host)
 	if reader != s.reader {
@@ -111,18 +147,43 @@
 		}
 	}
 	if reader {
+		s.repeat = time.Time{}
 		return
 	}
-	s.ask(readers, out)
+	s.ask(now, readers, out)
 	s.readStale(now, out)
 }
 
-// readers returns the hosts that read the store.
+// expire counts the asks that were not answered.
+func (s *storeStage) expire(now time.Time, out *control.Output) {
+	for id, a := range s.asked {
+		if now.Sub(a.sent) < storeAskRepeat {
+			continue
+		}
+		delete(s.asked, id)
+		s.misses[a.host]++
+		if s.misses[a.host] >= maxMisses {
+			s.misses[a.host] = 0
+			s.away[a.host] = now.Add(readerAway)
+			log(out, "reader of the store does not answer", map[string]any{"host": a.host})
+		}
+	}
+	for host, until := range s.away {
+		if now.After(until) {
+			delete(s.away, host)
+		}
+	}
+}
+
+// readers returns the hosts that read the store. A process that has just started
+// takes all listed hosts for live.
 func (s *storeStage) readers(now time.Time) []string {
 	members := []rendezvous.Member{{ID: s.state.self.Host, Zone: s.state.self.Zone}}
-	// A process that has just started takes all listed hosts for live.
 	starting := now.Sub(s.state.self.Started) < peerTimeout
 	for host, peer := range s.state.peers {
+		if _, away := s.away[host]; away {
+			continue
+		}
 		if peer.live(now) || (starting && peer.Heard.IsZero()) {
 			members = append(members, rendezvous.Member{ID: host, Zone: peer.Zone})
 		}
@@ -135,22 +196,17 @@
 	return hosts
 }
 
-func (s *storeStage) ask(readers []string, out *control.Output) {
+// ask asks the next reader.
+func (s *storeStage) ask(now time.Time, readers []string, out *control.Output) {
 	if len(readers) == 0 {
 		return
 	}
-	for id := range s.asked {
-		if int(s.nextID-id) > minReaders {
-			delete(s.asked, id)
-		}
-	}
 	s.nextID++
 	s.turn++
-	s.asked[s.nextID] = s.boot()
-	out.Emit(Send{
-		Hosts:   []string{readers[s.turn%len(readers)]},
-		Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: s.nextID}},
-	})
+	host := readers[s.turn%len(readers)]
+	s.asked[s.nextID] = storeAsk{host: host, boot: s.boot(), sent: now}
+	s.repeat = now.Add(storeAskRepeat)
+	out.Emit(Send{Hosts: []string{host}, Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: s.nextID}}})
 }
 
 // readStale reads the store when no reader has confirmed what this process knows.
@@ -170,12 +226,13 @@
 }
 
 // answer tells what this process last read. Only readers answer: what others were
-// told may be older than they know.
-func (s *storeStage) answer(host string, ask *notice.StoreAsk, out *control.Output) {
-	if s.state.table == nil || !s.reader {
+// told may be older than they know, and so may be what a reader knows that is cut
+// from the store.
+func (s *storeStage) answer(now time.Time, host string, ask *notice.StoreAsk, out *control.Output) {
+	age := max(s.boot()-s.confirmed, 0)
+	if s.state.table == nil || !s.reader || age > freshConfirm || now.Sub(s.listRead) > freshList {
 		return
 	}
-	age := max(s.boot()-s.confirmed, 0)
 	out.Emit(Send{Hosts: []string{host}, Message: notice.Message{StoreState: &notice.StoreState{
 		ID: ask.ID, Version: s.version(), AgeMS: uint32(age.Milliseconds()), Digest: s.digest(),
 	}}})
@@ -189,11 +246,12 @@
 		return
 	}
 	delete(s.asked, state.ID)
+	s.repeat, s.misses[asked.host] = time.Time{}, 0
 	switch {
 	case state.Version > s.version():
 		out.Emit(Wake{Config: true})
 	case s.state.table != nil:
-		boot := asked - time.Duration(state.AgeMS+1)*time.Millisecond
+		boot := asked.boot - time.Duration(state.AgeMS+1)*time.Millisecond
 		s.confirmed = max(s.confirmed, boot)
 		s.config.confirm(boot, out)
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -56,7 +56,7 @@
 	defaultSlots = 4
 	// retryShare is the part of the permitted retries that entries use; the rest
 	// covers calls that repeated requests make.
-	retryShare = 0.92
+	retryShare = 0.8
 	// headerLimit is larger than operators allow, so that their limit decides.
 	headerLimit = 64 << 10
 	// headerTime and idleTime bound connections of callers; callers reuse
