--- /dev/null
+++ b/filters/dispatch/dispatch_test.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/fleet/hop"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// exits stands for the processes in front of four backend servers; answers maps
+// the number of the attempt, from 0, to its answer.
+type exits struct {
+	mu      sync.Mutex
+	answers func(n int, req *pipeline.Request) hop.Answer
+	delays  []time.Duration // of the first attempts
+	sent    []*pipeline.Request
+}
+
+// Do implements Sender.
+func (e *exits) Do(ctx context.Context, _ string, req *pipeline.Request) hop.Answer {
+	e.mu.Lock()
+	n := len(e.sent)
+	e.sent = append(e.sent, req)
+	e.mu.Unlock()
+	if n < len(e.delays) {
+		select {
+		case <-time.After(e.delays[n]):
+		case <-ctx.Done():
+			return refused(pipeline.CodeCanceled)
+		}
+	}
+	return e.answers(n, req)
+}
+
+type nowhere struct{}
+
+func (nowhere) Send(control.Command) bool { return true }
+
+func snapshot() *mesh.Snapshot {
+	loop := mesh.New(mesh.Options{
+		Self: mesh.Self{Host: "10.0.0.1", Zone: "a", Started: time.Now()},
+		Load: func() mesh.Load { return mesh.Load{} },
+		Boot: func() time.Duration { return 0 },
+	}, nowhere{})
+	var servers []mesh.Server
+	for i := range 4 {
+		host := fmt.Sprintf("10.0.0.%d", i+2)
+		servers = append(servers, mesh.Server{ID: host, Service: "roster", Zone: "a", Host: host, Addr: host + ":80", Slots: 7})
+	}
+	loop.Step(time.Now(), mesh.ServersRead{Whole: true, Put: servers})
+	return loop.Snapshot()
+}
+
+// handle sends one request through the filter in virtual time.
+func handle(t *testing.T, req *pipeline.Request, answers func(n int, req *pipeline.Request) hop.Answer, delays ...time.Duration) (*pipeline.Result, *exits) {
+	t.Helper()
+	snap := snapshot()
+	sender := &exits{answers: answers, delays: delays}
+	var ids atomic.Int64
+	f := &Filter{
+		Snapshot: func() *mesh.Snapshot { return snap },
+		Sender:   sender,
+		Budgets:  &Budgets{Window: 10 * time.Second, Share: 0.2, Extra: func(*mesh.Snapshot) float64 { return 3 }},
+		NewID:    func() string { return fmt.Sprint(ids.Add(1)) },
+		Repeated: func() float64 { return 0 },
+		Log:      zap.NewNop(),
+	}
+	result := f.Handle(t.Context(), req)
+	synctest.Wait()
+	return result, sender
+}
+
+func request(idempotent bool) *pipeline.Request {
+	return &pipeline.Request{
+		ID: "r", Service: "roster", MaxAttempts: 2, Deadline: time.Now().Add(5 * time.Second),
+		Principal: pipeline.Principal{Team: "acme"},
+		Class:     pipeline.Class{Idempotent: idempotent, Target: 2 * time.Second},
+	}
+}
+
+func status(code int) hop.Answer {
+	return hop.Answer{Result: hop.Whole(code, pipeline.Header{}, nil), Reached: true}
+}
+
+func refused(code pipeline.Code) hop.Answer {
+	answer := hop.Answer{Result: pipeline.Refuse(code, ""), Reached: true}
+	if code == pipeline.CodeQueueFull {
+		answer.Loaded, answer.Load = true, hop.Load{Running: 7, Waiting: 3, Slots: 7}
+	}
+	return answer
+}
+
+// Guards against a request that runs once being sent to a second backend server
+// after it may have run.
+func TestRequestsThatRunOnceAreNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, answer := range []hop.Answer{status(500), refused(pipeline.CodeConnectionLost), refused(pipeline.CodeDeadlineInRun)} {
+			result, sender := handle(t, request(false), func(int, *pipeline.Request) hop.Answer { return answer })
+			if len(sender.sent) != 1 || result.Outcome == pipeline.NotRun {
+				t.Errorf("%+v: sent %d times, result %+v", answer.Result, len(sender.sent), result)
+			}
+		}
+	})
+}
+
+// Guards against an attempt that was not run being given up although other
+// servers are free.
+func TestRefusedAttemptsGoElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, code := range []pipeline.Code{pipeline.CodeBackendLeaving, pipeline.CodePathBroken, pipeline.CodeShed, pipeline.CodeQueueFull} {
+			result, sender := handle(t, request(false), func(n int, _ *pipeline.Request) hop.Answer {
+				if n == 0 {
+					return refused(code)
+				}
+				return status(200)
+			})
+			if result.Status != 200 || len(sender.sent) != 2 || sender.sent[0].Backend == sender.sent[1].Backend {
+				t.Errorf("%v: sent %d times, result %+v", code, len(sender.sent), result)
+			}
+		}
+	})
+}
+
+// Guards against a repeatable request that fails although another server could
+// answer it, and against more servers than its route permits.
+func TestRepeatableRequestsAreRepeatedWithinTheirRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result, sender := handle(t, request(true), func(n int, _ *pipeline.Request) hop.Answer {
+			return status([]int{500, 200}[n])
+		})
+		if result.Status != 200 || len(sender.sent) != 2 || !sender.sent[1].Repeat || sender.sent[0].Repeat {
+			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
+		}
+		result, sender = handle(t, request(true), func(int, *pipeline.Request) hop.Answer { return status(500) })
+		if result.Status != 500 || len(sender.sent) != 2 {
+			t.Errorf("all fail: sent %d times, result %+v", len(sender.sent), result)
+		}
+	})
+}
+
+// Guards against a slow server that makes repeatable requests late.
+func TestSlowAttemptIsHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		result, sender := handle(t, request(true), func(int, *pipeline.Request) hop.Answer { return status(200) }, 4*time.Second)
+		if result.Status != 200 || len(sender.sent) != 2 || time.Since(begun) > 2*time.Second {
+			t.Errorf("sent %d times in %v, result %+v", len(sender.sent), time.Since(begun), result)
+		}
+	})
+}
+
+// Guards against a caller that waits beyond the deadline, and against a promise
+// that its request has not run.
+func TestDeadlineEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		result, _ := handle(t, request(false), func(int, *pipeline.Request) hop.Answer { return status(200) }, 8*time.Second)
+		took := time.Since(begun)
+		if took > 5250*time.Millisecond || result.Code != pipeline.CodeDeadlineInRun || result.Outcome != pipeline.Unknown {
+			t.Errorf("after %v: %+v", took, result)
+		}
+	})
+}
+
+// Guards against an empty promise: a request that no server takes is refused as
+// not run, with the time to come back.
+func TestUnservedRequestsAreToldWhenToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result, sender := handle(t, request(false), func(int, *pipeline.Request) hop.Answer { return refused(pipeline.CodePathBroken) })
+		if result.Outcome != pipeline.NotRun || result.RetryAfter <= 0 {
+			t.Errorf("%+v", result)
+		}
+		var hosts []string
+		for _, req := range sender.sent {
+			hosts = append(hosts, req.Backend)
+		}
+		if len(hosts) != 4 {
+			t.Errorf("tried %s, want each of four servers", strings.Join(hosts, ", "))
+		}
+	})
+}
--- /dev/null
+++ b/filters/slots/slots_test.go
@@ -0,0 +1,130 @@
+package slots
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// run starts a queue with the given slots inside a bubble of virtual time.
+func run(t *testing.T, slots int, post func(control.Event) bool) (*Filter, func()) {
+	t.Helper()
+	q := NewQueue(slots, post)
+	ctx, cancel := context.WithCancel(context.Background())
+	go q.Run(ctx, func() int { return slots })
+	return &Filter{Queue: q}, func() { cancel(); <-q.finished }
+}
+
+func drop(control.Event) bool { return true }
+
+func request(id string, wait time.Duration) *pipeline.Request {
+	return &pipeline.Request{ID: id, Deadline: time.Now().Add(10 * time.Second), MaxWait: wait, Fingerprint: 7}
+}
+
+// Guards against an exit that floods its backend server, and against a slot that
+// is lost when its request ends.
+func TestSlotsAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, drop)
+		defer stop()
+		first := request("1", 0)
+		if r := f.Handle(t.Context(), first); r != nil {
+			t.Fatalf("first: %+v", r)
+		}
+		if r := f.Handle(t.Context(), request("2", 0)); r == nil || r.Code != pipeline.CodeQueueFull {
+			t.Fatalf("second: %+v", r)
+		}
+		waited := make(chan *pipeline.Result, 1)
+		go func() { waited <- f.Handle(t.Context(), request("3", time.Hour)) }()
+		synctest.Wait()
+		first.Complete(pipeline.Completion{Outcome: pipeline.Answered})
+		if r := <-waited; r != nil {
+			t.Fatalf("third: %+v", r)
+		}
+	})
+}
+
+// Guards against a withdrawn attempt that runs after all, and against a promise
+// for one that holds a slot.
+func TestWithdrawnAttemptsNeverRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, drop)
+		defer stop()
+		if r := f.Handle(t.Context(), request("runs", 0)); r != nil {
+			t.Fatal(r)
+		}
+		waited := make(chan *pipeline.Result, 1)
+		go func() { waited <- f.Handle(t.Context(), request("waits", time.Hour)) }()
+		synctest.Wait()
+		if f.Queue.Withdraw(t.Context(), "runs") {
+			t.Error("an attempt that holds a slot was withdrawn")
+		}
+		if !f.Queue.Withdraw(t.Context(), "waits") || !f.Queue.Withdraw(t.Context(), "unknown") {
+			t.Error("an attempt that does not run was not withdrawn")
+		}
+		if r := <-waited; r == nil || r.Outcome != pipeline.NotRun {
+			t.Errorf("withdrawn while it waited: %+v", r)
+		}
+		if r := f.Handle(t.Context(), request("unknown", time.Hour)); r == nil || r.Code != pipeline.CodeDuplicateSend {
+			t.Errorf("arrived after the withdrawal: %+v", r)
+		}
+	})
+}
+
+// Guards against requests of callers that left holding a place in the queue.
+func TestCallersThatLeaveDoNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, drop)
+		defer stop()
+		f.Handle(t.Context(), request("1", 0))
+		ctx, cancel := context.WithCancel(t.Context())
+		waited := make(chan *pipeline.Result, 1)
+		go func() { waited <- f.Handle(ctx, request("2", time.Hour)) }()
+		synctest.Wait()
+		cancel()
+		if r := <-waited; r == nil || r.Outcome != pipeline.NotRun {
+			t.Errorf("%+v", r)
+		}
+		synctest.Wait()
+		if load := f.Queue.Load(); load.Waiting != 0 {
+			t.Errorf("%d wait", load.Waiting)
+		}
+	})
+}
+
+// Guards against a crash that is not reported, or reported once for each request
+// that it cut.
+func TestCrashIsReportedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashes := make(chan mesh.Crashed, 8)
+		f, stop := run(t, 3, func(ev control.Event) bool {
+			if c, ok := ev.(mesh.Crashed); ok {
+				crashes <- c
+			}
+			return true
+		})
+		defer stop()
+		var requests []*pipeline.Request
+		for _, id := range []string{"1", "2", "3"} {
+			req := request(id, 0)
+			f.Handle(t.Context(), req)
+			requests = append(requests, req)
+		}
+		for _, req := range requests {
+			req.RunEnd = pipeline.RunDied
+			req.Complete(pipeline.Completion{Outcome: pipeline.Unknown})
+		}
+		synctest.Wait()
+		if len(crashes) != 1 {
+			t.Fatalf("%d crashes", len(crashes))
+		}
+		if c := <-crashes; len(c.InFlight) != 3 {
+			t.Errorf("%d in flight", len(c.InFlight))
+		}
+	})
+}
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -160,12 +160,22 @@
 	"pipeline":  {},
 	"decide":    {},
 	"config":    {"pipeline"},
-	"control":   {"pipeline", "config", "decide"},
+	"control":   {"pipeline", "config", "decide", "fleet/notice"},
 	"source":    {"pipeline", "config", "control"},
 	"httpfront": {"pipeline"},
-	"fleet":     {"pipeline", "decide", "httpfront", "internal/httpsend"},
-	"filters":   {"pipeline", "config", "control", "decide", "fleet", "internal/httpsend"},
-	"node":      {"pipeline", "config", "control", "decide", "source", "httpfront", "fleet", "filters", "internal/httpsend"},
+	"fleet":     {"pipeline", "decide", "httpfront", "internal/httpsend", "internal/httpconn"},
+	"filters": {
+		"pipeline", "config", "control", "decide", "fleet", "internal/httpsend", "internal/httpconn", "internal/bootclock",
+	},
+	"platform": {
+		"pipeline", "control", "decide", "httpfront", "filters/deliver",
+		"internal/httpsend", "internal/httpconn", "internal/bootclock",
+	},
+	"node": {"pipeline", "config", "control", "decide", "source", "httpfront", "fleet", "filters", "internal/httpsend"},
+	"sidecar": {
+		"pipeline", "control", "decide", "platform", "fleet", "filters",
+		"internal/httpsend", "internal/httpconn", "internal/bootclock",
+	},
 }
 
 // Guards against packages that import upward, which ends in cycles and in
@@ -210,3 +220,29 @@
 		}
 	}
 }
+
+// Guards against names of the users' wire formats outside of the adapter: there
+// the product's own names hold.
+func TestWireNamesStayInTheAdapter(t *testing.T) {
+	names := []string{
+		"op/config", "servers/", "Attempt-Id", "Api-Key", "Tenant-Id", "Caller-Service", "Expected-Instance",
+		"Response-Signature", "Not-Executed", "virtual_hosts", "kv-watch", "kv-range", "readiness_addr", "RAGWORTYARD_CONFIG",
+	}
+	for _, f := range sourceFiles(t) {
+		if f.dir == "platform" || f.dir == "internal/fakestore" {
+			continue
+		}
+		ast.Inspect(f.syntax, func(n ast.Node) bool {
+			literal, ok := n.(*ast.BasicLit)
+			if !ok || literal.Kind != token.STRING {
+				return true
+			}
+			for _, name := range names {
+				if strings.Contains(strings.ReplaceAll(literal.Value, "Ragwort-Attempt-Id", ""), name) {
+					t.Errorf("%s contains %s", f.name, literal.Value)
+				}
+			}
+			return true
+		})
+	}
+}
