--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -122,23 +122,7 @@
 	for name, values := range req.Header {
 		header[name] = values
 	}
-	if _, ok := header["User-Agent"]; !ok {
-		header["User-Agent"] = nil // keeps net/http from adding its own
-	}
-	return &http.Request{
-		Method: req.Method,
-		URL:    &url.URL{Scheme: "http", Host: addr, Opaque: opaque(req.Path), RawQuery: req.RawQuery},
-		Header: header,
-		Host:   req.Host,
-	}
-}
-
-// opaque keeps the path as the caller wrote it.
-func opaque(path string) string {
-	if path == "" {
-		return "/"
-	}
-	return path
+	return httpconn.NewRequest(req.Method, addr, req.Host, req.Path, req.RawQuery, header)
 }
 
 // failed maps a failed exchange. Once bytes were sent, the outcome is unknown.
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"sync"
 	"syscall"
 	"time"
@@ -75,6 +76,23 @@
 	earlyAnswer = 100 * time.Millisecond
 )
 
+// NewRequest returns a request without a body. The path, escaped, and the query
+// are sent as given; net/http adds no field of its own.
+func NewRequest(method, addr, host, path, query string, header http.Header) *http.Request {
+	if path == "" {
+		path = "/"
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return &http.Request{
+		Method: method,
+		URL:    &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query},
+		Header: header,
+		Host:   host,
+	}
+}
+
 // Client keeps connections by address. It is safe for concurrent use.
 type Client struct {
 	dial    func(ctx context.Context, addr string) (net.Conn, error)
