--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -36,6 +36,7 @@
 		self:    o.Self,
 		servers: make(map[string]*listed),
 		peers:   make(map[string]*Peer),
+		trust:   NewTrust(0),
 	}
 	config := &configStage{state: st, trust: o.KeyTrust}
 	stages := []control.Stage{
@@ -82,18 +83,19 @@
 // snapshot returns the state for traffic.
 func (s *state) snapshot(time.Time) *Snapshot {
 	snap := &Snapshot{
-		Table:     s.table,
-		KeysUntil: s.keysUntil,
-		Services:  make(map[string][]*Target),
-		Local:     make(map[string]*Target),
-		Left:      s.left,
-		Blocked:   s.blocked,
-		Hosts:     len(s.peers) + 1,
-		Reading:   s.reading,
-		Stopping:  s.stopping,
+		Table:    s.table,
+		Trust:    s.trust,
+		Services: make(map[string][]*Target),
+		Local:    make(map[string]*Target),
+		Left:     s.left,
+		Blocked:  s.blocked,
+		Hosts:    len(s.peers) + 1,
+		Reading:  s.reading,
+		Stopping: s.stopping,
 	}
+	newest := s.newest()
 	for id, server := range s.servers {
-		if s.superseded(server) {
+		if server.Created < newest[server.Addr] {
 			continue
 		}
 		target := &Target{
--- a/control/mesh/configuration.go
+++ b/control/mesh/configuration.go
@@ -40,18 +40,13 @@
 	case TableRead:
 		s.read(ev.Table, out)
 	case TableConfirmed:
-		s.confirm(ev.Boot, out)
+		s.confirm(ev.Boot)
 	}
 }
 
 // confirm says that the platform held no newer configuration at a reading of the
 // boot clock.
-func (s *configStage) confirm(boot time.Duration, out *control.Output) {
-	if until := boot + s.trust; until > s.state.keysUntil {
-		s.state.keysUntil = until
-		out.Publish()
-	}
-}
+func (s *configStage) confirm(boot time.Duration) { s.state.trust.prolong(boot + s.trust) }
 
 // read ignores older versions: an accepted configuration never reverts.
 func (s *configStage) read(table *routing.Table, out *control.Output) {
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -154,8 +154,9 @@
 	load := s.load()
 	status.Running, status.Waiting = clamp(load.Running), clamp(load.Waiting)
 	status.HeldMS = uint32(load.Held.Milliseconds())
+	newest := s.state.newest()
 	for id, server := range s.state.servers {
-		if server.Host != s.state.self.Host || s.state.superseded(server) || (status.Backend != "" && server.Draining) {
+		if server.Host != s.state.self.Host || server.Created < newest[server.Addr] || (status.Backend != "" && server.Draining) {
 			continue
 		}
 		health := server.live.Health()
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -161,7 +161,7 @@
 	p.post(TableConfirmed{Boot: 99 * time.Second})
 	snap := p.loop.Snapshot()
 	if !snap.KeysValid(103*time.Second) || snap.KeysValid(104*time.Second) {
-		t.Errorf("keys are trusted until %v", snap.KeysUntil)
+		t.Errorf("keys are trusted until %v", snap.Trust.Until())
 	}
 }
 
@@ -416,13 +416,13 @@
 	p := notReader(t)
 	p.asks()
 	p.pass(storeAskInterval)
-	before := p.loop.Snapshot().KeysUntil
+	before := p.loop.Snapshot().Trust.Until()
 	boot := p.now.Sub(p.started) + time.Hour
 	for id, host := range p.asks() {
 		p.now = p.now.Add(60 * time.Millisecond)
 		p.post(Received{Host: host, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7, AgeMS: 500}}})
 	}
-	until := p.loop.Snapshot().KeysUntil
+	until := p.loop.Snapshot().Trust.Until()
 	if latest := boot - 500*time.Millisecond + 4*time.Second; until <= before || until > latest {
 		t.Errorf("trusted until %v, want after %v and at most %v", until, before, latest)
 	}
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -289,15 +289,17 @@
 	s.changed(&change, out)
 }
 
-// superseded tells whether a later server has the address of this one: the entry
-// of a server that ended without leaving stays listed for some seconds.
-func (s *state) superseded(server *listed) bool {
-	for _, other := range s.servers {
-		if other.Addr == server.Addr && other.Created > server.Created && other.missing.IsZero() {
-			return true
+// newest returns when the last server at each address was created. The entry of a
+// server that ended without leaving stays listed for some seconds beside that of
+// its successor.
+func (s *state) newest() map[string]uint64 {
+	newest := make(map[string]uint64, len(s.servers))
+	for _, server := range s.servers {
+		if server.missing.IsZero() {
+			newest[server.Addr] = max(newest[server.Addr], server.Created)
 		}
 	}
-	return false
+	return newest
 }
 
 // updatePeers follows the hosts of the listed servers.
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -103,21 +103,41 @@
 
 // Snapshot is the control state that traffic reads.
 type Snapshot struct {
-	Table *routing.Table // nil until a configuration was read
-	// KeysUntil is when a withdrawal of a key can no longer be ruled out, on the
-	// clock that also counts suspended time. Traffic compares at the moment of use.
-	KeysUntil time.Duration
-	Services  map[string][]*Target
-	Local     map[string]*Target // backend servers of this host
-	Left      map[string]bool    // backend servers of this host that the platform took off the list
-	Blocked   map[crashcount.Fingerprint]time.Time
-	Hosts     int  // hosts with a backend server
-	Reading   bool // this process reads the platform's store for others
-	Stopping  bool
+	Table    *routing.Table // nil until a configuration was read
+	Trust    *Trust
+	Services map[string][]*Target
+	Local    map[string]*Target // backend servers of this host
+	Left     map[string]bool    // backend servers of this host that the platform took off the list
+	Blocked  map[crashcount.Fingerprint]time.Time
+	Hosts    int  // hosts with a backend server
+	Reading  bool // this process reads the platform's store for others
+	Stopping bool
+}
+
+// Trust is until when keys can be trusted: then a withdrawal can no longer be
+// ruled out. It is a time of the boot clock, which also counts suspended time, and
+// is prolonged without a new snapshot. Traffic compares at the moment of use.
+type Trust struct{ until atomic.Int64 }
+
+// NewTrust returns the trust until a time of the boot clock.
+func NewTrust(until time.Duration) *Trust {
+	t := &Trust{}
+	t.until.Store(int64(until))
+	return t
+}
+
+// Until returns the end of the trust.
+func (t *Trust) Until() time.Duration { return time.Duration(t.until.Load()) }
+
+// prolong moves the end; it never moves back. Only the control loop calls it.
+func (t *Trust) prolong(until time.Duration) {
+	if until > t.Until() {
+		t.until.Store(int64(until))
+	}
 }
 
 // KeysValid tells whether keys can be trusted at a reading of the boot clock.
-func (s *Snapshot) KeysValid(boot time.Duration) bool { return boot < s.KeysUntil }
+func (s *Snapshot) KeysValid(boot time.Duration) bool { return boot < s.Trust.Until() }
 
 // Ready tells whether the process takes callers.
 func (s *Snapshot) Ready(boot time.Duration) bool {
@@ -153,8 +173,8 @@
 	self Self
 
 	// Written by the configuration stage.
-	table     *routing.Table
-	keysUntil time.Duration
+	table *routing.Table
+	trust *Trust
 
 	// Written by the servers stage.
 	servers map[string]*listed
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -253,7 +253,7 @@
 	case s.state.table != nil:
 		boot := asked.boot - time.Duration(state.AgeMS+1)*time.Millisecond
 		s.confirmed = max(s.confirmed, boot)
-		s.config.confirm(boot, out)
+		s.config.confirm(boot)
 	}
 	s.heard = now
 	if state.Digest != s.digest() {
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -105,8 +105,8 @@
 		s.forgetTeams()
 	case control.Tick:
 		s.expire(now, out)
+		s.settle(now, s.heard(now))
 	}
-	s.settle(now, s.heard(now))
 }
 
 func (s *teamsStage) want(now time.Time, wanted TokenWanted, out *control.Output) {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -25,7 +25,7 @@
 			return 0
 		},
 		"ragwortyard_keys_trusted_seconds": func() float64 {
-			return (s.loop.Snapshot().KeysUntil - bootclock.Now()).Seconds()
+			return (s.loop.Snapshot().Trust.Until() - bootclock.Now()).Seconds()
 		},
 		"ragwortyard_hosts": func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
