--- a/decide/belief/belief.go
+++ b/decide/belief/belief.go
@@ -64,9 +64,6 @@
 	return Drift(s.bad, now.Sub(s.at))
 }
 
-// At returns when the last outcome was taken in.
-func (s State) At() time.Time { return s.at }
-
 // Observe returns the estimate after an outcome.
 func (s State) Observe(now time.Time, o Outcome) State {
 	good, bad := likelihood(o)
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -17,7 +17,6 @@
 	Slots    int
 	Service  time.Duration // mean time that a request holds a slot; 0 when unknown
 	Cold     time.Duration // how much longer it is slow after its start
-	Local    bool          // the server of this host
 	SameZone bool
 	Suspect  bool // its exit did not answer the last time or was not heard for a while
 	Barred   bool // was tried by this request, is leaving or known to be full
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -334,7 +334,6 @@
 		Slots:    target.Slots,
 		Service:  health.Held,
 		Cold:     target.ColdUntil.Sub(now),
-		Local:    target.Local,
 		SameZone: target.SameZone,
 		Suspect:  target.Live.PathFailedWithin(now, pathMemory) || (!target.Local && now.Sub(health.Heard) > silence),
 		Barred: target.Draining || health.Stopping || r.barred[target.ID] ||
