dispatch, routing: one check before a further send; remove an unused lookup

Cause: two branches of again() wrote the same check, and nothing looks services up by name. No behaviour changes; tests of dispatch, platform and the tree pass.

--- a/decide/routing/routing.go
+++ b/decide/routing/routing.go
@@ -187,12 +187,6 @@
 	return team, ok
 }
 
-// Service finds a service by name.
-func (t *Table) Service(name string) (*Service, bool) {
-	service, ok := t.services[name]
-	return service, ok
-}
-
 func (r *Route) weights() float64 {
 	sum := 0.0
 	for _, part := range r.Split {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -215,10 +215,7 @@
 	case pipeline.CodeQueueFull:
 		r.refusals++
 		r.full[e.target.ID] = true
-		if !r.budgetless() {
-			return false
-		}
-		return r.send(ctx)
+		return r.maySend() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.barred[e.target.ID] = true
 		if !r.mayRepeat() || !r.budget.Spend(time.Now()) {
@@ -229,12 +226,12 @@
 		return false
 	}
 	r.barred[e.target.ID] = true
-	return r.budgetless() && r.send(ctx)
+	return r.maySend() && r.send(ctx)
 }
 
-// budgetless tells whether an attempt that reached no backend server may be
-// followed by another.
-func (r *run) budgetless() bool {
+// maySend tells whether another attempt may follow one that reached no backend
+// server. Such attempts cost no retry budget.
+func (r *run) maySend() bool {
 	return r.sends < maxSends && time.Now().Before(r.req.Deadline)
 }
 
