mesh: repeat an ask for a token through another process

Cause: while the path to an owner is cut in one direction, its statuses arrive and asks do not. Change: the repeated ask goes through a process that hears the owner; the next asks to that owner do so at once for 2 s. Test: TestUnansweredAskGoesThroughAnotherProcess (failed before: both asks went to the owner).

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -54,6 +54,7 @@
 			alone:   make(map[string]*teamrate.Bucket),
 			asks:    make(map[uint32]*ask),
 			relays:  make(map[uint32]relay),
+			detours: make(map[string]time.Time),
 
 			tolerance: o.Tolerance,
 			settled:   o.Self.Started,
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -314,6 +314,52 @@
 	}
 }
 
+// Guards against refusals within the rate while the path to an owner is cut in one
+// direction: its statuses arrive, asks do not.
+func TestUnansweredAskGoesThroughAnotherProcess(t *testing.T) {
+	p := start(t, "10.0.0.1")
+	var servers []Server
+	hosts := []string{"10.0.0.2", "10.0.0.3", "10.0.0.4"}
+	for i, host := range hosts {
+		servers = append(servers, server(host, host, uint64(i+1)))
+	}
+	p.post(ServersRead{Whole: true, Put: servers})
+	for _, host := range hosts {
+		p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+	}
+	want := func() { // a token
+		p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: make(chan TokenVerdict, 1)})
+	}
+	asked := func() []string {
+		var to []string
+		for _, send := range p.sent {
+			if send.Message.Ask != nil {
+				to = append(to, send.Hosts[0])
+			}
+		}
+		return to
+	}
+	p.sent = nil
+	want()
+	p.pass(askRepeat + time.Millisecond)
+	to := asked()
+	if len(to) != 2 || to[0] == to[1] {
+		t.Fatalf("asks sent to %v, want the repeated one at another process", to)
+	}
+	owner := to[0]
+	p.sent = nil
+	want()
+	if to := asked(); len(to) != 1 || to[0] == owner {
+		t.Errorf("next ask sent to %v, want it at once around %s", to, owner)
+	}
+	p.pass(detourTime)
+	p.sent = nil
+	want()
+	if to := asked(); len(to) != 1 || to[0] != owner {
+		t.Errorf("ask after the detour sent to %v, want %s", to, owner)
+	}
+}
+
 // Guards against an ask that ends at a process that is not the owner.
 func TestAskIsPassedOnToTheOwner(t *testing.T) {
 	p := start(t, "10.0.0.1")
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -33,6 +33,9 @@
 	askRepeat = 40 * time.Millisecond
 	// askTimeout is when the share of this process decides instead.
 	askTimeout = 120 * time.Millisecond
+	// detourTime is how long asks avoid the direct path to an owner after one was
+	// not answered: paths are cut for seconds, and single datagrams get lost.
+	detourTime = 2 * time.Second
 	// ownerDelay is how long after its start a process owns no team: it has not
 	// heard its peers yet and would take every team for its own.
 	ownerDelay = 2 * time.Second
@@ -61,6 +64,7 @@
 	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
 	asks    map[uint32]*ask
 	relays  map[uint32]relay // asks of peers that were passed on to the owner
+	detours map[string]time.Time // until when asks to an owner go through another process
 	nextID  uint32
 	// tolerance is how far teams may exceed their rates.
 	tolerance teamrate.Tolerance
@@ -147,7 +151,13 @@
 	if len(best) == 0 {
 		return "", ""
 	}
-	return best[0].ID, s.via(now, best[0].ID)
+	owner = best[0].ID
+	if now.Before(s.detours[owner]) {
+		if around := s.around(now, owner); around != "" {
+			return owner, around
+		}
+	}
+	return owner, s.via(now, owner)
 }
 
 // owners returns the processes that may own teams, and how many of them this one
@@ -174,8 +184,14 @@
 	if host == s.state.self.Host || s.state.peers[host].live(now) {
 		return host
 	}
+	return s.around(now, host)
+}
+
+// around returns a peer that hears a host, other than the host itself; empty when
+// there is none.
+func (s *teamsStage) around(now time.Time, host string) string {
 	for other, peer := range s.state.peers {
-		if peer.live(now) && !peer.Unheard[host] {
+		if other != host && peer.live(now) && !peer.Unheard[host] {
 			return other
 		}
 	}
@@ -273,14 +289,26 @@
 	a.wanted.Reply <- TokenVerdict{Granted: grant.Count > 0, Wait: wait, Source: "owner"}
 }
 
+// repeat sends an ask again through a process that hears the owner: the path to
+// the owner may be cut although the owner's statuses arrive.
+func (s *teamsStage) repeat(now time.Time, id uint32, a *ask, out *control.Output) {
+	a.again = true
+	if around := s.around(now, a.owner); around != "" {
+		if a.via == a.owner {
+			s.detours[a.owner] = now.Add(detourTime)
+		}
+		a.via = around
+	}
+	s.send(id, a, out)
+}
+
 // expire repeats asks and decides those without an answer.
 func (s *teamsStage) expire(now time.Time, out *control.Output) {
 	for id, a := range s.asks {
 		switch {
 		case now.Before(a.due()):
 		case !a.again:
-			a.again = true
-			s.send(id, a, out)
+			s.repeat(now, id, a, out)
 		default:
 			delete(s.asks, id)
 			s.decideAlone(now, a.wanted, a.owner, out)
