--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -63,7 +63,7 @@
 	buckets map[string]*teamrate.Bucket // of the teams that this process owns
 	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
 	asks    map[uint32]*ask
-	relays  map[uint32]relay // asks of peers that were passed on to the owner
+	relays  map[uint32]relay     // asks of peers that were passed on to the owner
 	detours map[string]time.Time // until when asks to an owner go through another process
 	nextID  uint32
 	// tolerance is how far teams may exceed their rates.
