mesh: relays by availability zone; few readers at the start

At the start every process took itself for a reader and told its whole list. Change: messages for all go to the own zone and to one relay in each other zone (two for urgent ones), in turn; a three-byte beat keeps direct paths known. Readers are chosen only once the list is known, listed hosts count as live until they had time to speak, a reader without answers of the store gives way, a version is fetched once, and a process that reads for nobody does not poll for a configuration that does not exist yet.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -41,6 +41,7 @@
 	config := &configStage{state: st, trust: o.KeyTrust}
 	stages := []control.Stage{
 		&stopStage{state: st},
+		&relayStage{state: st},
 		config,
 		&serversStage{state: st, drain: o.Drain},
 		&storeStage{
@@ -93,6 +94,7 @@
 		Hosts:    len(s.peers) + 1,
 		Reading:  s.reading,
 		Stopping: s.stopping,
+		Silence:  s.timeout(),
 	}
 	newest := s.newest()
 	for id, server := range s.servers {
--- a/control/mesh/crashes.go
+++ b/control/mesh/crashes.go
@@ -38,7 +38,7 @@
 func (s *crashesStage) Handle(now time.Time, ev control.Event, out *control.Output) {
 	switch ev := ev.(type) {
 	case Crashed:
-		s.tell(ev, out)
+		s.tell(now, ev, out)
 		s.count(now, ev.ID, ev.InFlight, out)
 	case Received:
 		if crash := ev.Message.Crash; crash != nil {
@@ -53,12 +53,12 @@
 	}
 }
 
-func (s *crashesStage) tell(ev Crashed, out *control.Output) {
+func (s *crashesStage) tell(now time.Time, ev Crashed, out *control.Output) {
 	crash := &notice.Crash{ID: ev.ID}
 	for _, f := range ev.InFlight {
 		crash.InFlight = append(crash.InFlight, uint64(f))
 	}
-	out.Emit(Send{Hosts: s.state.peerHosts(), Message: notice.Message{Crash: crash}})
+	s.state.tell(now, notice.Message{Crash: crash}, urgentCopies, out)
 	log(out, "backend server crashed", map[string]any{"crash": ev.ID, "in_flight": len(ev.InFlight)})
 }
 
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -26,7 +26,8 @@
 
 // Received is a datagram of another process.
 type Received struct {
-	Host    string // IP number of the sender
+	Host    string // IP number of the process that it comes from
+	Direct  bool   // it was not passed on by another process
 	Message notice.Message
 }
 
@@ -44,7 +45,8 @@
 	// statusInterval is the longest time between two statuses: peers that were
 	// not heard for peerTimeout are taken for lost.
 	statusInterval = time.Second
-	// peerTimeout allows for a lost status and a busy host.
+	// peerTimeout allows for a lost status and a busy host. It stretches with the
+	// interval of statuses.
 	peerTimeout = 2500 * time.Millisecond
 	// changeInterval is the shortest time between two statuses about a change,
 	// for each changePeers peers: a larger fleet sends less often to more.
@@ -53,6 +55,9 @@
 	// once attracts requests until the entries know.
 	beliefInterval = 20 * time.Millisecond
 	changePeers    = 40
+	// restPeers is the same for statuses without a change: a process receives about
+	// this many a second at most.
+	restPeers = 100
 	// beliefStep and loadStep are the changes that are worth a status: a step of
 	// belief moves the choice of entries, two slots are about a third of a server.
 	beliefStep = 0.1
@@ -67,6 +72,7 @@
 	beliefs map[string]belief.State // of the backend servers of this host
 	seq     uint32
 	sent    time.Time     // of the last status
+	beaten  time.Time     // of the last beat
 	last    notice.Status // that was sent
 	urgent  bool          // a change waits to be sent
 	doubt   bool          // a change of belief waits to be sent
@@ -83,17 +89,13 @@
 	if s.urgent {
 		return s.sent.Add(s.spaced(changeInterval))
 	}
-	return s.sent.Add(s.spaced(statusInterval))
+	return s.sent.Add(s.state.restInterval())
 }
 
-// spaced stretches an interval in large fleets, so that the messages of a
-// process do not grow with the fleet.
+// spaced stretches the interval of changes in large fleets, so that the messages
+// of a process do not grow with the fleet.
 func (s *healthStage) spaced(interval time.Duration) time.Duration {
-	factor := max(1, float64(len(s.state.peers))/changePeers)
-	if interval == statusInterval {
-		factor = min(factor, 2) // peers are taken for lost otherwise
-	}
-	return time.Duration(float64(interval) * factor)
+	return stretch(interval, len(s.state.peers), changePeers)
 }
 
 // Handle reacts to outcomes, to load and to statuses of others.
@@ -106,6 +108,7 @@
 		change := load.Running + load.Waiting - int(s.last.Running) - int(s.last.Waiting)
 		s.urgent = s.urgent || change >= loadStep || change <= -loadStep
 	case Received:
+		s.hear(now, ev)
 		if ev.Message.Status != nil {
 			s.receive(now, ev.Host, ev.Message.Status, out)
 		}
@@ -148,6 +151,10 @@
 
 // send tells all peers how the backend server of this host is.
 func (s *healthStage) send(now time.Time, out *control.Output) {
+	copies := usualCopies
+	if s.doubt || s.state.stopping {
+		copies = urgentCopies
+	}
 	s.sent, s.urgent, s.doubt = now, false, false
 	s.seq++
 	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping}
@@ -162,16 +169,43 @@
 		health := server.live.Health()
 		server.live.SetLoad(load.Running, load.Waiting)
 		health.Held = load.Held
-		health.Heard, health.Stopping = now, s.state.stopping
+		health.Stopping = s.state.stopping
 		server.live.health.Store(&health)
 		status.Backend = id
 		status.Bad = float32(belief.Drift(health.Bad, now.Sub(health.Evidence)))
 		status.AgeMS = uint32(now.Sub(health.Evidence).Milliseconds())
 	}
-	status.Unheard = s.unheard(now)
+	status.Unheard, status.Blind = s.unheard(now), s.state.blind
 	s.last = status
-	if hosts := s.state.peerHosts(); len(hosts) > 0 {
-		out.Emit(Send{Hosts: hosts, Message: notice.Message{Status: &status}})
+	s.state.tell(now, notice.Message{Status: &status}, copies, out)
+	s.beat(now, out)
+}
+
+// beat lets the processes of other availability zones know that they are reached
+// directly; statuses come to them through relays.
+func (s *healthStage) beat(now time.Time, out *control.Output) {
+	if now.Sub(s.beaten) < s.state.restInterval() {
+		return
+	}
+	s.beaten = now
+	var hosts []string
+	for zone, inZone := range s.state.zones {
+		if zone != s.state.self.Zone {
+			hosts = append(hosts, inZone...)
+		}
+	}
+	emit(out, hosts, notice.Message{Beat: &notice.Beat{}})
+}
+
+// hear notes a datagram that came from a peer itself.
+func (s *healthStage) hear(now time.Time, ev Received) {
+	peer := s.state.peers[ev.Host]
+	if peer == nil || !ev.Direct {
+		return
+	}
+	peer.Direct = now
+	for _, live := range s.state.lives[ev.Host] {
+		live.hear(now)
 	}
 }
 
@@ -181,12 +215,13 @@
 // unheard lists the peers that were not heard for a while. A process that has
 // just started cannot tell.
 func (s *healthStage) unheard(now time.Time) []string {
-	if now.Sub(s.state.self.Started) < peerTimeout {
+	timeout := s.state.timeout()
+	if now.Sub(s.state.self.Started) < timeout {
 		return nil
 	}
 	var hosts []string
 	for host, peer := range s.state.peers {
-		if now.Sub(peer.Heard) >= peerTimeout && len(hosts) < maxUnheard {
+		if now.Sub(peer.Direct) >= timeout && len(hosts) < maxUnheard {
 			hosts = append(hosts, host)
 		}
 	}
@@ -201,10 +236,11 @@
 	if peer == nil || (peer.Boot == status.Boot && status.Seq <= peer.Seq) {
 		return
 	}
-	if !peer.Heard.IsZero() && now.Sub(peer.Heard) > peerTimeout {
+	if !peer.Heard.IsZero() && now.Sub(peer.Heard) > s.state.timeout() {
 		log(out, "peer regained", map[string]any{"host": host, "silent_ms": now.Sub(peer.Heard).Milliseconds()})
 	}
-	*peer = Peer{Zone: peer.Zone, Unlisted: peer.Unlisted, Heard: now, Boot: status.Boot, Seq: status.Seq, Stopping: status.Stopping}
+	peer.Heard, peer.Boot, peer.Seq = now, status.Boot, status.Seq
+	peer.Stopping, peer.Blind, peer.Unheard = status.Stopping, status.Blind, nil
 	if len(status.Unheard) > 0 {
 		peer.Unheard = make(map[string]bool, len(status.Unheard))
 		for _, unheard := range status.Unheard {
@@ -220,7 +256,6 @@
 		Bad:      float64(status.Bad),
 		Evidence: now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
 		Held:     time.Duration(status.HeldMS) * time.Millisecond,
-		Heard:    now,
 		Stopping: status.Stopping,
 	})
 }
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -147,7 +147,7 @@
 		}
 		return false
 	}
-	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+	p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
 	p.post(ServersRead{Gone: []string{"s"}})
 	if !told() {
 		t.Error("not told although it is heard")
@@ -216,7 +216,7 @@
 		{Boot: 4, Seq: 9, Backend: "s", Bad: 0.9},
 		{Boot: 4, Seq: 8, Backend: "s", Bad: 0.1},
 	} {
-		p.post(Received{Host: "10.0.0.2", Message: notice.Message{Status: &s}})
+		p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Status: &s}})
 	}
 	if bad := p.loop.Snapshot().Services["roster"][0].Live.Health().Bad; bad < 0.8 {
 		t.Errorf("bad %.2f, want that of the newer status", bad)
@@ -264,7 +264,7 @@
 func TestAskIsRepeated(t *testing.T) {
 	p := start(t, "10.0.0.1")
 	p.post(ServersRead{Whole: true, Put: []Server{server("mine", "10.0.0.1", 1), server("s", "10.0.0.2", 2)}})
-	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+	p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
 	p.sent = nil
 	reply := make(chan TokenVerdict, 1)
 	p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: reply})
@@ -278,7 +278,7 @@
 	if len(asks) != 2 || asks[0].ID != asks[1].ID {
 		t.Fatalf("asks %+v", asks)
 	}
-	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Grant: &notice.Grant{ID: asks[0].ID, Count: 1}}})
+	p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Grant: &notice.Grant{ID: asks[0].ID, Count: 1}}})
 	if v := <-reply; !v.Granted || v.Source != "owner" {
 		t.Errorf("verdict %+v", v)
 	}
@@ -289,7 +289,7 @@
 	p := start(t, "10.0.0.1")
 	p.post(Crashed{ID: 1, InFlight: []crashcount.Fingerprint{7}})
 	for id := uint64(2); id <= 3; id++ {
-		p.post(Received{Host: "10.0.0.2", Message: notice.Message{Crash: &notice.Crash{ID: id, InFlight: []uint64{7}}}})
+		p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Crash: &notice.Crash{ID: id, InFlight: []uint64{7}}}})
 	}
 	if _, ok := p.loop.Snapshot().Blocked[7]; !ok {
 		t.Error("not blocked after three crashes")
@@ -309,7 +309,7 @@
 	owner := ""
 	hear := func(seq uint32, from []string, unheard ...string) {
 		for _, host := range from {
-			p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: seq, Unheard: unheard}}})
+			p.post(Received{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: seq, Unheard: unheard}}})
 		}
 	}
 	hear(1, hosts)
@@ -352,7 +352,7 @@
 	}
 	p.post(ServersRead{Whole: true, Put: servers})
 	for _, host := range hosts {
-		p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+		p.post(Received{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
 	}
 	want := func() { // a token
 		p.post(TokenWanted{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: make(chan TokenVerdict, 1)})
@@ -392,11 +392,11 @@
 	p := start(t, "10.0.0.1")
 	p.post(ServersRead{Whole: true, Put: []Server{server("s", "10.0.0.2", 2), server("r", "10.0.0.3", 3)}})
 	for _, host := range []string{"10.0.0.2", "10.0.0.3"} {
-		p.post(Received{Host: host, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
+		p.post(Received{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 1}}})
 	}
 	p.post(TableRead{table(t, 7)})
 	p.sent = nil
-	p.post(Received{Host: "10.0.0.3", Message: notice.Message{Ask: &notice.Ask{ID: 9, Team: "team", Count: 1}}})
+	p.post(Received{Host: "10.0.0.3", Direct: true, Message: notice.Message{Ask: &notice.Ask{ID: 9, Team: "team", Count: 1}}})
 	var passed *notice.Ask
 	for _, send := range p.sent {
 		if send.Message.Ask != nil {
@@ -407,7 +407,7 @@
 		t.Fatalf("not passed on: %+v", p.sent)
 	}
 	p.sent = nil
-	p.post(Received{Host: "10.0.0.2", Message: notice.Message{Grant: &notice.Grant{ID: passed.ID, Count: 1}}})
+	p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{Grant: &notice.Grant{ID: passed.ID, Count: 1}}})
 	if len(p.sent) != 1 || p.sent[0].Hosts[0] != "10.0.0.3" || p.sent[0].Message.Grant.ID != 9 {
 		t.Errorf("the grant did not come back: %+v", p.sent)
 	}
@@ -437,6 +437,17 @@
 	return asks
 }
 
+// nextAsks lets time pass until the next ask of a reader.
+func (p *process) nextAsks() map[uint32]string {
+	p.asks()
+	var asks map[uint32]string
+	for len(asks) == 0 {
+		p.pass(10 * time.Millisecond)
+		asks = p.asks()
+	}
+	return asks
+}
+
 // notReader starts a process that leaves reading the store to others.
 func notReader(t *testing.T) *process {
 	t.Helper()
@@ -468,15 +479,9 @@
 // Guards against a difference that is noticed late.
 func TestListIsReadWhenItDiffers(t *testing.T) {
 	p := notReader(t)
-	p.asks()
-	var asks map[uint32]string
-	for len(asks) == 0 {
-		p.pass(10 * time.Millisecond)
-		asks = p.asks()
-	}
-	for id, host := range asks {
+	for id, host := range p.nextAsks() {
 		p.woken = nil
-		p.post(Received{Host: host, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7}}})
+		p.post(Received{Host: host, Direct: true, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7}}})
 		if len(p.woken) != 1 || !p.woken[0].Servers {
 			t.Fatalf("woken %+v", p.woken)
 		}
@@ -487,13 +492,12 @@
 // was late: it counts from the ask.
 func TestConfirmationCountsFromTheAsk(t *testing.T) {
 	p := notReader(t)
-	p.asks()
-	p.pass(storeAskInterval)
 	before := p.loop.Snapshot().Trust.Until()
+	asks := p.nextAsks()
 	boot := p.now.Sub(p.started) + time.Hour
-	for id, host := range p.asks() {
+	for id, host := range asks {
 		p.now = p.now.Add(60 * time.Millisecond)
-		p.post(Received{Host: host, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7, AgeMS: 500}}})
+		p.post(Received{Host: host, Direct: true, Message: notice.Message{StoreState: &notice.StoreState{ID: id, Version: 7, AgeMS: 500}}})
 	}
 	until := p.loop.Snapshot().Trust.Until()
 	if latest := boot - 500*time.Millisecond + 4*time.Second; until <= before || until > latest {
@@ -508,7 +512,7 @@
 	p.post(TableConfirmed{Boot: p.now.Sub(p.started) + time.Hour})
 	answers := func() int {
 		p.sent = nil
-		p.post(Received{Host: "10.0.0.2", Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: 1}}})
+		p.post(Received{Host: "10.0.0.2", Direct: true, Message: notice.Message{StoreAsk: &notice.StoreAsk{ID: 1}}})
 		n := 0
 		for _, send := range p.sent {
 			if send.Message.StoreState != nil {
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -56,6 +56,7 @@
 	lost   time.Time // when it stopped
 	found  time.Time // when it last began to answer again
 	lapsed bool      // the last outage was long enough for entries to lapse
+	known  bool      // the list was read once
 }
 
 // keep is how long a server that may only have lapsed is kept.
@@ -128,23 +129,24 @@
 			change.Gone = append(change.Gone, id)
 		}
 	}
-	s.changed(&change, out)
+	first := !s.known
+	s.known = true
+	s.changed(now, &change, first, out)
 }
 
 // changed publishes a change and tells the others when this process reads the
-// store for them.
-func (s *serversStage) changed(change *notice.Servers, out *control.Output) {
+// store for them. The first list of a process is no change.
+func (s *serversStage) changed(now time.Time, change *notice.Servers, first bool, out *control.Output) {
 	if len(change.Put) == 0 && len(change.Gone) == 0 {
 		return
 	}
-	s.updatePeers()
+	s.updatePeers(now)
 	out.Publish()
-	if !s.state.reading {
+	if first || !s.state.reading {
 		return
 	}
-	hosts := s.state.peerHosts()
 	for _, part := range split(change) {
-		out.Emit(Send{Hosts: hosts, Message: notice.Message{Servers: &part}})
+		s.state.tell(now, notice.Message{Servers: &part}, urgentCopies, out)
 	}
 }
 
@@ -174,7 +176,7 @@
 		}
 	}
 	if changed {
-		s.updatePeers()
+		s.updatePeers(now)
 		out.Publish()
 	}
 }
@@ -230,7 +232,8 @@
 
 func newLive(now time.Time) *Live {
 	live := &Live{}
-	live.health.Store(&Health{Bad: belief.Prior, Evidence: now, Heard: now})
+	live.health.Store(&Health{Bad: belief.Prior, Evidence: now})
+	live.hear(now)
 	return live
 }
 
@@ -287,7 +290,7 @@
 			log(out, "backend server gone", map[string]any{"backend": id, "after": "store outage"})
 		}
 	}
-	s.changed(&change, out)
+	s.changed(now, &change, false, out)
 }
 
 // newest returns when the last server at each address was created. The entry of a
@@ -306,7 +309,7 @@
 // updatePeers follows the hosts of the listed servers. A host without a server
 // stays a peer while it is heard: its process serves callers until it is stopped
 // and needs what the others tell.
-func (s *serversStage) updatePeers() {
+func (s *serversStage) updatePeers(now time.Time) {
 	hosts := make(map[string]string) // to their zones
 	for _, server := range s.state.servers {
 		hosts[server.Host] = server.Zone
@@ -318,17 +321,38 @@
 	}
 	for host, zone := range hosts {
 		if s.state.peers[host] == nil {
-			s.state.peers[host] = &Peer{}
+			s.state.peers[host] = &Peer{Known: now}
 		}
 		s.state.peers[host].Zone = zone
 	}
+	s.indexHosts()
+}
+
+// indexHosts rebuilds the tables by availability zone and by host.
+func (s *serversStage) indexHosts() {
+	s.state.zones = make(map[string][]string)
+	for host, peer := range s.state.peers {
+		s.state.zones[peer.Zone] = append(s.state.zones[peer.Zone], host)
+	}
+	for _, hosts := range s.state.zones {
+		slices.Sort(hosts)
+	}
+	s.state.lives = make(map[string][]*Live)
+	for _, server := range s.state.servers {
+		s.state.lives[server.Host] = append(s.state.lives[server.Host], server.live)
+	}
 }
 
 // dropSilent forgets peers without a server that are not heard any more.
 func (s *serversStage) dropSilent(now time.Time) {
+	dropped := false
 	for host, peer := range s.state.peers {
-		if peer.Unlisted && now.Sub(peer.Heard) >= peerTimeout {
+		if peer.Unlisted && now.Sub(peer.Heard) >= s.state.timeout() {
 			delete(s.state.peers, host)
+			dropped = true
 		}
 	}
+	if dropped {
+		s.indexHosts()
+	}
 }
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -39,7 +39,6 @@
 	Bad      float64       // probability of a gray failure at Evidence
 	Evidence time.Time     // of the last outcome
 	Held     time.Duration // mean time that a request holds a slot
-	Heard    time.Time     // of the last status
 	Stopping bool          // the process in front of it takes no new work
 }
 
@@ -51,6 +50,7 @@
 	waiting  atomic.Int32
 	inFlight atomic.Int32
 	failed   atomic.Int64 // when a hop last failed, in nanoseconds since base; 0 for never
+	heard    atomic.Int64 // when a datagram last came directly, in nanoseconds since base
 }
 
 // base is the origin of times that are kept in atomics.
@@ -80,6 +80,16 @@
 // InFlight returns the attempts of this process.
 func (l *Live) InFlight() int { return int(l.inFlight.Load()) }
 
+// hear records that a datagram came directly from the process in front of the
+// server.
+func (l *Live) hear(now time.Time) { l.heard.Store(int64(now.Sub(base))) }
+
+// HeardWithin tells whether the process in front of the server was heard directly
+// within the last d.
+func (l *Live) HeardWithin(now time.Time, d time.Duration) bool {
+	return now.Sub(base.Add(time.Duration(l.heard.Load()))) < d
+}
+
 // PathFailed records that the process in front of the server was not reached.
 func (l *Live) PathFailed(now time.Time) { l.failed.Store(int64(now.Sub(base))) }
 
@@ -112,6 +122,7 @@
 	Hosts    int  // hosts with a backend server
 	Reading  bool // this process reads the platform's store for others
 	Stopping bool
+	Silence  time.Duration // a peer that was not heard for this long is taken for lost
 }
 
 // Trust is until when keys can be trusted: then a withdrawal can no longer be
@@ -147,17 +158,15 @@
 // Peer is another process of the fleet.
 type Peer struct {
 	Zone     string
-	Unlisted bool // the platform lists no backend server of the host any more
-	Heard    time.Time
+	Unlisted bool      // the platform lists no backend server of the host any more
+	Known    time.Time // since when the host is a peer
+	Heard    time.Time // of the last status, also through another process
+	Direct   time.Time // of the last datagram that came from the peer itself
 	Boot     uint32
 	Seq      uint32
 	Stopping bool
-	Unheard  map[string]bool // hosts that the peer has not heard for a while
-}
-
-// live tells whether the peer was heard lately and takes part.
-func (p *Peer) live(now time.Time) bool {
-	return now.Sub(p.Heard) < peerTimeout && !p.Stopping
+	Blind    bool            // the peer cannot read the store
+	Unheard  map[string]bool // hosts that the peer has not heard directly for a while
 }
 
 // listed is a server with what the process knows of it.
@@ -179,11 +188,16 @@
 
 	// Written by the servers stage.
 	servers map[string]*listed
-	peers   map[string]*Peer // by IP number, without this process
-	left    map[string]bool  // backend servers of this host that were taken off the list
+	peers   map[string]*Peer    // by IP number, without this process
+	zones   map[string][]string // hosts of peers by availability zone, in order
+	lives   map[string][]*Live  // of listed servers by host
+	left    map[string]bool     // backend servers of this host that were taken off the list
+
+	turn int // which relay is next; written by tell
 
 	// Written by the store stage.
 	reading bool // this process reads the platform's store for others
+	blind   bool // it was to read the store, but gets no answers
 
 	// Written by the crashes stage.
 	blocked map[crashcount.Fingerprint]time.Time
@@ -192,13 +206,29 @@
 	stopping bool
 }
 
-// peerHosts returns the hosts of all peers.
-func (s *state) peerHosts() []string {
-	hosts := make([]string, 0, len(s.peers))
-	for host := range s.peers {
-		hosts = append(hosts, host)
-	}
-	return hosts
+// live tells whether a peer was heard lately and takes part.
+func (s *state) live(now time.Time, p *Peer) bool {
+	return now.Sub(p.Heard) < s.timeout() && !p.Stopping
+}
+
+// reached tells whether a live peer was heard lately without a detour.
+func (s *state) reached(now time.Time, p *Peer) bool {
+	return s.live(now, p) && now.Sub(p.Direct) < s.timeout()
+}
+
+// restInterval is the longest time between two statuses of a process.
+func (s *state) restInterval() time.Duration {
+	return stretch(statusInterval, len(s.peers), restPeers)
+}
+
+// timeout is the silence after which a peer is taken for lost.
+func (s *state) timeout() time.Duration {
+	return stretch(peerTimeout, len(s.peers), restPeers)
+}
+
+// stretch lengthens an interval in proportion to the peers above a number.
+func stretch(interval time.Duration, peers, above int) time.Duration {
+	return time.Duration(float64(interval) * max(1, float64(peers)/float64(above)))
 }
 
 // Send is a datagram to other processes.
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -38,13 +38,16 @@
 	// what it read. A reader that is cut from the store falls silent that way.
 	freshList    = 1200 * time.Millisecond
 	freshConfirm = 2 * time.Second
+	// fetchRepeat is when a configuration is asked for again that did not come: a
+	// read takes a few milliseconds, some hundred while the store is slow.
+	fetchRepeat = 400 * time.Millisecond
 	// ownReadPause is the time between two reads of a process that is no reader.
 	ownReadPause = time.Second
 	// maxMisses is the number of asks in a row without an answer from which a
 	// reader is left out: a single datagram may be lost.
 	maxMisses = 2
-	// readerAway is how long a reader that did not answer is left out, so that the
-	// next in the order takes its place.
+	// readerAway is how long a reader is left out that did not answer, or that the
+	// store did not answer, so that the next in the order takes its place.
 	readerAway = 4 * time.Second
 )
 
@@ -76,6 +79,10 @@
 	told      uint64        // version that the others were told
 	next      time.Time     // when the next ask is due
 	repeat    time.Time     // when the last ask is repeated; zero once it was
+	since     time.Time     // when this process became a reader
+	sighted   time.Time     // when a blind process may read for others again
+	wanted    uint64        // version for which the followers were last woken
+	wantedAt  time.Time
 	nextID    uint32
 	asked     map[uint32]storeAsk
 	misses    map[string]int       // asks in a row that a reader did not answer
@@ -102,8 +109,11 @@
 	case TableConfirmed:
 		s.confirmed = max(s.confirmed, ev.Boot)
 	case TableRead:
-		s.tellVersion(out)
+		s.tellVersion(now, out)
 	case ServersRead:
+		if s.listRead.IsZero() {
+			s.next = now // the list shows who reads
+		}
 		s.listRead = now
 	case Received:
 		s.receive(now, ev, out)
@@ -126,8 +136,8 @@
 	case m.StoreState != nil:
 		s.compare(now, m.StoreState, out)
 	case m.Version != nil:
-		if m.Version.Version > s.version() && !s.reader {
-			out.Emit(Wake{Config: true})
+		if !s.reader {
+			s.fetch(now, m.Version.Version, out)
 		}
 	}
 }
@@ -135,10 +145,11 @@
 // check decides anew who reads, and asks a reader unless this process is one.
 func (s *storeStage) check(now time.Time, out *control.Output) {
 	s.expire(now, out)
+	s.lookOut(now, out)
 	readers := s.readers(now)
 	reader := slices.Contains(readers, s.state.self.Host)
 	if reader != s.reader {
-		s.reader = reader
+		s.reader, s.since = reader, now
 		s.state.reading = reader
 		out.Publish()
 		log(out, "reading of the store decided", map[string]any{"reader": reader, "readers": readers})
@@ -154,6 +165,18 @@
 	s.readStale(now, out)
 }
 
+// lookOut notices that the store does not answer this reader, so that another
+// process takes its place.
+func (s *storeStage) lookOut(now time.Time, out *control.Output) {
+	switch {
+	case s.state.blind:
+		s.state.blind = now.Before(s.sighted)
+	case s.reader && now.Sub(s.since) > freshList && now.Sub(s.listRead) > freshList:
+		s.state.blind, s.sighted = true, now.Add(readerAway)
+		log(out, "reader gets no answers of the store", map[string]any{"since_ms": now.Sub(s.listRead).Milliseconds()})
+	}
+}
+
 // expire counts the asks that were not answered.
 func (s *storeStage) expire(now time.Time, out *control.Output) {
 	for id, a := range s.asked {
@@ -175,16 +198,21 @@
 	}
 }
 
-// readers returns the hosts that read the store. A process that has just started
-// takes all listed hosts for live.
+// readers returns the hosts that read the store. Hosts that were listed just now
+// are taken for live. There are none before the list was read.
 func (s *storeStage) readers(now time.Time) []string {
-	members := []rendezvous.Member{{ID: s.state.self.Host, Zone: s.state.self.Zone}}
-	starting := now.Sub(s.state.self.Started) < peerTimeout
+	if len(s.state.servers) == 0 {
+		return nil
+	}
+	var members []rendezvous.Member
+	if !s.state.blind {
+		members = append(members, rendezvous.Member{ID: s.state.self.Host, Zone: s.state.self.Zone})
+	}
 	for host, peer := range s.state.peers {
-		if _, away := s.away[host]; away {
+		if _, away := s.away[host]; away || peer.Blind {
 			continue
 		}
-		if peer.live(now) || (starting && peer.Heard.IsZero()) {
+		if s.state.live(now, peer) || (peer.Heard.IsZero() && now.Sub(peer.Known) < s.state.timeout()) {
 			members = append(members, rendezvous.Member{ID: host, Zone: peer.Zone})
 		}
 	}
@@ -249,7 +277,7 @@
 	s.repeat, s.misses[asked.host] = time.Time{}, 0
 	switch {
 	case state.Version > s.version():
-		out.Emit(Wake{Config: true})
+		s.fetch(now, state.Version, out)
 	case s.state.table != nil:
 		boot := asked.boot - time.Duration(state.AgeMS+1)*time.Millisecond
 		s.confirmed = max(s.confirmed, boot)
@@ -262,6 +290,16 @@
 	}
 }
 
+// fetch asks the followers for a configuration, once for each version: several
+// readers tell the same.
+func (s *storeStage) fetch(now time.Time, version uint64, out *control.Output) {
+	if version <= s.version() || (version <= s.wanted && now.Sub(s.wantedAt) < fetchRepeat) {
+		return
+	}
+	s.wanted, s.wantedAt = version, now
+	out.Emit(Wake{Config: true})
+}
+
 func (s *storeStage) version() uint64 {
 	if s.state.table == nil {
 		return 0
@@ -270,12 +308,12 @@
 }
 
 // tellVersion tells the others that there is a newer configuration.
-func (s *storeStage) tellVersion(out *control.Output) {
+func (s *storeStage) tellVersion(now time.Time, out *control.Output) {
 	if !s.reader || s.version() <= s.told {
 		return
 	}
 	s.told = s.version()
-	out.Emit(Send{Hosts: s.state.peerHosts(), Message: notice.Message{Version: &notice.Version{Version: s.told}}})
+	s.state.tell(now, notice.Message{Version: &notice.Version{Version: s.told}}, urgentCopies, out)
 }
 
 // digest identifies the list of backend servers.
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -168,10 +168,11 @@
 		heard++
 	}
 	for host, peer := range s.state.peers {
-		if peer.live(now) {
+		live := s.state.live(now, peer)
+		if live {
 			heard++
 		}
-		if peer.live(now) || (!peer.Stopping && s.via(now, host) != "") {
+		if live || (!peer.Stopping && s.via(now, host) != "") {
 			members = append(members, rendezvous.Member{ID: host})
 		}
 	}
@@ -181,7 +182,7 @@
 // via returns a process through which a host is reached: the host itself, or a
 // peer that hears it; empty when there is none.
 func (s *teamsStage) via(now time.Time, host string) string {
-	if host == s.state.self.Host || s.state.peers[host].live(now) {
+	if host == s.state.self.Host || s.state.reached(now, s.state.peers[host]) {
 		return host
 	}
 	return s.around(now, host)
@@ -191,7 +192,7 @@
 // there is none.
 func (s *teamsStage) around(now time.Time, host string) string {
 	for other, peer := range s.state.peers {
-		if other != host && peer.live(now) && !peer.Unheard[host] {
+		if other != host && s.state.reached(now, peer) && !peer.Unheard[host] {
 			return other
 		}
 	}
@@ -202,7 +203,7 @@
 func (s *teamsStage) heard(now time.Time) int {
 	n := 0
 	for _, peer := range s.state.peers {
-		if peer.live(now) {
+		if s.state.live(now, peer) {
 			n++
 		}
 	}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -57,9 +57,6 @@
 	hedgeShare = 0.85
 	// pathMemory is how long an entry prefers other hosts after a hop failed.
 	pathMemory = time.Second
-	// silence is how long a process may be silent before entries prefer others:
-	// statuses come each second.
-	silence = 2500 * time.Millisecond
 	// retryAfter is the advice to callers when no backend server takes the
 	// request: slots are free again after about a service time.
 	retryAfter = 500 * time.Millisecond
@@ -299,7 +296,7 @@
 	now := time.Now()
 	candidates := make([]selection.Candidate, len(targets))
 	for i, target := range targets {
-		candidates[i] = r.candidate(now, target)
+		candidates[i] = r.candidate(now, snap, target)
 	}
 	want := selection.Request{
 		Idempotent: r.req.Class.Idempotent,
@@ -320,7 +317,7 @@
 
 func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func (r *run) candidate(now time.Time, target *mesh.Target) selection.Candidate {
+func (r *run) candidate(now time.Time, snap *mesh.Snapshot, target *mesh.Target) selection.Candidate {
 	health := target.Live.Health()
 	running, waiting := target.Live.Load()
 	return selection.Candidate{
@@ -332,7 +329,7 @@
 		Service:  health.Held,
 		Cold:     target.ColdUntil.Sub(now),
 		SameZone: target.SameZone,
-		Suspect:  target.Live.PathFailedWithin(now, pathMemory) || (!target.Local && now.Sub(health.Heard) > silence),
+		Suspect:  target.Live.PathFailedWithin(now, pathMemory) || (!target.Local && !target.Live.HeardWithin(now, snap.Silence)),
 		Barred: target.Draining || health.Stopping || r.barred[target.ID] ||
 			(r.full[target.ID] && r.refusals < maxRefusals),
 	}
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -26,6 +26,7 @@
 	Waiting  uint16   // requests that wait for one
 	HeldMS   uint32   // mean time that a request holds a slot
 	Stopping bool     // the sender takes no new work
+	Blind    bool     // the sender cannot read the platform's store
 	Unheard  []string // hosts that the sender has not heard for a while
 }
 
@@ -101,7 +102,13 @@
 // ServersPerMessage bounds the entries of a change, so that it fits a datagram.
 const ServersPerMessage = 8
 
-// Message is one datagram; one field is set.
+// Beat says that the sender is reached directly; statuses may come through other
+// processes.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+}
+
+// Message is one datagram; one of the pointers is set.
 type Message struct {
 	Status *Status `cbor:"1,keyasint,omitempty"`
 	Ask    *Ask    `cbor:"2,keyasint,omitempty"`
@@ -112,6 +119,14 @@
 	StoreState *StoreState `cbor:"6,keyasint,omitempty"`
 	Version    *Version    `cbor:"7,keyasint,omitempty"`
 	Servers    *Servers    `cbor:"8,keyasint,omitempty"`
+	Beat       *Beat       `cbor:"9,keyasint,omitempty"`
+
+	// PassOn asks the receiver to send the message to the other processes of its
+	// availability zone.
+	PassOn bool `cbor:"10,keyasint,omitempty"`
+	// Origin is the IP number of the process that a message that was passed on
+	// comes from; empty when it comes from the sender.
+	Origin string `cbor:"11,keyasint,omitempty"`
 }
 
 // Encode returns the datagram of a message.
--- a/sidecar/outbound.go
+++ b/sidecar/outbound.go
@@ -122,6 +122,10 @@
 			log.Warn("notice not readable", zap.Stringer("from", from), zap.Error(err))
 			continue
 		}
-		loop.Post(mesh.Received{Host: from.Addr().Unmap().String(), Message: message})
+		received := mesh.Received{Host: from.Addr().Unmap().String(), Direct: true, Message: message}
+		if message.Origin != "" {
+			received.Host, received.Direct = message.Origin, false
+		}
+		loop.Post(received)
 	}
 }
