dispatch, mesh: retries shared by the fleet; calls are charged by their parent

The fixed part was divided evenly among all entries, and each call was charged the share of repeats among all requests at the backend server. Change: the owner of a service grants the fixed part where it is needed (one ask, calls before callers); a call is charged by the request that made it when that runs here.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -18,6 +18,8 @@
 	Drain time.Duration
 	// Tolerance is how far teams may exceed their rates.
 	Tolerance teamrate.Tolerance
+	// Retries are shared by the fleet for each service.
+	Retries Retries
 	// Boot reads the clock that also counts suspended time.
 	Boot func() time.Duration
 	// Load returns the load of the backend server of this host. It must not block.
@@ -51,6 +53,7 @@
 		&healthStage{state: st, load: o.Load, beliefs: make(map[string]belief.State)},
 		&teamsStage{
 			state:   st,
+			retries: newRetryPools(o.Retries),
 			buckets: make(map[string]*teamrate.Bucket),
 			alone:   make(map[string]*teamrate.Bucket),
 			asks:    make(map[uint32]*ask),
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -396,7 +396,7 @@
 	}
 	p.post(TableRead{table(t, 7)})
 	p.sent = nil
-	p.post(Received{Host: "10.0.0.3", Direct: true, Message: notice.Message{Ask: &notice.Ask{ID: 9, Team: "team", Count: 1}}})
+	p.post(Received{Host: "10.0.0.3", Direct: true, Message: notice.Message{Ask: &notice.Ask{ID: 9, Name: "team", Count: 1}}})
 	var passed *notice.Ask
 	for _, send := range p.sent {
 		if send.Message.Ask != nil {
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -119,7 +119,7 @@
 	Local    map[string]*Target // backend servers of this host
 	Left     map[string]bool    // backend servers of this host that the platform took off the list
 	Blocked  map[crashcount.Fingerprint]time.Time
-	Hosts    int  // hosts with a backend server
+	Hosts    int  // hosts of the fleet, this one included
 	Reading  bool // this process reads the platform's store for others
 	Stopping bool
 	Silence  time.Duration // a peer that was not heard for this long is taken for lost
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -10,11 +10,28 @@
 	"github.com/ragwortyard/ragwortyard/fleet/notice"
 )
 
-// TokenWanted asks for a token of a team. The verdict is sent to Reply, which
-// has room for it.
+// TokenWanted asks for a token of a team, or for a retry out of those that the
+// fleet shares for a service. The verdict is sent to Reply, which has room for it.
 type TokenWanted struct {
-	Team  *routing.Team
-	Reply chan TokenVerdict
+	Purpose notice.Purpose
+	Team    *routing.Team // for requests of a team
+	Service string        // for retries
+	Reply   chan TokenVerdict
+}
+
+func (w *TokenWanted) name() string {
+	if w.Purpose == notice.ForTeam {
+		return w.Team.Name
+	}
+	return w.Service
+}
+
+// ownerKey is what the owner of tokens is chosen by.
+func ownerKey(purpose notice.Purpose, name string) uint64 {
+	if purpose == notice.ForTeam {
+		return rendezvous.Hash(name)
+	}
+	return rendezvous.Hash("retries of " + name)
 }
 
 // ControlEvent marks TokenWanted as an event.
@@ -57,9 +74,11 @@
 	sent time.Time
 }
 
-// teamsStage holds teams to their rates.
+// teamsStage holds teams to their rates and services to the retries that the
+// fleet shares.
 type teamsStage struct {
 	state   *state
+	retries *retryPools
 	buckets map[string]*teamrate.Bucket // of the teams that this process owns
 	alone   map[string]*teamrate.Bucket // of teams whose owner did not answer
 	asks    map[uint32]*ask
@@ -114,12 +133,12 @@
 }
 
 func (s *teamsStage) want(now time.Time, wanted TokenWanted, out *control.Output) {
-	owner, via := s.owner(now, wanted.Team.Name)
+	owner, via := s.owner(now, ownerKey(wanted.Purpose, wanted.name()))
 	switch {
 	case owner == "":
 		s.decideAlone(now, wanted, "", out)
 	case owner == s.state.self.Host:
-		n, wait := s.take(now, wanted.Team, 1, out)
+		n, wait := s.grant(now, &wanted, 1, out)
 		wanted.Reply <- TokenVerdict{Granted: n > 0, Wait: wait, Source: "self"}
 	default:
 		s.nextID++
@@ -132,22 +151,22 @@
 func (s *teamsStage) send(id uint32, a *ask, out *control.Output) {
 	out.Emit(Send{
 		Hosts:   []string{a.via},
-		Message: notice.Message{Ask: &notice.Ask{ID: id, Team: a.wanted.Team.Name, Count: 1}},
+		Message: notice.Message{Ask: &notice.Ask{ID: id, Name: a.wanted.name(), Purpose: a.wanted.Purpose, Count: 1}},
 	})
 }
 
-// owner returns the process that keeps the bucket of a team, and the process to
+// owner returns the process that keeps the tokens of a key, and the process to
 // send asks to: the owner, or one that hears it when this one does not. The owner
 // is the first by rendezvous hash of the processes that anyone was heard to hear;
 // processes that are cut from each other in part agree on it that way, since two
 // owners would grant the rate twice. It is empty while less than half of the
 // fleet is heard.
-func (s *teamsStage) owner(now time.Time, team string) (owner, via string) {
+func (s *teamsStage) owner(now time.Time, key uint64) (owner, via string) {
 	members, heard := s.owners(now)
 	if 2*heard <= len(s.state.peers) {
 		return "", ""
 	}
-	best := rendezvous.Rank(rendezvous.Hash(team), members, 1)
+	best := rendezvous.Rank(key, members, 1)
 	if len(best) == 0 {
 		return "", ""
 	}
@@ -218,6 +237,14 @@
 	}
 }
 
+// grant spends tokens that this process owns.
+func (s *teamsStage) grant(now time.Time, wanted *TokenWanted, want int, out *control.Output) (int, time.Duration) {
+	if wanted.Purpose == notice.ForTeam {
+		return s.take(now, wanted.Team, want, out)
+	}
+	return s.retries.take(now, s.settled, wanted.Service, wanted.Purpose), 0
+}
+
 // take spends tokens of a team that this process owns.
 func (s *teamsStage) take(now time.Time, team *routing.Team, want int, out *control.Output) (int, time.Duration) {
 	limit := s.limit(team)
@@ -241,15 +268,19 @@
 	if s.state.table == nil || s.state.peers[host] == nil {
 		return
 	}
-	team, ok := s.state.table.Team(asked.Team)
-	if !ok || team.Rate <= 0 {
-		return
+	wanted := &TokenWanted{Purpose: asked.Purpose, Service: asked.Name}
+	if asked.Purpose == notice.ForTeam {
+		team, ok := s.state.table.Team(asked.Name)
+		if !ok || team.Rate <= 0 {
+			return
+		}
+		wanted.Team = team
 	}
-	if owner, via := s.owner(now, team.Name); owner == via && owner != "" && owner != s.state.self.Host && !asked.Relayed {
+	if owner, via := s.owner(now, ownerKey(asked.Purpose, asked.Name)); owner == via && owner != "" && owner != s.state.self.Host && !asked.Relayed {
 		s.pass(now, host, owner, asked, out)
 		return
 	}
-	n, wait := s.take(now, team, int(asked.Count), out)
+	n, wait := s.grant(now, wanted, int(asked.Count), out)
 	grant := &notice.Grant{ID: asked.ID, Count: uint16(n)}
 	if n == 0 {
 		grant.WaitMS = uint32(wait.Milliseconds())
@@ -267,10 +298,9 @@
 	}
 	s.nextID++
 	s.relays[s.nextID] = relay{host: host, id: asked.ID, sent: now}
-	out.Emit(Send{
-		Hosts:   []string{owner},
-		Message: notice.Message{Ask: &notice.Ask{ID: s.nextID, Team: asked.Team, Count: asked.Count, Relayed: true}},
-	})
+	onward := *asked
+	onward.ID, onward.Relayed = s.nextID, true
+	out.Emit(Send{Hosts: []string{owner}, Message: notice.Message{Ask: &onward}})
 }
 
 func (s *teamsStage) granted(grant *notice.Grant, out *control.Output) {
@@ -317,9 +347,15 @@
 	}
 }
 
-// decideAlone spends the share of this process. silent is the owner that did not
-// answer, empty when none is known.
+// decideAlone spends the share of this process; shared retries are only granted
+// by their owner. silent is the owner that did not answer, empty when none is
+// known.
 func (s *teamsStage) decideAlone(now time.Time, wanted TokenWanted, silent string, out *control.Output) {
+	if wanted.Purpose != notice.ForTeam {
+		log(out, "retry refused without the owner of the retries", map[string]any{"service": wanted.Service, "silent_owner": silent})
+		wanted.Reply <- TokenVerdict{Source: "alone"}
+		return
+	}
 	limit := s.limit(wanted.Team)
 	bucket := s.alone[wanted.Team.Name]
 	if bucket == nil {
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -6,14 +6,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
-	"github.com/ragwortyard/ragwortyard/decide/retry"
 	"github.com/ragwortyard/ragwortyard/decide/selection"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
@@ -30,9 +28,9 @@
 	Sender   Sender
 	Budgets  *Budgets
 	NewID    func() string
-	// Repeated returns the share of the requests at the backend server of this
-	// host that are repeats. Calls that they make count as repeats.
-	Repeated func() float64
+	// Repeated returns the probability that a call of the backend server of this
+	// host was made by a request that is a repeat: such calls count as repeats.
+	Repeated func(parent string) float64
 	Log      *zap.Logger
 }
 
@@ -64,31 +62,16 @@
 	usualAnswer = 2000
 )
 
-// Budgets holds the retries to each service that this entry is permitted.
-type Budgets struct {
-	Window time.Duration
-	Share  float64                           // retries permitted for each request
-	Extra  func(snap *mesh.Snapshot) float64 // retries permitted besides in each window
-	table  sync.Map                          // service to *retry.Window
-}
-
-func (b *Budgets) get(snap *mesh.Snapshot, service string) *retry.Window {
-	if window, ok := b.table.Load(service); ok {
-		return window.(*retry.Window)
-	}
-	window, _ := b.table.LoadOrStore(service, retry.NewWindow(b.Window, b.Share, b.Extra(snap)))
-	return window.(*retry.Window)
-}
-
 // run is one request on its way to an answer.
 type run struct {
 	filter   *Filter
 	req      *pipeline.Request
-	budget   *retry.Window
+	budget   *budget
 	results  chan ended
-	open     int // attempts without a result
-	sends    int // attempts sent
-	ran      int // attempts that may have run
+	open     int  // attempts without a result
+	sends    int  // attempts sent
+	ran      int  // attempts that may have run
+	reached  bool // an attempt that was not run reached a backend server
 	refusals int
 	barred   map[string]bool // backend servers that are not chosen again
 	full     map[string]bool // exits that had no free slot
@@ -110,14 +93,14 @@
 	r := &run{
 		filter:  f,
 		req:     req,
-		budget:  f.Budgets.get(f.Snapshot(), req.Service),
+		budget:  f.Budgets.get(req.Service),
 		results: make(chan ended, maxSends),
 		barred:  make(map[string]bool),
 		full:    make(map[string]bool),
 	}
 	r.budget.Earn(time.Now())
 	if req.Principal.Team == "" {
-		r.budget.Charge(time.Now(), f.Repeated())
+		r.budget.Charge(time.Now(), f.Repeated(req.Parent))
 	}
 	if !r.send(ctx) {
 		return r.unserved()
@@ -167,13 +150,14 @@
 		return result
 	case result.Outcome == pipeline.NotRun:
 		r.ran--
+		r.reached = r.reached || result.Code == pipeline.CodeShed || result.Code == pipeline.CodeWrongExit
 		r.refusal = result
 		if r.again(ctx, e, result) {
 			return nil
 		}
 	default:
 		r.best = better(r.best, result)
-		if r.req.Class.Idempotent && r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend(time.Now()) && r.send(ctx) {
+		if r.req.Class.Idempotent && r.ran < r.req.MaxAttempts && r.mayRepeat() && r.pay(ctx) && r.send(ctx) {
 			return nil
 		}
 	}
@@ -199,6 +183,11 @@
 	return b
 }
 
+// pay takes a retry out of the budget of this entry, or out of the shared one.
+func (r *run) pay(ctx context.Context) bool {
+	return r.budget.Spend(time.Now()) || r.filter.Budgets.share(ctx, r.budget, r.req)
+}
+
 // mayRepeat tells whether another attempt can be answered in time.
 func (r *run) mayRepeat() bool {
 	left := time.Until(r.req.Deadline)
@@ -215,10 +204,7 @@
 		return r.maySend() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.barred[e.target.ID] = true
-		if !r.mayRepeat() || !r.budget.Spend(time.Now()) {
-			return false
-		}
-		return r.send(ctx)
+		return r.mayRepeat() && r.pay(ctx) && r.send(ctx)
 	case pipeline.CodeDeadlineTooShort, pipeline.CodeQuarantined, pipeline.CodeDeadlinePassed:
 		return false
 	}
@@ -241,7 +227,7 @@
 	attempt := r.req.Copy()
 	attempt.ID = r.filter.NewID()
 	attempt.Backend = target.ID
-	attempt.Repeat = r.ran > 0
+	attempt.Repeat = r.ran > 0 || r.reached
 	attempt.MaxWait = firstWait
 	if r.refusals >= maxRefusals || known.Wait() > 0 {
 		attempt.MaxWait = time.Until(r.req.Deadline)
@@ -301,7 +287,7 @@
 	want := selection.Request{
 		Idempotent: r.req.Class.Idempotent,
 		Target:     r.req.Class.Target,
-		Retryable:  r.ran+1 < r.req.MaxAttempts && r.budget.Left(now) >= 1,
+		Retryable:  r.ran+1 < r.req.MaxAttempts && r.budget.retryLeft(now),
 		Bytes:      len(r.req.Payload) + usualAnswer,
 	}
 	at := selection.Choose(want, candidates, random())
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -71,9 +71,9 @@
 	f := &Filter{
 		Snapshot: func() *mesh.Snapshot { return snap },
 		Sender:   sender,
-		Budgets:  &Budgets{Window: 10 * time.Second, Share: 0.2, Extra: func(*mesh.Snapshot) float64 { return 3 }},
+		Budgets:  &Budgets{Window: 10 * time.Second, Share: 0.2, Submit: sharedRetries(3)},
 		NewID:    func() string { return fmt.Sprint(ids.Add(1)) },
-		Repeated: func() float64 { return 0 },
+		Repeated: func(string) float64 { return 0 },
 		Log:      zap.NewNop(),
 	}
 	result := f.Handle(t.Context(), req)
@@ -81,6 +81,15 @@
 	return result, sender
 }
 
+// sharedRetries stands for a control loop that grants n retries.
+func sharedRetries(n int) func(context.Context, control.Event) error {
+	var asked atomic.Int64
+	return func(_ context.Context, ev control.Event) error {
+		ev.(mesh.TokenWanted).Reply <- mesh.TokenVerdict{Granted: int(asked.Add(1)) <= n}
+		return nil
+	}
+}
+
 func request(idempotent bool) *pipeline.Request {
 	return &pipeline.Request{
 		ID: "r", Service: "roster", MaxAttempts: 2, Deadline: time.Now().Add(5 * time.Second),
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -38,7 +38,7 @@
 	tickets   map[uint64]*ticket // that wait or run
 	withdrawn map[string]time.Time
 	load      atomic.Pointer[mesh.Load]
-	repeated  atomic.Int64 // share of the running requests that are repeats, in thousandths
+	repeats   atomic.Pointer[repeats]
 	ids       atomic.Uint64
 	post      func(control.Event) bool
 	crashedAt time.Time
@@ -49,6 +49,7 @@
 type ticket struct {
 	item        slotqueue.Item
 	attempt     string
+	original    string // identifier under which the backend server knows the request
 	fingerprint crashcount.Fingerprint
 	wait        time.Duration
 	repeat      bool
@@ -134,18 +135,43 @@
 		Slots:   slots,
 		Held:    q.queue.Service(),
 	})
-	repeats := 0
-	for _, t := range q.tickets {
+	q.repeats.Store(countRepeats(q.tickets))
+	q.post(mesh.LoadChanged{})
+}
+
+// repeats says which of the requests at the backend server are repeats.
+type repeats struct {
+	known map[string]bool // by original identifier
+	share float64
+}
+
+func countRepeats(tickets map[uint64]*ticket) *repeats {
+	r := &repeats{known: make(map[string]bool, len(tickets))}
+	n := 0
+	for _, t := range tickets {
+		r.known[t.original] = t.repeat
 		if t.repeat {
-			repeats++
+			n++
 		}
 	}
-	q.repeated.Store(int64(1000 * repeats / max(len(q.tickets), 1)))
-	q.post(mesh.LoadChanged{})
+	r.share = float64(n) / float64(max(len(tickets), 1))
+	return r
 }
 
-// Repeated returns the share of the running requests that are repeats.
-func (q *Queue) Repeated() float64 { return float64(q.repeated.Load()) / 1000 }
+// Repeated returns the probability that a call of the backend server was made by
+// a request that is a repeat. parent identifies that request; when it does not
+// run here, the share of repeats among all counts.
+func (q *Queue) Repeated(parent string) float64 {
+	r := q.repeats.Load()
+	repeat, known := r.known[parent]
+	switch {
+	case !known:
+		return r.share
+	case repeat:
+		return 1
+	}
+	return 0
+}
 
 func (q *Queue) enter(now time.Time, t *ticket) {
 	if until, ok := q.withdrawn[t.attempt]; ok && now.Before(until) {
@@ -260,6 +286,9 @@
 // Filter waits for a slot. The slot is given back when the request completes.
 type Filter struct {
 	Queue *Queue
+	// Original returns the identifier under which the backend server knows a
+	// request.
+	Original func(req *pipeline.Request) string
 }
 
 // Name returns "slots".
@@ -271,6 +300,7 @@
 	t := &ticket{
 		item:        slotqueue.Item{ID: q.ids.Add(1), Rank: req.Rank, Deadline: req.Deadline},
 		attempt:     req.ID,
+		original:    f.Original(req),
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
 		wait:        req.MaxWait,
 		repeat:      req.Repeat,
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -17,7 +17,8 @@
 	q := NewQueue(slots, post)
 	ctx, cancel := context.WithCancel(context.Background())
 	go q.Run(ctx, func() int { return slots })
-	return &Filter{Queue: q}, func() { cancel(); <-q.finished }
+	original := func(req *pipeline.Request) string { return "original-" + req.ID }
+	return &Filter{Queue: q, Original: original}, func() { cancel(); <-q.finished }
 }
 
 func drop(control.Event) bool { return true }
@@ -49,6 +50,28 @@
 	})
 }
 
+// Guards against calls that count as repeats, and use up retries, because some
+// other request at the backend server is one.
+func TestCallsCountAsRepeatsByTheirParent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 4, drop)
+		defer stop()
+		for _, id := range []string{"1", "2", "3", "4"} {
+			req := request(id, 0)
+			req.Repeat = id == "1"
+			if r := f.Handle(t.Context(), req); r != nil {
+				t.Fatal(r)
+			}
+		}
+		synctest.Wait()
+		for parent, want := range map[string]float64{"original-1": 1, "original-2": 0, "other": 0.25, "": 0.25} {
+			if got := f.Queue.Repeated(parent); got != want {
+				t.Errorf("repeated(%q) = %v, want %v", parent, got, want)
+			}
+		}
+	})
+}
+
 // Guards against a withdrawn attempt that runs after all, and against a promise
 // for one that holds a slot.
 func TestWithdrawnAttemptsNeverRun(t *testing.T) {
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -30,12 +30,23 @@
 	Unheard  []string // hosts that the sender has not heard for a while
 }
 
-// Ask asks the owner of a team for tokens.
+// Purpose is what the tokens of an ask are for.
+type Purpose uint8
+
+// The purposes.
+const (
+	ForTeam        Purpose = iota // requests of a team
+	ForCallRetry                  // a retry of a call of a backend server
+	ForCallerRetry                // a retry of a request of a caller
+)
+
+// Ask asks the owner of a team, or of the retries to a service, for tokens.
 type Ask struct {
-	_     struct{} `cbor:",toarray"`
-	ID    uint32
-	Team  string
-	Count uint16
+	_       struct{} `cbor:",toarray"`
+	ID      uint32
+	Name    string // of the team or the service
+	Purpose Purpose
+	Count   uint16
 	// Relayed says that a process that is not the owner passes the ask on.
 	Relayed bool
 }
--- a/fleet/notice/notice_test.go
+++ b/fleet/notice/notice_test.go
@@ -19,7 +19,7 @@
 	}
 	for _, m := range []Message{
 		{Status: &Status{Boot: 7, Seq: 9, Backend: "i-7f3a91c2", Bad: 0.25, AgeMS: 120, Running: 3, Waiting: 1, HeldMS: 700, Unheard: []string{"10.0.0.1"}}},
-		{Ask: &Ask{ID: 4, Team: "bozi300", Count: 2}},
+		{Ask: &Ask{ID: 4, Name: "bozi300", Count: 2}},
 		{Grant: &Grant{ID: 4, WaitMS: 30}},
 		{Crash: &Crash{ID: 5, InFlight: inFlight}},
 		{StoreAsk: &StoreAsk{ID: 3}},
@@ -43,7 +43,7 @@
 
 // Guards against a process that a foreign datagram brings down.
 func FuzzDecode(f *testing.F) {
-	data, _ := Encode(Message{Ask: &Ask{ID: 1, Team: "a", Count: 1}})
+	data, _ := Encode(Message{Ask: &Ask{ID: 1, Name: "a", Count: 1}})
 	f.Add(data)
 	f.Add([]byte{0xa1, 0x01, 0x80})
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode(data) })
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -84,8 +84,11 @@
 	MaxAttempts int
 	// Backend is the backend server that an attempt is for.
 	Backend string
-	// Repeat says that a backend server may have run the request before.
+	// Repeat says that the request has reached a backend server before.
 	Repeat bool
+	// Parent identifies the request that a backend server runs and that made this
+	// one, as far as it can be told; empty otherwise.
+	Parent string
 	// MaxWait is how long the attempt may wait for a slot; it is refused at once
 	// when the wait would be longer, so that it can go elsewhere.
 	MaxWait time.Duration
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,9 +54,11 @@
 	backendKeep = 16
 	// defaultSlots is assumed until the platform lists the backend server.
 	defaultSlots = 4
-	// retryShare is the part of the permitted retries that entries use; the rest
-	// covers calls that repeated requests make.
-	retryShare = 0.8
+	// retryShare and retryExtra are the parts of the permitted retries that entries
+	// use by themselves and that the fleet shares. The rest covers a second owner of
+	// the shared ones for a moment, and calls whose parent is not known.
+	retryShare = 0.9
+	retryExtra = 0.75
 	// headerLimit is larger than operators allow, so that their limit decides.
 	headerLimit = 64 << 10
 	// headerTime and idleTime bound connections of callers; callers reuse
@@ -107,6 +109,7 @@
 		KeyTrust:  settings.KeyDeadline - keyMargin,
 		Drain:     settings.Drain,
 		Tolerance: settings.Tolerance,
+		Retries:   mesh.Retries{Window: settings.RetryWindow, Extra: retryExtra * settings.RetryExtra},
 		Load:      s.queue.Load,
 		Boot:      bootclock.Now,
 	}, s.outbound)
@@ -139,7 +142,7 @@
 			Snapshot: s.loop.Snapshot,
 			Sender:   s,
 			Budgets: &dispatch.Budgets{
-				Window: s.settings.RetryWindow, Share: retryShare * s.settings.RetryShare, Extra: s.retryExtra,
+				Window: s.settings.RetryWindow, Share: retryShare * s.settings.RetryShare, Submit: s.loop.Submit,
 			},
 			NewID:    s.ids.next,
 			Repeated: s.queue.Repeated,
@@ -148,17 +151,11 @@
 	}
 }
 
-// retryExtra is the part of this process of the retries that all machines may
-// send beyond the share of requests.
-func (s *Sidecar) retryExtra(snap *mesh.Snapshot) float64 {
-	return retryShare * s.settings.RetryExtra / float64(max(snap.Hosts, 1))
-}
-
 func (s *Sidecar) exitChain() pipeline.Chain {
 	return pipeline.Chain{
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
 		admission{s},
-		&slots.Filter{Queue: s.queue},
+		&slots.Filter{Queue: s.queue, Original: platform.BackendCodec{}.Original},
 		admission{s},
 		&deliver.Filter{
 			Addr:    s.settings.BackendAddr,
