--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -26,8 +26,9 @@
 type Request struct {
 	Idempotent bool
 	Target     time.Duration
-	Retryable  bool // a failure can still be repaired by another attempt
-	Bytes      int  // of the request and its expected answer
+	Retryable  bool          // a failure can still be repaired by another attempt
+	Bytes      int           // of the request and its expected answer
+	Left       time.Duration // until the deadline
 }
 
 // Weights of the cost, in parts of the worth of a request.
@@ -45,8 +46,11 @@
 	// server that nobody has heard of for exploreAge.
 	explore    = 0.2
 	exploreAge = 3 * time.Second
-	// costWait is lost for each target latency that a request waits in a queue.
+	// costWait is lost for each target latency that a request waits in a queue, at
+	// most costLate: a late answer is worth more than the likely failure of a
+	// server that looks idle because it fails at once.
 	costWait = 0.8
+	costLate = 0.6
 	// costBusy spreads requests over servers that have free slots: servers near
 	// their limit are slower.
 	costBusy = 0.12
@@ -84,7 +88,7 @@
 
 // Cost returns the expected loss of a request on a candidate.
 func Cost(r Request, c *Candidate) float64 {
-	cost := c.failureCost(r) + c.loadCost(r.Target)
+	cost := c.failureCost(r) + c.loadCost(r)
 	if c.Cold > 0 {
 		cost += costCold
 	}
@@ -107,12 +111,17 @@
 }
 
 // loadCost grows with the share of busy slots and, beyond them, with the time
-// until a slot is free.
-func (c *Candidate) loadCost(target time.Duration) float64 {
+// until a slot is free. A request that would start too late is lost.
+func (c *Candidate) loadCost(r Request) float64 {
 	slots := max(c.Slots, 1)
 	cost := costBusy * float64(min(c.Running, slots)) / float64(slots)
-	if wait := c.Wait(); wait > 0 {
-		cost += costWait * float64(wait) / float64(max(target, time.Millisecond))
+	wait := c.Wait()
+	switch {
+	case wait <= 0:
+	case wait+c.Service/2 > r.Left:
+		cost += costFailOnce
+	default:
+		cost += min(costWait*float64(wait)/float64(max(r.Target, time.Millisecond)), costLate)
 	}
 	return cost
 }
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -38,6 +38,22 @@
 	}
 }
 
+// Guards against requests that go to a server which fails at once, and so looks
+// idle, while the others are busy: late is better than failed. A queue that is
+// longer than the time left is no better.
+func TestLateIsBetterThanFailed(t *testing.T) {
+	r := Request{Target: 600 * time.Millisecond, Left: 2 * time.Second}
+	bad := Candidate{Bad: 0.9, Slots: 7, SameZone: true}
+	queue := Candidate{Bad: 0.02, Slots: 7, Running: 7, Waiting: 30, SameZone: true, Service: 250 * time.Millisecond}
+	if queue.Wait() < r.Target || Cost(r, &queue) >= Cost(r, &bad) {
+		t.Errorf("wait %v: queue %.3f, bad %.3f", queue.Wait(), Cost(r, &queue), Cost(r, &bad))
+	}
+	r.Left = time.Second
+	if Cost(r, &queue) < Cost(r, &bad) {
+		t.Errorf("no time left for the queue: queue %.3f, bad %.3f", Cost(r, &queue), Cost(r, &bad))
+	}
+}
+
 // Guards against a barred server being chosen.
 func TestBarredServersAreNeverChosen(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -9,8 +9,9 @@
 )
 
 // RankDelay is how much longer a request may have waited than one that is a
-// rank more urgent before it goes first. It keeps lower ranks from starving.
-const RankDelay = 250 * time.Millisecond
+// rank more urgent before it goes first. It keeps lower ranks from starving; with
+// less, queues of more than a second in an overload would hardly know ranks.
+const RankDelay = 600 * time.Millisecond
 
 // serviceSmoothing is the weight of one request in the mean time that a slot is
 // held: about the last 16 count.
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -121,7 +121,7 @@
 				return result
 			}
 		case <-hedge.C:
-			if r.ran < r.req.MaxAttempts && r.mayRepeat() && r.budget.Spend(time.Now()) {
+			if r.ran < r.req.MaxAttempts && r.mayRepeat() && r.pay(ctx) {
 				r.send(ctx)
 			}
 		case <-end.C:
@@ -287,6 +287,7 @@
 	want := selection.Request{
 		Idempotent: r.req.Class.Idempotent,
 		Target:     r.req.Class.Target,
+		Left:       time.Until(r.req.Deadline),
 		Retryable:  r.ran+1 < r.req.MaxAttempts && r.budget.retryLeft(now),
 		Bytes:      len(r.req.Payload) + usualAnswer,
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -130,6 +130,11 @@
 	return port
 }
 
+func hostOf(addr string) string {
+	host, _, _ := net.SplitHostPort(addr) // checked with the settings
+	return host
+}
+
 func (s *Sidecar) entryChain() pipeline.Chain {
 	return pipeline.Chain{
 		observe.New(s.metrics),
@@ -276,7 +281,7 @@
 		s.settings.CallersAddr:                       front,
 		s.settings.PeersAddr:                         exits,
 		s.settings.ReadyAddr:                         ready,
-		net.JoinHostPort(s.settings.IP, metricsPort): operator,
+		net.JoinHostPort(hostOf(s.settings.ReadyAddr), metricsPort): operator,
 	} {
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
