soak: real processes on loopback with faults from outside

A seed gives a series of faults: processes killed, paused, stopped, reloaded; connections between processes and to the store delayed, reset, cut one way or silenced by proxies; datagrams lost; backend servers that fail, hang, reset, are slow, crash or drain; keys withdrawn and routes moved meanwhile. A ledger checks what callers and backend servers see: at most once, true refusals, whole answers, teams and keys, withdrawn keys, drains, planned stops, recovery. Notices and metrics now bind to the listening addresses of the settings, so that the address of a host may belong to a proxy. Tests: schedule_test.go, ledger_test.go (each check is broken once).

--- a/cmd/ragwortyard/main.go
+++ b/cmd/ragwortyard/main.go
@@ -31,6 +31,7 @@
 	Demo     demoCommand     `cmd:"" help:"Run a small fleet on loopback, bring about failures and compare what callers saw with the targets."`
 	Measure  measureCommand  `cmd:"" help:"Run the measurements in virtual time and print them beside plain baselines."`
 	Capacity capacityCommand `cmd:"" help:"Measure what a process costs at growing sizes; it loads the whole size into memory."`
+	Soak     soakCommand     `cmd:"" help:"Run the program as separate processes on loopback, inject faults and check what it promises."`
 	Bench    benchCommand    `cmd:"" help:"Measure the latency that two processes on loopback add to a call."`
 	Version  versionCommand  `cmd:"" help:"Print the version."`
 }
--- a/internal/fakestore/fakestore.go
+++ b/internal/fakestore/fakestore.go
@@ -1,5 +1,5 @@
-// Package fakestore is a small stand-in of a platform for tests: its metadata
-// store, and a backend server that speaks its protocol.
+// Package fakestore is a small stand-in of the metadata store of a platform, for
+// tests and the soak.
 package fakestore
 
 import (
