slots, hop: an attempt that has run is not confirmed as withdrawn

The exit knew attempts only while they waited or ran: one that had run to its end, its answer lost on a cut link, was confirmed as never run, and the entry sent the request to a second server. The same held for an attempt that the process before a restart may have run. Change: exits remember attempts that held a slot for 30 s, and confirm nothing that is older than their own start. The soak gets a fault that isolates a host while a key is withdrawn.

--- a/cmd/ragwortyard/soak.go
+++ b/cmd/ragwortyard/soak.go
@@ -16,14 +16,15 @@
 
 // soakCommand runs the program as separate processes and injects faults.
 type soakCommand struct {
-	Seed     uint64        `default:"1" help:"First seed; the others follow it."`
-	Seeds    int           `default:"1" help:"Number of seeds."`
-	Fresh    bool          `help:"Draw the first seed from the clock."`
-	Hosts    int           `default:"9" help:"Hosts of a run, each with one process."`
-	Length   time.Duration `default:"24s" help:"Length of a run."`
-	Parallel int           `default:"1" help:"Runs at the same time."`
-	Logs     string        `default:"" help:"Folder for logs; a temporary one when empty."`
-	Verbose  bool          `help:"Print the faults of every run."`
+	Seed        uint64        `default:"1" help:"First seed; the others follow it."`
+	Seeds       int           `default:"1" help:"Number of seeds."`
+	Regressions bool          `help:"Play the seeds that once broke a promise instead."`
+	Fresh       bool          `help:"Draw the first seed from the clock."`
+	Hosts       int           `default:"9" help:"Hosts of a run, each with one process."`
+	Length      time.Duration `default:"24s" help:"Length of a run."`
+	Parallel    int           `default:"1" help:"Runs at the same time."`
+	Logs        string        `default:"" help:"Folder for logs; a temporary one when empty."`
+	Verbose     bool          `help:"Print the faults of every run."`
 }
 
 // firstBlock is the second part of the IP numbers of the first run; runs at the
@@ -51,9 +52,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	failed := c.playAll(ctx, options)
-	fmt.Printf("%d seeds, %d with a broken promise; logs in %s\n", c.Seeds, failed, c.Logs)
+	fmt.Printf("%d seeds, %d with a broken promise; logs in %s\n", len(c.seeds()), failed, c.Logs)
 	if failed > 0 {
-		return eris.Errorf("%d of %d seeds broke a promise", failed, c.Seeds)
+		return eris.Errorf("%d of %d seeds broke a promise", failed, len(c.seeds()))
 	}
 	return nil
 }
@@ -76,9 +77,9 @@
 			}
 		})
 	}
-	for i := range c.Seeds {
+	for _, seed := range c.seeds() {
 		select {
-		case seeds <- c.Seed + uint64(i):
+		case seeds <- seed:
 		case <-ctx.Done():
 		}
 	}
@@ -87,6 +88,20 @@
 	return failed
 }
 
+func (c *soakCommand) seeds() []uint64 {
+	var seeds []uint64
+	if c.Regressions {
+		for _, r := range soak.Regressions {
+			seeds = append(seeds, r.Seed)
+		}
+		return seeds
+	}
+	for i := range c.Seeds {
+		seeds = append(seeds, c.Seed+uint64(i))
+	}
+	return seeds
+}
+
 func (c *soakCommand) print(seed uint64, report *soak.Report, err error) {
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -20,9 +20,11 @@
 	waitingPerSlot = 4
 	// backlog lets requests hand over tickets without waiting in the usual case.
 	backlog = 64
-	// withdrawnMemory is how long a withdrawn attempt is refused when it arrives
-	// after all. Data that is not acknowledged closes a connection after 2 s.
-	withdrawnMemory = 30 * time.Second
+	// attemptMemory is how long a withdrawn attempt is refused when it arrives
+	// after all, and how long an attempt that has run is not confirmed as withdrawn.
+	// Data that is not acknowledged closes a connection after 2 s, and no attempt
+	// outlives the deadline of its request.
+	attemptMemory = 30 * time.Second
 	// crashWindow is the time in which broken calls count as one crash.
 	crashWindow = time.Second
 )
@@ -36,7 +38,9 @@
 	cancels   chan uint64
 	withdraws chan withdrawal
 	tickets   map[uint64]*ticket // that wait or run
-	withdrawn map[string]time.Time
+	withdrawn memory
+	ran       memory // attempts that held a slot
+	started   time.Time
 	load      atomic.Pointer[mesh.Load]
 	repeats   atomic.Pointer[repeats]
 	ids       atomic.Uint64
@@ -66,6 +70,7 @@
 // withdrawal asks that an attempt never runs.
 type withdrawal struct {
 	attempt string
+	age     time.Duration // since it was sent
 	reply   chan bool
 }
 
@@ -79,7 +84,7 @@
 		cancels:   make(chan uint64, backlog),
 		withdraws: make(chan withdrawal),
 		tickets:   make(map[uint64]*ticket),
-		withdrawn: make(map[string]time.Time),
+		started:   time.Now(),
 		post:      post,
 		finished:  make(chan struct{}),
 	}
@@ -108,7 +113,7 @@
 		case id := <-q.cancels:
 			q.cancel(id)
 		case w := <-q.withdraws:
-			w.reply <- q.withdraw(time.Now(), w.attempt)
+			w.reply <- q.withdraw(time.Now(), w)
 		case <-timer.C:
 		}
 		n := slots()
@@ -174,7 +179,7 @@
 }
 
 func (q *Queue) enter(now time.Time, t *ticket) {
-	if until, ok := q.withdrawn[t.attempt]; ok && now.Before(until) {
+	if q.withdrawn.has(now, t.attempt) {
 		t.verdict <- pipeline.CodeDuplicateSend
 		return
 	}
@@ -199,6 +204,7 @@
 	if l.broken {
 		q.reportCrash(now)
 	}
+	q.ran.add(now, t.attempt, attemptMemory)
 	delete(q.tickets, l.id)
 	q.queue.Release(l.held)
 }
@@ -228,15 +234,14 @@
 	t.verdict <- code
 }
 
-// withdraw makes sure that an attempt never runs; false when it holds a slot.
-func (q *Queue) withdraw(now time.Time, attempt string) bool {
-	for known, until := range q.withdrawn {
-		if now.After(until) {
-			delete(q.withdrawn, known)
-		}
+// withdraw makes sure that an attempt never runs; false when it holds a slot or
+// may have held one: also before this process was started.
+func (q *Queue) withdraw(now time.Time, w withdrawal) bool {
+	if q.ran.has(now, w.attempt) || now.Sub(q.started) <= w.age {
+		return false
 	}
 	for id, t := range q.tickets {
-		if t.attempt != attempt {
+		if t.attempt != w.attempt {
 			continue
 		}
 		item, waits := q.queue.Remove(id)
@@ -245,7 +250,7 @@
 		}
 		return waits
 	}
-	q.withdrawn[attempt] = now.Add(withdrawnMemory)
+	q.withdrawn.add(now, w.attempt, attemptMemory)
 	return true
 }
 
@@ -269,10 +274,10 @@
 	}
 }
 
-// Withdraw makes sure that an attempt never runs. It reports false when it holds
-// a slot or held one.
-func (q *Queue) Withdraw(ctx context.Context, attempt string) bool {
-	w := withdrawal{attempt: attempt, reply: make(chan bool, 1)}
+// Withdraw makes sure that an attempt, sent some time ago, never runs. It reports
+// false when it holds a slot or may have held one.
+func (q *Queue) Withdraw(ctx context.Context, attempt string, age time.Duration) bool {
+	w := withdrawal{attempt: attempt, age: age, reply: make(chan bool, 1)}
 	select {
 	case q.withdraws <- w:
 		return <-w.reply
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,10 +85,11 @@
 		waited := make(chan *pipeline.Result, 1)
 		go func() { waited <- f.Handle(t.Context(), request("waits", time.Hour)) }()
 		synctest.Wait()
-		if f.Queue.Withdraw(t.Context(), "runs") {
+		<-time.After(time.Minute)
+		if f.Queue.Withdraw(t.Context(), "runs", time.Second) {
 			t.Error("an attempt that holds a slot was withdrawn")
 		}
-		if !f.Queue.Withdraw(t.Context(), "waits") || !f.Queue.Withdraw(t.Context(), "unknown") {
+		if !f.Queue.Withdraw(t.Context(), "waits", time.Second) || !f.Queue.Withdraw(t.Context(), "unknown", time.Second) {
 			t.Error("an attempt that does not run was not withdrawn")
 		}
 		if r := <-waited; r == nil || r.Outcome != pipeline.NotRun {
@@ -99,6 +101,41 @@
 	})
 }
 
+// Guards against a request that runs twice: its attempt ran to its end, the answer
+// was lost, and the exit confirms that it never will run. The same holds for an
+// attempt that the process before this one may have run.
+func TestAttemptsThatRanAreNotWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, drop)
+		defer stop()
+		<-time.After(time.Minute)
+		ran := request("ran", 0)
+		if r := f.Handle(t.Context(), ran); r != nil {
+			t.Fatal(r)
+		}
+		ran.Complete(pipeline.Completion{Outcome: pipeline.Answered})
+		synctest.Wait()
+		if f.Queue.Withdraw(t.Context(), "ran", time.Second) {
+			t.Error("an attempt that has run was withdrawn")
+		}
+		if f.Queue.Withdraw(t.Context(), "unknown", 2*time.Minute) {
+			t.Error("an attempt from before the start of this process was withdrawn")
+		}
+		for i := range 100 {
+			<-time.After(time.Second)
+			other := request(fmt.Sprint(i), 0)
+			if r := f.Handle(t.Context(), other); r != nil {
+				t.Fatal(r)
+			}
+			other.Complete(pipeline.Completion{Outcome: pipeline.Answered})
+		}
+		synctest.Wait()
+		if n := len(f.Queue.ran.until); n > int(attemptMemory/time.Second)+2 {
+			t.Errorf("%d attempts are remembered", n)
+		}
+	})
+}
+
 // Guards against requests of callers that left holding a place in the queue.
 func TestCallersThatLeaveDoNotWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/internal/httpconn"
@@ -57,6 +58,7 @@
 	acked := make(chan struct{})
 	done := make(chan Answer, 1)
 	go func() { done <- c.exchange(ctx, addr, req, acked) }()
+	sent := time.Now()
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
 	select {
@@ -66,13 +68,13 @@
 		return <-done
 	case <-timer.C:
 	}
-	return c.resolve(ctx, cancel, addr, req, acked, done)
+	return c.resolve(ctx, cancel, addr, req, sent, acked, done)
 }
 
 // resolve finds out what became of an attempt without an acknowledgement.
-func (c *Client) resolve(ctx context.Context, cancel func(), addr string, req *pipeline.Request, acked chan struct{}, done chan Answer) Answer {
+func (c *Client) resolve(ctx context.Context, cancel func(), addr string, req *pipeline.Request, sent time.Time, acked chan struct{}, done chan Answer) Answer {
 	withdrawn := make(chan bool, 1)
-	go func() { withdrawn <- c.withdraw(ctx, addr, req.ID) }()
+	go func() { withdrawn <- c.withdraw(ctx, addr, req.ID, sent) }()
 	select {
 	case answer := <-done:
 		return answer
@@ -170,10 +172,13 @@
 
 // withdraw asks an exit over a new connection never to run an attempt. It
 // reports true only when the exit confirms that it has not and never will.
-func (c *Client) withdraw(ctx context.Context, addr, id string) bool {
+func (c *Client) withdraw(ctx context.Context, addr, id string, sent time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
-	out := newRequest(&pipeline.Request{Method: http.MethodPost, Path: withdrawPath, RawQuery: url.Values{keyID: {id}}.Encode(), Host: addr}, addr)
+	// The age is rounded up: an exit that was started since then cannot vouch.
+	age := time.Since(sent).Milliseconds() + 1
+	query := url.Values{keyID: {id}, keyAge: {strconv.FormatInt(age, 10)}}.Encode()
+	out := newRequest(&pipeline.Request{Method: http.MethodPost, Path: withdrawPath, RawQuery: query, Host: addr}, addr)
 	fresh := httpconn.NewClient(httpsend.Dial, idleTimeout, 0)
 	defer fresh.Close()
 	answer, err := fresh.Do(ctx, &httpconn.Exchange{Addr: addr, Request: out})
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -54,6 +54,7 @@
 	keyWaiting  = "q"
 	keySlots    = "s"
 	keyAnswerID = "i"
+	keyAge      = "o" // milliseconds since an attempt was sent
 )
 
 // encodeRequest writes what the exit needs to know of an attempt.
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -28,7 +28,7 @@
 	handler := &Handler{
 		Chain:    pipeline.Chain{f},
 		Load:     func() Load { return Load{Running: 3, Waiting: 2, Slots: 7} },
-		Withdraw: func(context.Context, string) bool { return withdraw },
+		Withdraw: func(context.Context, string, time.Duration) bool { return withdraw },
 		Log:      zap.NewNop(),
 	}
 	server := httptest.NewServer(handler)
--- a/fleet/hop/server.go
+++ b/fleet/hop/server.go
@@ -17,9 +17,9 @@
 type Handler struct {
 	Chain pipeline.Chain
 	Load  func() Load
-	// Withdraw makes sure that an attempt never runs. It reports false when the
-	// attempt was sent to the backend server already.
-	Withdraw func(ctx context.Context, id string) bool
+	// Withdraw makes sure that an attempt, sent some time ago, never runs. It
+	// reports false when the attempt may have been sent to the backend server.
+	Withdraw func(ctx context.Context, id string, age time.Duration) bool
 	Log      *zap.Logger
 }
 
@@ -49,11 +49,12 @@
 
 func (h *Handler) serveWithdrawal(w http.ResponseWriter, r *http.Request) {
 	id := r.URL.Query().Get(keyID)
-	if r.URL.Path != withdrawPath || id == "" {
+	age, err := strconv.ParseInt(r.URL.Query().Get(keyAge), 10, 64)
+	if r.URL.Path != withdrawPath || id == "" || err != nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if h.Withdraw(r.Context(), id) {
+	if h.Withdraw(r.Context(), id, time.Duration(age)*time.Millisecond) {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -32,6 +32,7 @@
 	LinkCutOut     Kind = "link-cut-out"   // bytes of one host to peers are lost on connections of the peers
 	LinkReset      Kind = "link-reset"     // connections from peers are reset
 	DatagramsLost  Kind = "datagrams-lost" // one host gets no datagrams
+	Isolated       Kind = "isolated"       // one host hears neither the store nor peers, and a key is withdrawn
 	ServerFails    Kind = "server-fails"   // answers 500 at once
 	ServerHangs    Kind = "server-hangs"   // never answers
 	ServerResets   Kind = "server-resets"  // works and resets the connection
@@ -65,6 +66,7 @@
 	{LinkCutOut, 2, false},
 	{LinkReset, 2, false},
 	{DatagramsLost, 2, false},
+	{Isolated, 2, false},
 	{ServerFails, 3, false},
 	{ServerHangs, 1, false},
 	{ServerResets, 1, false},
@@ -100,6 +102,8 @@
 	// time for which keys are trusted.
 	shortest = 300 * time.Millisecond
 	longest  = 6 * time.Second
+	// isolation exceeds keyDeadline, so that keys must be refused in the end.
+	isolation = 7 * time.Second
 	// actionsPerSecond makes series overlap: faults hold for 3 s on the mean.
 	actionsPerSecond = 1.2
 )
@@ -122,6 +126,9 @@
 		for _, k := range kinds {
 			if pick -= k.weight; pick < 0 {
 				action.Kind = k.kind
+				if k.kind == Isolated {
+					action.For = min(isolation, length-settle-at)
+				}
 				if k.whole {
 					action.Host = -1
 				}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -161,6 +161,13 @@
 		defer h.link.cutOut.Store(false)
 	case LinkReset:
 		h.link.resetAll()
+	case Isolated:
+		h.toStore.cutOut.Store(true)
+		w.grams.lost[h.index].Store(true)
+		defer h.toStore.resetAll()
+		defer h.toStore.cutOut.Store(false)
+		defer w.grams.lost[h.index].Store(false)
+		w.withdrawKey()
 	case DatagramsLost:
 		w.grams.lost[h.index].Store(true)
 		defer w.grams.lost[h.index].Store(false)
