sidecar, mesh: a stopping process serves its backend server until callers have turned away

Cause: exits barred themselves at SIGTERM, so their servers got nothing for the 4 to 6 s until the process was back. Change: a stop has two steps. At SIGTERM the process gives up its duties for others; 2.6 s later it tells that it takes no attempts, and ends 250 ms after that at the earliest. Tests: TestCourseOfAStop, TestStepsOfAStopAreTold.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -26,12 +26,19 @@
 	Load func() Load
 }
 
-// Stop begins a planned stop.
-type Stop struct{}
+// Stop begins a planned stop: the process gives up its duties for others. Close
+// says that it takes no attempts of peers any more.
+type (
+	Stop  struct{}
+	Close struct{}
+)
 
 // ControlEvent marks Stop as an event.
 func (Stop) ControlEvent() {}
 
+// ControlEvent marks Close as an event.
+func (Close) ControlEvent() {}
+
 // New returns the control loop with all its stages in order.
 func New(o Options, outbound control.Outbound) *control.Loop[Snapshot] {
 	st := &state{
@@ -77,11 +84,14 @@
 // Deadline returns the zero time.
 func (s *stopStage) Deadline() time.Time { return time.Time{} }
 
-// Handle reacts to Stop only.
+// Handle reacts to Stop and Close.
 func (s *stopStage) Handle(_ time.Time, ev control.Event, out *control.Output) {
-	if _, ok := ev.(Stop); ok {
+	switch ev.(type) {
+	case Stop:
 		s.state.stopping = true
 		out.Publish()
+	case Close:
+		s.state.closed = true
 	}
 }
 
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -112,8 +112,8 @@
 		if ev.Message.Status != nil {
 			s.receive(now, ev.Host, ev.Message.Status, out)
 		}
-	case Stop:
-		s.urgent = true
+	case Stop, Close:
+		s.doubt = true // what the others must know at once
 	}
 	if !now.Before(s.Deadline()) {
 		s.send(now, out)
@@ -157,7 +157,7 @@
 	}
 	s.sent, s.urgent, s.doubt = now, false, false
 	s.seq++
-	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping}
+	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping, Closed: s.state.closed}
 	load := s.load()
 	status.Running, status.Waiting = clamp(load.Running), clamp(load.Waiting)
 	status.HeldMS = uint32(load.Held.Milliseconds())
@@ -169,7 +169,7 @@
 		health := server.live.Health()
 		server.live.SetLoad(load.Running, load.Waiting)
 		health.Held = load.Held
-		health.Stopping = s.state.stopping
+		health.Stopping, health.Closed = s.state.stopping, s.state.closed
 		server.live.health.Store(&health)
 		status.Backend = id
 		status.Bad = float32(belief.Drift(health.Bad, now.Sub(health.Evidence)))
@@ -257,5 +257,6 @@
 		Evidence: now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
 		Held:     time.Duration(status.HeldMS) * time.Millisecond,
 		Stopping: status.Stopping,
+		Closed:   status.Closed,
 	})
 }
--- a/control/mesh/relay_test.go
+++ b/control/mesh/relay_test.go
@@ -122,3 +122,33 @@
 		}
 	}
 }
+
+// Guards against attempts at a process that takes none any more, and against
+// leaving its server out as soon as it begins to stop.
+func TestStepsOfAStopAreTold(t *testing.T) {
+	p := zoned(t, 3)
+	last := func() (s notice.Status) {
+		p.pass(50 * time.Millisecond)
+		for _, send := range p.sent {
+			if send.Message.Status != nil {
+				s = *send.Message.Status
+			}
+		}
+		p.sent = nil
+		return s
+	}
+	p.post(Stop{})
+	if s := last(); !s.Stopping || s.Closed {
+		t.Errorf("told at the begin of a stop: %+v", s)
+	}
+	p.post(Close{})
+	if s := last(); !s.Stopping || !s.Closed {
+		t.Errorf("told when attempts are refused: %+v", s)
+	}
+	p.post(Received{Host: "10.2.0.2", Direct: true, Message: notice.Message{Status: &notice.Status{Boot: 1, Seq: 9, Backend: "b0", Stopping: true, Closed: true}}})
+	for _, target := range p.loop.Snapshot().Services["roster"] {
+		if target.ID == "b0" && !target.Live.Health().Closed {
+			t.Error("a closed process is taken for open")
+		}
+	}
+}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -39,7 +39,8 @@
 	Bad      float64       // probability of a gray failure at Evidence
 	Evidence time.Time     // of the last outcome
 	Held     time.Duration // mean time that a request holds a slot
-	Stopping bool          // the process in front of it takes no new work
+	Stopping bool          // the process in front of it stops soon
+	Closed   bool          // it takes no new attempts
 }
 
 // Live is what changes about a backend server between snapshots. The control
@@ -204,6 +205,7 @@
 
 	// Written by the stop stage.
 	stopping bool
+	closed   bool // no attempts of peers are taken any more
 }
 
 // live tells whether a peer was heard lately and takes part.
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -18,6 +18,7 @@
 	Service  time.Duration // mean time that a request holds a slot; 0 when unknown
 	Cold     time.Duration // how much longer it is slow after its start
 	SameZone bool
+	Stopping bool // its process stops soon: a long request would be cut
 	Suspect  bool // its exit did not answer the last time or was not heard for a while
 	Barred   bool // was tried by this request, is leaving or known to be full
 }
@@ -57,6 +58,9 @@
 	// costCold is lost on a server that is still warming up, on which requests
 	// take about twice as long.
 	costCold = 0.1
+	// costStopping is lost on a server whose process stops: one request in twenty
+	// takes longer than the process still runs.
+	costStopping = 0.05
 	// costPerKilobyte is the price of bytes between zones relative to the worth
 	// of an average request of 2: 22,000 per GB on both deployments.
 	costPerKilobyte = 0.011
@@ -92,6 +96,9 @@
 	if c.Cold > 0 {
 		cost += costCold
 	}
+	if c.Stopping {
+		cost += costStopping
+	}
 	if c.Suspect {
 		cost += costSuspect
 	}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -316,8 +316,9 @@
 		Service:  health.Held,
 		Cold:     target.ColdUntil.Sub(now),
 		SameZone: target.SameZone,
+		Stopping: health.Stopping,
 		Suspect:  target.Live.PathFailedWithin(now, pathMemory) || (!target.Local && !target.Live.HeardWithin(now, snap.Silence)),
-		Barred: target.Draining || health.Stopping || r.barred[target.ID] ||
+		Barred: target.Draining || health.Closed || r.barred[target.ID] ||
 			(r.full[target.ID] && r.refusals < maxRefusals),
 	}
 }
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -25,7 +25,8 @@
 	Running  uint16   // requests that hold a slot
 	Waiting  uint16   // requests that wait for one
 	HeldMS   uint32   // mean time that a request holds a slot
-	Stopping bool     // the sender takes no new work
+	Stopping bool     // the sender stops soon and has given up its duties for others
+	Closed   bool     // the sender takes no new attempts
 	Blind    bool     // the sender cannot read the platform's store
 	Unheard  []string // hosts that the sender has not heard for a while
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -278,9 +278,9 @@
 	operator := s.newServer(s.metricsHandler())
 	group, groupCtx := errgroup.WithContext(ctx)
 	for addr, server := range map[string]*http.Server{
-		s.settings.CallersAddr:                       front,
-		s.settings.PeersAddr:                         exits,
-		s.settings.ReadyAddr:                         ready,
+		s.settings.CallersAddr: front,
+		s.settings.PeersAddr:   exits,
+		s.settings.ReadyAddr:   ready,
 		net.JoinHostPort(hostOf(s.settings.ReadyAddr), metricsPort): operator,
 	} {
 		listener, err := net.Listen("tcp", addr)
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -28,6 +29,9 @@
 	// refuseBefore is when, before the process is killed, attempts that have no slot
 	// yet are refused as not run: 19 of 20 runs take less.
 	refuseBefore = 2500 * time.Millisecond
+	// announceTime is how long peers have to learn that no attempts are taken, before
+	// the process may end: a status takes a few milliseconds, a lost one is repeated.
+	announceTime = 250 * time.Millisecond
 	// killMargin is left for closing connections.
 	killMargin = 300 * time.Millisecond
 )
@@ -49,27 +53,47 @@
 	return result
 }
 
-// shutdown is a planned stop. The process is not ready any more and tells its
-// peers; it goes on serving until callers have turned away and every request is
-// answered, at most until shortly before it is killed.
+// course is how far a planned stop has come.
+type course struct {
+	started time.Time
+	end     time.Time // shortly before the process is killed
+	closed  time.Time // when attempts were refused; zero before
+}
+
+// closes tells whether attempts of peers are refused from now on. Until callers
+// have turned away, the backend server serves on: its capacity counts while many
+// processes stop in turn. Later, attempts would only delay the end, or be cut.
+func (c *course) closes(now time.Time) bool {
+	return c.closed.IsZero() && (now.Sub(c.started) > leaveTime || now.After(c.end.Add(-refuseBefore)))
+}
+
+// over tells whether the process may end.
+func (c *course) over(now time.Time, open int64) bool {
+	return now.After(c.end) || (!c.closed.IsZero() && now.Sub(c.closed) >= announceTime && open == 0)
+}
+
+// shutdown is a planned stop. The process is not ready any more and gives up its
+// duties for others. It goes on serving until callers have turned away and every
+// request is answered, at most until shortly before it is killed.
 func (s *Sidecar) shutdown(servers ...*http.Server) {
 	started := time.Now()
-	end := started.Add(s.settings.StopTime - killMargin)
+	c := course{started: started, end: started.Add(s.settings.StopTime - killMargin)}
 	s.log.Info("stopping", zap.Int64("open", s.open.Load()))
-	if err := s.loop.Submit(context.Background(), mesh.Stop{}); err != nil {
-		s.log.Error("stop not handed to the control loop", zap.Error(err))
-	}
-	s.stopAt.Store(&end)
+	s.tell(mesh.Stop{})
+	s.stopAt.Store(&c.end)
 	ticker := time.NewTicker(quietCheck)
 	defer ticker.Stop()
 	for now := range ticker.C {
 		s.closed.Store(now.Sub(started) >= acceptTime)
-		s.refusing.Store(now.After(end.Add(-refuseBefore)))
-		if now.After(end) || (now.Sub(started) > leaveTime && s.open.Load() == 0) {
+		if c.closes(now) {
+			c.closed = now
+			s.refusing.Store(true)
+			s.tell(mesh.Close{})
+		}
+		if c.over(now, s.open.Load()) {
 			break
 		}
 	}
-	s.refusing.Store(true)
 	s.log.Info("stopped", zap.Int64("open", s.open.Load()), zap.Duration("took", time.Since(started)))
 	ctx, cancel := context.WithTimeout(context.Background(), killMargin/2)
 	defer cancel()
@@ -79,3 +103,10 @@
 		}
 	}
 }
+
+// tell hands a step of the stop to the control loop.
+func (s *Sidecar) tell(ev control.Event) {
+	if err := s.loop.Submit(context.Background(), ev); err != nil {
+		s.log.Error("step of the stop not handed to the control loop", zap.Error(err))
+	}
+}
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -51,3 +51,30 @@
 		}
 	})
 }
+
+// Guards against capacity that is lost because a process refuses attempts as soon
+// as it begins to stop, and against attempts that arrive at a process that ends.
+func TestCourseOfAStop(t *testing.T) {
+	started := time.Now()
+	at := func(d time.Duration) time.Time { return started.Add(d) }
+	c := course{started: started, end: at(5700 * time.Millisecond)}
+	for _, d := range []time.Duration{0, time.Second, leaveTime} {
+		if c.closes(at(d)) || c.over(at(d), 0) {
+			t.Errorf("busy process refuses attempts %v after the stop began", d)
+		}
+	}
+	if !c.closes(at(leaveTime + quietCheck)) {
+		t.Error("the process goes on taking attempts after its callers left")
+	}
+	short := course{started: started, end: at(3 * time.Second)}
+	if !short.closes(at(3*time.Second - refuseBefore + quietCheck)) {
+		t.Error("attempts are taken that would be cut")
+	}
+	c.closed = at(3200 * time.Millisecond)
+	if c.over(c.closed.Add(announceTime/2), 0) || !c.over(c.closed.Add(announceTime), 0) {
+		t.Error("the process ends before its peers know, or does not end")
+	}
+	if c.over(c.closed.Add(time.Second), 1) || !c.over(c.end.Add(time.Millisecond), 1) {
+		t.Error("requests are cut before the end, or the process outlives it")
+	}
+}
