dispatch, slots: urgent requests are not sent away from queues that they pass

Change: exits tell how many of the waiting requests are urgent; urgent requests of callers count only those. One type for the load (pipeline.Load) serves the queue, the statuses and the hops. Test: TestUrgentRequestsIgnoreTheQueueOfOthers.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -7,6 +7,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/belief"
 	"github.com/ragwortyard/ragwortyard/decide/crashcount"
 	"github.com/ragwortyard/ragwortyard/decide/teamrate"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
 // Options configure the control loop.
@@ -23,7 +24,7 @@
 	// Boot reads the clock that also counts suspended time.
 	Boot func() time.Duration
 	// Load returns the load of the backend server of this host. It must not block.
-	Load func() Load
+	Load func() pipeline.Load
 }
 
 // Stop begins a planned stop: the process gives up its duties for others. Close
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -7,6 +7,7 @@
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
 	"github.com/ragwortyard/ragwortyard/fleet/notice"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
 // Observed is the outcome of a request at a backend server of this host.
@@ -34,12 +35,6 @@
 // ControlEvent marks Received as an event.
 func (Received) ControlEvent() {}
 
-// Load is the load of the backend server of this host.
-type Load struct {
-	Running, Waiting, Slots int
-	Held                    time.Duration
-}
-
 // Pace of the statuses that a process sends to the others.
 const (
 	// statusInterval is the longest time between two statuses: peers that were
@@ -68,7 +63,7 @@
 // the one of this host, and takes in what they tell.
 type healthStage struct {
 	state   *state
-	load    func() Load
+	load    func() pipeline.Load
 	beliefs map[string]belief.State // of the backend servers of this host
 	seq     uint32
 	sent    time.Time     // of the last status
@@ -159,7 +154,7 @@
 	s.seq++
 	status := notice.Status{Boot: s.state.self.Boot, Seq: s.seq, Stopping: s.state.stopping, Closed: s.state.closed}
 	load := s.load()
-	status.Running, status.Waiting = clamp(load.Running), clamp(load.Waiting)
+	status.Running, status.Waiting, status.Urgent = clamp(load.Running), clamp(load.Waiting), clamp(load.Urgent)
 	status.HeldMS = uint32(load.Held.Milliseconds())
 	newest := s.state.newest()
 	for id, server := range s.state.servers {
@@ -167,7 +162,7 @@
 			continue
 		}
 		health := server.live.Health()
-		server.live.SetLoad(load.Running, load.Waiting)
+		server.live.SetLoad(&load)
 		health.Held = load.Held
 		health.Stopping, health.Closed = s.state.stopping, s.state.closed
 		server.live.health.Store(&health)
@@ -251,7 +246,7 @@
 	if server == nil || server.Host != host {
 		return
 	}
-	server.live.SetLoad(int(status.Running), int(status.Waiting))
+	server.live.SetLoad(&pipeline.Load{Running: int(status.Running), Waiting: int(status.Waiting), Urgent: int(status.Urgent)})
 	server.live.health.Store(&Health{
 		Bad:      float64(status.Bad),
 		Evidence: now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -11,6 +11,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/routing"
 	"github.com/ragwortyard/ragwortyard/decide/teamrate"
 	"github.com/ragwortyard/ragwortyard/fleet/notice"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
 const drain = 2 * time.Second
@@ -44,7 +45,7 @@
 		KeyTrust:  4 * time.Second,
 		Drain:     drain,
 		Tolerance: teamrate.Tolerance{Window: 5 * time.Second, Excess: 0.25, Slack: 20},
-		Load:      func() Load { return Load{Slots: 7} },
+		Load:      func() pipeline.Load { return pipeline.Load{Slots: 7} },
 		Boot:      func() time.Duration { return p.now.Sub(p.started) + time.Hour },
 	}, p)
 	return p
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -8,6 +8,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/crashcount"
 	"github.com/ragwortyard/ragwortyard/decide/routing"
 	"github.com/ragwortyard/ragwortyard/fleet/notice"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
 // Self identifies this process.
@@ -49,6 +50,7 @@
 	health   atomic.Pointer[Health]
 	running  atomic.Int32 // as its process last said, in a status or with an answer
 	waiting  atomic.Int32
+	urgent   atomic.Int32
 	inFlight atomic.Int32
 	failed   atomic.Int64 // when a hop last failed, in nanoseconds since base; 0 for never
 	heard    atomic.Int64 // when a datagram last came directly, in nanoseconds since base
@@ -61,15 +63,16 @@
 func (l *Live) Health() Health { return *l.health.Load() }
 
 // SetLoad records what the process in front of the server says of its load.
-func (l *Live) SetLoad(running, waiting int) {
-	l.running.Store(int32(running))
-	l.waiting.Store(int32(waiting))
+func (l *Live) SetLoad(load *pipeline.Load) {
+	l.running.Store(int32(load.Running))
+	l.waiting.Store(int32(load.Waiting))
+	l.urgent.Store(int32(load.Urgent))
 }
 
-// Load returns the requests that hold a slot and those that wait for one, as far
-// as this process knows.
-func (l *Live) Load() (running, waiting int) {
-	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load())
+// Load returns the requests that hold a slot and those that wait for one, all and
+// the urgent ones, as far as this process knows.
+func (l *Live) Load() (running, waiting, urgent int) {
+	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load()), int(l.urgent.Load())
 }
 
 // Started counts an attempt of this process; Ended takes it back.
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -13,7 +13,7 @@
 	Bad      float64       // probability that it is in a gray failure
 	Evidence time.Duration // age of the last outcome
 	Running  int           // requests that hold a slot
-	Waiting  int           // requests in the queue of its exit
+	Waiting  int           // requests in the queue of its exit that go first
 	Slots    int
 	Service  time.Duration // mean time that a request holds a slot; 0 when unknown
 	Cold     time.Duration // how much longer it is slow after its start
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -175,6 +175,17 @@
 // Waiting returns the number of requests that wait.
 func (q *Queue) Waiting() int { return len(q.items) }
 
+// WaitingUpTo returns the number of requests that wait with a rank up to a bound.
+func (q *Queue) WaitingUpTo(rank int) int {
+	n := 0
+	for i := range q.items {
+		if q.items[i].Rank <= rank {
+			n++
+		}
+	}
+	return n
+}
+
 // Service returns the mean time that a slot is held; 0 when unknown.
 func (q *Queue) Service() time.Duration { return q.service }
 
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -259,7 +259,7 @@
 		target.Live.PathFailed(time.Now())
 	}
 	if answer.Loaded {
-		target.Live.SetLoad(answer.Load.Running, answer.Load.Waiting)
+		target.Live.SetLoad(&answer.Load)
 	}
 }
 
@@ -306,7 +306,12 @@
 
 func (r *run) candidate(now time.Time, snap *mesh.Snapshot, target *mesh.Target) selection.Candidate {
 	health := target.Live.Health()
-	running, waiting := target.Live.Load()
+	running, waiting, urgent := target.Live.Load()
+	// The others let an urgent request pass. Calls count the whole queue all the
+	// same: the request that makes one holds a slot elsewhere while it waits.
+	if r.req.Rank <= pipeline.UrgentRank && r.req.Parent == "" {
+		waiting = urgent
+	}
 	return selection.Candidate{
 		Bad:      belief.Drift(health.Bad, now.Sub(health.Evidence)),
 		Evidence: now.Sub(health.Evidence),
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -50,7 +50,7 @@
 func snapshot() *mesh.Snapshot {
 	loop := mesh.New(mesh.Options{
 		Self: mesh.Self{Host: "10.0.0.1", Zone: "a", Started: time.Now()},
-		Load: func() mesh.Load { return mesh.Load{} },
+		Load: func() pipeline.Load { return pipeline.Load{} },
 		Boot: func() time.Duration { return 0 },
 	}, nowhere{})
 	var servers []mesh.Server
@@ -105,7 +105,7 @@
 func refused(code pipeline.Code) hop.Answer {
 	answer := hop.Answer{Result: pipeline.Refuse(code, ""), Reached: true}
 	if code == pipeline.CodeQueueFull {
-		answer.Loaded, answer.Load = true, hop.Load{Running: 7, Waiting: 3, Slots: 7}
+		answer.Loaded, answer.Load = true, pipeline.Load{Running: 7, Waiting: 3, Slots: 7}
 	}
 	return answer
 }
@@ -158,6 +158,25 @@
 	})
 }
 
+// Guards against urgent requests that go to a failing server, or are given up,
+// because of a queue that they do not wait in.
+func TestUrgentRequestsIgnoreTheQueueOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		for _, target := range snap.Services["roster"] {
+			target.Live.SetLoad(&pipeline.Load{Running: 7, Waiting: 60, Urgent: 0, Slots: 7})
+		}
+		for rank, waiting := range map[int]int{pipeline.UrgentRank: 0, pipeline.UrgentRank + 1: 60} {
+			req := request(true)
+			req.Rank = rank
+			r := run{filter: &Filter{}, req: req}
+			if c := r.candidate(time.Now(), snap, snap.Services["roster"][0]); c.Waiting != waiting {
+				t.Errorf("rank %d waits for %d, want %d", rank, c.Waiting, waiting)
+			}
+		}
+	})
+}
+
 // Guards against a slow server that makes repeatable requests late.
 func TestSlowAttemptIsHedged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/filters/lookup/lookup.go
+++ b/filters/lookup/lookup.go
@@ -31,7 +31,7 @@
 // work is lost.
 const (
 	teamRank = 3 // steps of a team's priority
-	rankCall = 1
+	rankCall = pipeline.UrgentRank
 	rankLast = 9
 )
 
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -41,7 +41,7 @@
 	withdrawn memory
 	ran       memory // attempts that held a slot
 	started   time.Time
-	load      atomic.Pointer[mesh.Load]
+	load      atomic.Pointer[pipeline.Load]
 	repeats   atomic.Pointer[repeats]
 	ids       atomic.Uint64
 	post      func(control.Event) bool
@@ -93,7 +93,7 @@
 }
 
 // Load returns the load at the last change.
-func (q *Queue) Load() mesh.Load { return *q.load.Load() }
+func (q *Queue) Load() pipeline.Load { return *q.load.Load() }
 
 // Run serves tickets until ctx is done; then it refuses all that wait. slots is
 // asked for the number of slots before each decision.
@@ -134,9 +134,10 @@
 }
 
 func (q *Queue) publish(slots int) {
-	q.load.Store(&mesh.Load{
+	q.load.Store(&pipeline.Load{
 		Running: q.queue.Running(),
 		Waiting: q.queue.Waiting(),
+		Urgent:  q.queue.WaitingUpTo(pipeline.UrgentRank),
 		Slots:   slots,
 		Held:    q.queue.Service(),
 	})
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -46,7 +46,7 @@
 	Result *pipeline.Result
 	// Reached says that the exit took part; otherwise the path to it failed.
 	Reached bool
-	Load    Load
+	Load    pipeline.Load
 	Loaded  bool // Load was reported
 }
 
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -29,11 +29,6 @@
 // and are told apart by it.
 const withdrawPath = "/ragwort/withdraw"
 
-// Load is what an exit says of its backend server with each answer.
-type Load struct {
-	Running, Waiting, Slots int
-}
-
 // keys of the compact form.
 const (
 	keyID       = "i"
@@ -52,6 +47,7 @@
 	keyRetry    = "a"
 	keyRunning  = "r"
 	keyWaiting  = "q"
+	keyUrgent   = "u"
 	keySlots    = "s"
 	keyAnswerID = "i"
 	keyAge      = "o" // milliseconds since an attempt was sent
@@ -142,7 +138,7 @@
 }
 
 // encodeResult writes how an exit ended an attempt.
-func encodeResult(id string, result *pipeline.Result, load Load) string {
+func encodeResult(id string, result *pipeline.Result, load pipeline.Load) string {
 	v := url.Values{}
 	v.Set(keyAnswerID, id)
 	v.Set(keyCode, strconv.Itoa(int(result.Code)))
@@ -151,6 +147,7 @@
 	}
 	v.Set(keyRunning, strconv.Itoa(load.Running))
 	v.Set(keyWaiting, strconv.Itoa(load.Waiting))
+	v.Set(keyUrgent, strconv.Itoa(load.Urgent))
 	v.Set(keySlots, strconv.Itoa(load.Slots))
 	return v.Encode()
 }
@@ -160,7 +157,7 @@
 	id         string
 	code       pipeline.Code
 	retryAfter time.Duration
-	load       Load
+	load       pipeline.Load
 }
 
 func decodeResult(h http.Header) (outcome, error) {
@@ -176,7 +173,7 @@
 	numbers := []struct {
 		key string
 		to  *int
-	}{{keyRunning, &o.load.Running}, {keyWaiting, &o.load.Waiting}, {keySlots, &o.load.Slots}}
+	}{{keyRunning, &o.load.Running}, {keyWaiting, &o.load.Waiting}, {keyUrgent, &o.load.Urgent}, {keySlots, &o.load.Slots}}
 	for _, n := range numbers {
 		if *n.to, err = strconv.Atoi(v.Get(n.key)); err != nil {
 			return outcome{}, fmt.Errorf("load: %w", err)
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	handler := &Handler{
 		Chain:    pipeline.Chain{f},
-		Load:     func() Load { return Load{Running: 3, Waiting: 2, Slots: 7} },
+		Load:     func() pipeline.Load { return pipeline.Load{Running: 3, Waiting: 2, Urgent: 1, Slots: 7} },
 		Withdraw: func(context.Context, string, time.Duration) bool { return withdraw },
 		Log:      zap.NewNop(),
 	}
@@ -57,7 +57,7 @@
 	defer client.Close()
 	want := attempt("a-1")
 	answer := client.Do(context.Background(), addr, want)
-	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 {
+	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 || answer.Load.Urgent != 1 {
 		t.Fatalf("answer %+v", answer)
 	}
 	if got.Path != want.Path || got.RawQuery != want.RawQuery || got.Host != want.Host || string(got.Payload) != "body" ||
--- a/fleet/hop/server.go
+++ b/fleet/hop/server.go
@@ -16,7 +16,7 @@
 // Handler serves the attempts of other processes.
 type Handler struct {
 	Chain pipeline.Chain
-	Load  func() Load
+	Load  func() pipeline.Load
 	// Withdraw makes sure that an attempt, sent some time ago, never runs. It
 	// reports false when the attempt may have been sent to the backend server.
 	Withdraw func(ctx context.Context, id string, age time.Duration) bool
@@ -61,7 +61,7 @@
 	w.WriteHeader(http.StatusConflict)
 }
 
-func write(w http.ResponseWriter, req *pipeline.Request, result *pipeline.Result, load Load) {
+func write(w http.ResponseWriter, req *pipeline.Request, result *pipeline.Result, load pipeline.Load) {
 	header := w.Header()
 	for name, values := range result.Header {
 		header[name] = values
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -24,6 +24,7 @@
 	AgeMS    uint32   // of the evidence for Bad
 	Running  uint16   // requests that hold a slot
 	Waiting  uint16   // requests that wait for one
+	Urgent   uint16   // those of them that are urgent
 	HeldMS   uint32   // mean time that a request holds a slot
 	Stopping bool     // the sender stops soon and has given up its duties for others
 	Closed   bool     // the sender takes no new attempts
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -273,7 +273,7 @@
 		return err
 	}
 	front := s.newServer(s.counted(s.front()))
-	exits := s.newServer(s.counted(&hop.Handler{Chain: s.exit, Load: s.hopLoad, Withdraw: s.queue.Withdraw, Log: s.log}))
+	exits := s.newServer(s.counted(&hop.Handler{Chain: s.exit, Load: s.queue.Load, Withdraw: s.queue.Withdraw, Log: s.log}))
 	ready := s.newServer(platform.ReadinessHandler(s.ready))
 	operator := s.newServer(s.metricsHandler())
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -336,11 +336,6 @@
 	}
 }
 
-func (s *Sidecar) hopLoad() hop.Load {
-	load := s.queue.Load()
-	return hop.Load{Running: load.Running, Waiting: load.Waiting, Slots: load.Slots}
-}
-
 func (s *Sidecar) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
