--- a/cmd/ragwortyard/sidecar.go
+++ b/cmd/ragwortyard/sidecar.go
@@ -39,7 +39,9 @@
 	defer lines.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return sidecar.New(settings, sidecarLogger(lines, level)).Run(ctx, reloads(ctx))
+	process := sidecar.New(settings, sidecarLogger(lines, level))
+	process.CountDroppedLines(lines.Dropped)
+	return process.Run(ctx, reloads(ctx))
 }
 
 // reloads turns SIGHUP into a message. Signals that come during a reload count
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -27,6 +27,12 @@
 		"ragwortyard_keys_trusted_seconds": func() float64 {
 			return (s.loop.Snapshot().Trust.Until() - bootclock.Now()).Seconds()
 		},
+		"ragwortyard_store_reader": func() float64 {
+			if s.loop.Snapshot().Reading {
+				return 1
+			}
+			return 0
+		},
 		"ragwortyard_hosts": func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
 	for name, read := range gauges {
@@ -34,6 +40,12 @@
 	}
 }
 
+// CountDroppedLines serves the number of log lines that were dropped because the
+// output was too slow.
+func (s *Sidecar) CountDroppedLines(dropped func() uint64) {
+	s.metrics.NewGauge("ragwortyard_log_lines_dropped_total", func() float64 { return float64(dropped()) })
+}
+
 // metricsHandler serves the metrics of the process.
 func (s *Sidecar) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
