control: readiness counts from the first configuration

Cause: a process called itself ready 3.5 s after its start, but its keepers hold parts to less until 3.02 s after their first configuration. Change: the time counts from the first configuration. Test: TestProcessIsReadyOnceItsKeepersGrantAsUsual (failed before: configured after 3 s, ready after 5 s).

--- a/control/publish.go
+++ b/control/publish.go
@@ -15,10 +15,15 @@
 	version  uint64
 	services map[string]*Service
 	controls map[string]string
+	// configured is when the first configuration was published.
+	configured time.Time
 }
 
 // build returns the snapshot for traffic.
-func (p *publisher) build(time.Time) *Snapshot {
+func (p *publisher) build(now time.Time) *Snapshot {
+	if p.configured.IsZero() && p.state.Config != nil {
+		p.configured = now
+	}
 	if p.services == nil || p.version != p.state.HostVersion {
 		p.version = p.state.HostVersion
 		p.services = p.buildServices()
@@ -71,10 +76,11 @@
 // readyAt returns when the keepers of this process grant as usual, once the
 // keepers are known.
 func (p *publisher) readyAt() time.Time {
-	if p.state.KeepersKnown {
-		return p.state.Self.Started.Add(cautiousTime)
+	cautious := p.configured.Add(cautiousTime)
+	if known := p.state.Self.Started.Add(startTime); !p.state.KeepersKnown && known.After(cautious) {
+		return known
 	}
-	return p.state.Self.Started.Add(startTime)
+	return cautious
 }
 
 func (p *publisher) buildControls() map[string]string {
--- /dev/null
+++ b/control/publish_test.go
@@ -0,0 +1,31 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
+)
+
+// Guards against a process that calls itself ready while its keepers still hold
+// teams to less than their rates: that time begins with the first configuration,
+// which may come late.
+func TestProcessIsReadyOnceItsKeepersGrantAsUsual(t *testing.T) {
+	started := time.Now()
+	for _, c := range []struct {
+		config time.Duration // after the start
+		known  bool
+	}{{200 * time.Millisecond, true}, {2 * time.Second, true}, {200 * time.Millisecond, false}, {3 * time.Second, false}} {
+		state := &State{KeepersKnown: c.known}
+		state.Self.Started = started
+		p := &publisher{state: state}
+		p.build(started)
+		state.Config = &config.Config{}
+		p.build(started.Add(c.config))
+		ready := p.build(started.Add(time.Minute)).ReadyAt.Sub(started)
+		if ready < c.config+quota.StartHold || (!c.known && ready < startTime) {
+			t.Errorf("configured after %v, keepers known %v: ready after %v", c.config, c.known, ready)
+		}
+	}
+}
--- a/control/snapshot.go
+++ b/control/snapshot.go
@@ -8,6 +8,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/balance"
 	"github.com/ragwortyard/ragwortyard/decide/ejection"
 	"github.com/ragwortyard/ragwortyard/decide/quarantine"
+	"github.com/ragwortyard/ragwortyard/decide/quota"
 	"github.com/ragwortyard/ragwortyard/decide/retry"
 )
 
@@ -37,11 +38,10 @@
 // half a second; the rest allows for a busy host and for two more rounds.
 const startTime = 5 * time.Second
 
-// cautiousTime is how long after its start a process waits although the keepers
-// are known: a keeper grants less until 3.02 s after its first configuration,
-// since it may have missed a change of the number of parts (docs/quota.md). The
-// configuration arrives within half a second.
-const cautiousTime = 3500 * time.Millisecond
+// cautiousTime is how long after its first configuration a process waits although
+// the keepers are known: a keeper grants less until then, since it may have missed
+// a change of the number of parts (docs/quota.md). The margin covers a busy host.
+const cautiousTime = quota.StartHold + 300*time.Millisecond
 
 // Ready tells whether the process takes callers: it has a configuration that it
 // can trust and is not stopping.
--- a/decide/quota/keeper.go
+++ b/decide/quota/keeper.go
@@ -17,6 +17,10 @@
 	// grants of the last one that learned of it have expired.
 	partsSettle = ConfigSpread + grantHold
 
+	// StartHold is how long after its first configuration a process that has just
+	// started may hold parts to less than their limits.
+	StartHold = partsSettle
+
 	// handoverWindow bounds the time from the acceptance of a handover to the
 	// start of the tenure that uses it. It is shorter than lease.MinTenure by two
 	// drift margins, so that no other keeper can have come in between.
