--- a/internal/fakebackend/backend.go
+++ b/internal/fakebackend/backend.go
@@ -47,6 +47,7 @@
 	faults  Faults
 	running atomic.Int32
 	server  *http.Server
+	served  chan struct{} // closed once the listener is released
 }
 
 // NewBackend returns a backend server whose times follow a seed.
@@ -63,9 +64,13 @@
 	b.mu.Lock()
 	b.id = id
 	b.server = &http.Server{Handler: b}
-	server := b.server
+	server, served := b.server, make(chan struct{})
+	b.served = served
 	b.mu.Unlock()
-	go func() { _ = server.Serve(listener) }()
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
 	return nil
 }
 
@@ -75,6 +80,7 @@
 	defer b.mu.Unlock()
 	if b.server != nil {
 		_ = b.server.Close()
+		<-b.served
 		b.server = nil
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,6 +17,7 @@
 	cutIn    atomic.Bool  // bytes to the target are lost
 	cutOut   atomic.Bool  // bytes of the target are lost
 	listener net.Listener
+	accepted chan struct{} // closed once the listener is released
 
 	mu    sync.Mutex
 	links map[*link]bool
@@ -33,12 +34,13 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{target: target, listener: listener, links: make(map[*link]bool)}
+	p := &proxy{target: target, listener: listener, accepted: make(chan struct{}), links: make(map[*link]bool)}
 	go p.accept()
 	return p, nil
 }
 
 func (p *proxy) accept() {
+	defer close(p.accepted)
 	for {
 		client, err := p.listener.Accept()
 		if err != nil {
@@ -119,6 +121,7 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
+	<-p.accepted // the address is free for the next run
 	p.resetAll()
 }
 
@@ -136,6 +139,7 @@
 	targets []*net.UDPAddr // private addresses by host
 	hosts   map[string]int // by private IP number
 	lost    []atomic.Bool  // by host: it gets none
+	readers sync.WaitGroup
 }
 
 func newDatagrams(public, private []string) (*datagrams, error) {
@@ -163,7 +167,7 @@
 // start carries datagrams until close.
 func (d *datagrams) start() {
 	for to := range d.sockets {
-		go func() {
+		d.readers.Go(func() {
 			buf := make([]byte, 64<<10)
 			for {
 				n, from, err := d.sockets[to].ReadFromUDP(buf)
@@ -175,7 +179,7 @@
 					_, _ = d.sockets[sender].WriteToUDP(buf[:n], d.targets[to])
 				}
 			}
-		}()
+		})
 	}
 }
 
@@ -183,4 +187,5 @@
 	for _, socket := range d.sockets {
 		_ = socket.Close()
 	}
+	d.readers.Wait()
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -46,7 +46,8 @@
 type world struct {
 	ledger *ledger
 	store  *fakestore.Store
-	server *http.Server // of the store
+	server *http.Server  // of the store
+	served chan struct{} // closed once its listener is released
 	grams  *datagrams
 	hosts  []*host
 
@@ -104,8 +105,11 @@
 	if err != nil {
 		return nil, err
 	}
-	w.server = &http.Server{Handler: w.store}
-	go func() { _ = w.server.Serve(listener) }()
+	w.server, w.served = &http.Server{Handler: w.store}, make(chan struct{})
+	go func() {
+		defer close(w.served)
+		_ = w.server.Serve(listener)
+	}()
 	w.publish(func(*routing.Document) {})
 	var public, private []string
 	for i := range o.Hosts {
@@ -270,6 +274,7 @@
 		w.grams.close()
 	}
 	_ = w.server.Close()
+	<-w.served
 }
 
 // close ends a host, also one that was started in part.
