--- a/filters/dispatch/budget_test.go
+++ b/filters/dispatch/budget_test.go
@@ -38,7 +38,8 @@
 		if !pay(call) || len(asked) != 1 || asked[0] != notice.ForCallRetry {
 			t.Errorf("asked %v, want one ask for a call", asked)
 		}
-		if pay(caller) || pay(caller) || len(asked) != 2 || asked[1] != notice.ForCallerRetry {
+		first, second := pay(caller), pay(caller)
+		if first || second || len(asked) != 2 || asked[1] != notice.ForCallerRetry {
 			t.Errorf("asked %v, want one denied ask for a caller", asked)
 		}
 		<-time.After(deniedMemory)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -18,6 +18,10 @@
 	// callRate is the requests a second at each host, an eighth of what its
 	// backend server can do.
 	callRate = 12.0
+	// oldKeyShare is the part of requests with the key before the newest, one in so
+	// many. A host that is isolated for 2 s longer than keys are trusted then sees
+	// one with a key that was withdrawn meanwhile.
+	oldKeyShare = 8
 	// callDeadline is how long a caller waits.
 	callDeadline = 4 * time.Second
 	// callerIdle is how long callers keep a connection that is not used.
@@ -62,7 +66,7 @@
 			id: fmt.Sprintf("%x.%x", c.host, n), host: c.host, idempotent: c.random.IntN(2) == 0,
 			team: teamName(team), key: c.world.key(team),
 		}
-		if c.random.IntN(20) == 0 {
+		if c.random.IntN(oldKeyShare) == 0 {
 			r.key = c.world.oldKey(team) // withdrawn, or about to be
 		}
 		c.open.Go(func() { c.send(r) })
