--- a/control/mesh/doc.go
+++ b/control/mesh/doc.go
@@ -5,6 +5,6 @@
 //
 // In contrast to the stages of package control there are no leases, no spread of
 // configuration and no membership protocol: the platform's store lists the
-// backend servers, each process reads it, and processes that list the same
-// backend servers know each other by it.
+// backend servers, a few processes read it for all, and processes that list the
+// same backend servers know each other by it.
 package mesh
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -159,20 +159,6 @@
 	return s.Table != nil && len(s.Services) > 0 && s.KeysValid(boot) && !s.Stopping
 }
 
-// Peer is another process of the fleet.
-type Peer struct {
-	Zone     string
-	Unlisted bool      // the platform lists no backend server of the host any more
-	Known    time.Time // since when the host is a peer
-	Heard    time.Time // of the last status, also through another process
-	Direct   time.Time // of the last datagram that came from the peer itself
-	Boot     uint32
-	Seq      uint32
-	Stopping bool
-	Blind    bool            // the peer cannot read the store
-	Unheard  map[string]bool // hosts that the peer has not heard directly for a while
-}
-
 // listed is a server with what the process knows of it.
 type listed struct {
 	Server
@@ -211,31 +197,6 @@
 	closed   bool // no attempts of peers are taken any more
 }
 
-// live tells whether a peer was heard lately and takes part.
-func (s *state) live(now time.Time, p *Peer) bool {
-	return now.Sub(p.Heard) < s.timeout() && !p.Stopping
-}
-
-// reached tells whether a live peer was heard lately without a detour.
-func (s *state) reached(now time.Time, p *Peer) bool {
-	return s.live(now, p) && now.Sub(p.Direct) < s.timeout()
-}
-
-// restInterval is the longest time between two statuses of a process.
-func (s *state) restInterval() time.Duration {
-	return stretch(statusInterval, len(s.peers), restPeers)
-}
-
-// timeout is the silence after which a peer is taken for lost.
-func (s *state) timeout() time.Duration {
-	return stretch(peerTimeout, len(s.peers), restPeers)
-}
-
-// stretch lengthens an interval in proportion to the peers above a number.
-func stretch(interval time.Duration, peers, above int) time.Duration {
-	return time.Duration(float64(interval) * max(1, float64(peers)/float64(above)))
-}
-
 // Send is a datagram to other processes.
 type Send struct {
 	Hosts   []string // IP numbers
