--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -28,6 +28,25 @@
 	})
 }
 
+// Guards against a recorded series that cannot be played any more.
+func TestRegressionsAreReadable(t *testing.T) {
+	known := map[Kind]bool{}
+	for _, k := range kinds {
+		known[k.kind] = true
+	}
+	for _, r := range Regressions {
+		schedule := recorded(r.Seed)
+		if len(schedule) == 0 || r.Cause == "" {
+			t.Errorf("seed %d: %d faults, cause %q", r.Seed, len(schedule), r.Cause)
+		}
+		for _, a := range schedule {
+			if !known[a.Kind] || a.Host >= 9 || a.At <= 0 || a.For <= 0 {
+				t.Errorf("seed %d: %v", r.Seed, a)
+			}
+		}
+	}
+}
+
 // Guards against kinds of faults that are never played.
 func TestEveryKindIsPlayed(t *testing.T) {
 	seen := map[Kind]bool{}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -69,7 +69,10 @@
 		return nil, eris.Wrap(err, "start of a run")
 	}
 	wait(ctx, startTime)
-	schedule := NewSchedule(seed, o.Hosts, o.Length)
+	schedule := recorded(seed)
+	if schedule == nil {
+		schedule = NewSchedule(seed, o.Hosts, o.Length)
+	}
 	w.play(ctx, seed, schedule, o.Length)
 	return &Report{
 		Seed: seed, Schedule: schedule, Logs: dir,
