--- a/internal/fakebackend/backend.go
+++ b/internal/fakebackend/backend.go
@@ -55,12 +55,8 @@
 	return &Backend{Slots: slots, Work: work, OnRun: onRun, random: rand.New(rand.NewPCG(seed, seed))}
 }
 
-// Listen serves at an address under an identifier until Close.
-func (b *Backend) Listen(id, addr string) error {
-	listener, err := net.Listen("tcp", addr)
-	if err != nil {
-		return err
-	}
+// Serve takes requests of a listener under an identifier until Close.
+func (b *Backend) Serve(id string, listener net.Listener) {
 	b.mu.Lock()
 	b.id = id
 	b.server = &http.Server{Handler: b}
@@ -71,7 +67,6 @@
 		defer close(served)
 		_ = server.Serve(listener)
 	}()
-	return nil
 }
 
 // Close ends the server and cuts its connections.
--- /dev/null
+++ b/internal/soak/listen.go
@@ -0,0 +1,24 @@
+package soak
+
+import (
+	"errors"
+	"net"
+	"syscall"
+	"time"
+)
+
+// releaseTime is how long an address may stay in use after its listener was
+// closed: a child that was forked for another process holds it until its exec.
+const releaseTime = 3 * time.Second
+
+// listen waits until an address of an earlier run is released.
+func listen(addr string) (net.Listener, error) {
+	end := time.Now().Add(releaseTime)
+	for {
+		listener, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, err
+		}
+		time.Sleep(releaseTime / 100)
+	}
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -29,8 +29,8 @@
 	silent         atomic.Bool // nothing passes any more
 }
 
-func newProxy(listen, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", listen)
+func newProxy(addr, target string) (*proxy, error) {
+	listener, err := listen(addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -101,7 +101,7 @@
 func newWorld(ctx context.Context, o Options, seed uint64, block int, dir string) (*world, error) {
 	w := &world{ledger: newLedger(), store: fakestore.NewStore()}
 	ip := func(net, host int) string { return fmt.Sprintf("127.%d.%d.%d", block, net, host+1) }
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip(2, 0), portStore))
+	listener, err := listen(net.JoinHostPort(ip(2, 0), portStore))
 	if err != nil {
 		return nil, err
 	}
@@ -179,6 +179,10 @@
 
 // startServer starts the backend server under a new identifier.
 func (h *host) startServer() error {
+	listener, err := listen(h.serverAddr)
+	if err != nil {
+		return err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts++
@@ -186,7 +190,8 @@
 	h.entry.Born = time.Now().UnixMilli()
 	h.entry.Draining = false
 	h.away = false
-	return h.backend.Listen(h.entry.ID, h.serverAddr)
+	h.backend.Serve(h.entry.ID, listener)
+	return nil
 }
 
 // heartbeats writes the entry of the backend server until ctx is done.
