--- a/filters/dispatch/budget.go
+++ b/filters/dispatch/budget.go
@@ -46,9 +46,8 @@
 	return now.UnixNano()-b.denied.Load() < int64(deniedMemory)
 }
 
-// retryLeft tells whether a failure can be repaired for sure: shared retries may
-// be denied, so no request may take a risk in the hope of one.
-func (b *budget) retryLeft(now time.Time) bool { return b.Left(now) >= 1 }
+// retryLeft tells whether a failure can probably be repaired.
+func (b *budget) retryLeft(now time.Time) bool { return b.Left(now) >= 1 || !b.deniedLately(now) }
 
 // share asks for one of the retries that the fleet shares.
 func (b *Budgets) share(ctx context.Context, own *budget, req *pipeline.Request) bool {
