mesh: forget detours that are over

Change: the next repeated ask drops those whose time is over. No change of what is decided: an expired one was ignored.

--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/control"
@@ -242,6 +243,7 @@
 // the owner may be cut although the owner's statuses arrive.
 func (s *teamsStage) repeat(now time.Time, id uint32, a *ask, out *control.Output) {
 	a.again = true
+	maps.DeleteFunc(s.detours, func(_ string, until time.Time) bool { return !now.Before(until) })
 	if around := s.around(now, a.owner); around != "" {
 		if a.via == a.owner {
 			s.detours[a.owner] = now.Add(detourTime)
