mesh, ratelimit: count token decisions by source and log the owner's own view

Cause: of the three hypotheses on the broken rate limit, logs could not tell several owners from one owner with too full a bucket: the line on ownership did not say whether its sender considers itself the owner, and no metric counts tokens by who decided. Change: ragwortyard_team_token_decisions_total by source and outcome; the line names the owner in the sender's view, the peers heard and known. No decision changes.

--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -173,9 +173,13 @@
 	limit := s.limit(team)
 	bucket := s.buckets[team.Name]
 	if bucket == nil {
-		emitLog(out, "team token ownership acquired", map[string]any{"team": team.Name, "since_ms": now.Sub(s.ownersChangedAt).Milliseconds()})
 		bucket = teamrate.NewBucket(s.ownersChangedAt, limit)
 		s.buckets[team.Name] = bucket
+		owner, _ := s.owner(now, ownerKey(notice.ForTeam, team.Name))
+		emitLog(out, "team token ownership acquired", map[string]any{
+			"team": team.Name, "since_ms": now.Sub(s.ownersChangedAt).Milliseconds(), "owner": owner,
+			"heard": s.countAlivePeers(now), "peers": len(s.state.peers),
+		})
 	}
 	n := bucket.Take(now, limit, want)
 	return n, bucket.TimeToNextToken(limit)
--- a/filters/ratelimit/ratelimit.go
+++ b/filters/ratelimit/ratelimit.go
@@ -3,8 +3,11 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/pipeline"
@@ -16,6 +19,8 @@
 	Snapshot func() *mesh.Snapshot
 	// Submit sends an event to the control loop.
 	Submit func(ctx context.Context, ev control.Event) error
+	// Metrics counts the decisions by their source.
+	Metrics *metrics.Set
 }
 
 // Name returns "ratelimit".
@@ -43,12 +48,18 @@
 	}
 	select {
 	case decision := <-wanted.Reply:
+		f.count(decision)
 		return refusal(decision)
 	case <-ctx.Done():
 		return pipeline.Refuse(pipeline.CodeQuotaUnavailable, "")
 	}
 }
 
+// count counts a decision. Sources are few, so the metric has few labels.
+func (f *Filter) count(decision mesh.TokenDecision) {
+	f.Metrics.GetOrCreateCounter(fmt.Sprintf(`ragwortyard_team_token_decisions_total{source=%q,granted="%t"}`, decision.Source, decision.Granted)).Inc()
+}
+
 // refusal returns nil if the token was granted.
 func refusal(decision mesh.TokenDecision) *pipeline.Result {
 	if decision.Granted {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -146,7 +146,7 @@
 		&lookup.Filter{Snapshot: s.loop.Snapshot, CallerService: s.settings.Service},
 		fingerprint.Filter{},
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
-		&ratelimit.Filter{Snapshot: s.loop.Snapshot, Submit: s.loop.Submit},
+		&ratelimit.Filter{Snapshot: s.loop.Snapshot, Submit: s.loop.Submit, Metrics: s.metrics},
 		&dispatch.Filter{
 			Snapshot: s.loop.Snapshot,
 			Sender:   s,
