mesh: a test of a fleet in virtual time that fails: a restart of all hosts exceeds a team's limit

The test runs the control loops of 3 to 30 processes with datagrams in virtual time, kills all and starts them within 300 ms, while one team asks for 2 to 10 times its rate.

--- /dev/null
+++ b/control/mesh/fleet_test.go
@@ -0,0 +1,235 @@
+package mesh
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/control"
+	"github.com/ragwortyard/ragwortyard/decide/routing"
+	"github.com/ragwortyard/ragwortyard/decide/teamrate"
+	"github.com/ragwortyard/ragwortyard/pipeline"
+)
+
+// fleetTolerance is the tolerance of the deployments.
+var fleetTolerance = teamrate.Tolerance{Window: 5 * time.Second, ExcessRatio: 0.25, SlackTokens: 20}
+
+// testFleet runs the control loops of a fleet in virtual time. Datagrams arrive after a
+// short delay, and hosts can be killed, started and cut off from each other.
+type testFleet struct {
+	random    *rand.Rand
+	now       time.Time
+	team      routing.Team
+	table     *routing.Table
+	hosts     []string
+	zones     map[string]string // by host
+	processes map[string]*fleetProcess
+	cut       map[string]bool // hosts that exchange no datagrams with hosts that are not cut
+	agenda    agenda
+	seq       int
+	boots     uint32
+	granted   []time.Time // tokens granted to requests of the team
+	refused   int
+}
+
+// fleetProcess is a running process of a testFleet.
+type fleetProcess struct {
+	fleet   *testFleet
+	host    string
+	loop    *control.Loop[Snapshot]
+	wakeAt  time.Time // time of the tick on the agenda
+	replies []chan TokenDecision
+}
+
+// agendaItem is an action at a point in time; seq orders actions at the same time.
+type agendaItem struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type agenda []agendaItem
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at.Before(a[j].at) || (a[i].at.Equal(a[j].at) && a[i].seq < a[j].seq)
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(agendaItem)) }
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
+
+func newTestFleet(seed uint64, hosts int, rate, burst float64) *testFleet {
+	f := &testFleet{
+		random:    rand.New(rand.NewPCG(seed, 1)),
+		now:       time.Now(),
+		team:      routing.Team{Name: "team", Keys: []string{"k"}, Rate: rate, Burst: burst},
+		zones:     make(map[string]string),
+		processes: make(map[string]*fleetProcess),
+		cut:       make(map[string]bool),
+	}
+	for i := range hosts {
+		host := fmt.Sprintf("10.%d.0.%d", i%3+1, i/3+1)
+		f.hosts = append(f.hosts, host)
+		f.zones[host] = string(rune('a' + i%3))
+	}
+	table, err := routing.NewTable(routing.Config{Version: 1, RequireKeys: true, Teams: []routing.Team{f.team}})
+	if err != nil {
+		panic(err)
+	}
+	f.table = table
+	return f
+}
+
+func (f *testFleet) at(at time.Time, run func()) {
+	f.seq++
+	heap.Push(&f.agenda, agendaItem{at: at, seq: f.seq, run: run})
+}
+
+func (f *testFleet) after(d time.Duration, run func()) { f.at(f.now.Add(d), run) }
+
+// between returns a random duration in a range.
+func (f *testFleet) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(f.random.Int64N(int64(high-low)+1))
+}
+
+// advance runs the fleet for a duration.
+func (f *testFleet) advance(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.agenda) > 0 && !f.agenda[0].at.After(end) {
+		item := heap.Pop(&f.agenda).(agendaItem)
+		f.now = item.at
+		item.run()
+	}
+	f.now = end
+}
+
+// start starts a process that reads the store after a delay.
+func (f *testFleet) start(host string, readDelay time.Duration) {
+	f.boots++
+	p := &fleetProcess{fleet: f, host: host}
+	p.loop = New(Options{
+		Identity:         Identity{Host: host, Zone: f.zones[host], Service: "roster", BootID: f.boots, StartedAt: f.now},
+		KeyTrustDuration: 4 * time.Second,
+		DrainTime:        drainTime,
+		Tolerance:        fleetTolerance,
+		SharedRetries:    SharedRetries{Window: 10 * time.Second, MaxPerWindow: 40},
+		Load:             func() pipeline.Load { return pipeline.Load{Slots: 7} },
+		BootClock:        func() time.Duration { return time.Hour },
+	}, p)
+	f.processes[host] = p
+	p.post(control.Tick{})
+	f.after(readDelay, func() {
+		var servers []Server
+		for i, listed := range f.hosts {
+			servers = append(servers, Server{ID: "s" + listed, Service: "roster", Zone: f.zones[listed], Host: listed, Addr: listed + ":80", Slots: 7, CreateRevision: uint64(i + 1)})
+		}
+		p.post(TableRead{f.table})
+		p.post(ServerListRead{Complete: true, Put: servers})
+	})
+}
+
+// kill ends the process of a host without notice.
+func (f *testFleet) kill(host string) { delete(f.processes, host) }
+
+// startAll starts all hosts within spread.
+func (f *testFleet) startAll(spread, maxReadDelay time.Duration) {
+	for _, host := range f.hosts {
+		f.after(f.between(0, spread), func() { f.start(host, f.between(5*time.Millisecond, maxReadDelay)) })
+	}
+}
+
+// generate sends requests of the team from random hosts at a rate, for a duration.
+func (f *testFleet) generate(perSecond float64, d time.Duration) {
+	end := f.now.Add(d)
+	var next func()
+	next = func() {
+		if p := f.processes[f.hosts[f.random.IntN(len(f.hosts))]]; p != nil && p.loop.Snapshot().Table != nil {
+			reply := make(chan TokenDecision, 1)
+			p.replies = append(p.replies, reply)
+			p.post(TokenRequest{Team: &f.team, Reply: reply})
+		}
+		if gap := time.Duration(f.random.ExpFloat64() / perSecond * float64(time.Second)); f.now.Add(gap).Before(end) {
+			f.after(gap, next)
+		}
+	}
+	next()
+}
+
+// post handles an event if the process still runs, and schedules the next tick.
+func (p *fleetProcess) post(ev control.Event) {
+	f := p.fleet
+	if f.processes[p.host] != p {
+		return
+	}
+	p.loop.Step(f.now, ev)
+	p.replies = slices.DeleteFunc(p.replies, func(reply chan TokenDecision) bool {
+		select {
+		case decision := <-reply:
+			if decision.Granted {
+				f.granted = append(f.granted, f.now)
+			} else {
+				f.refused++
+			}
+			return true
+		default:
+			return false
+		}
+	})
+	if next := p.loop.NextDeadline(f.now); p.wakeAt.IsZero() || next.Before(p.wakeAt) {
+		p.wakeAt = next
+		f.at(next, func() {
+			if p.wakeAt.Equal(next) {
+				p.wakeAt = time.Time{}
+				p.post(control.Tick{})
+			}
+		})
+	}
+}
+
+// Send implements control.Outbound: it delivers datagrams.
+func (p *fleetProcess) Send(cmd control.Command) bool {
+	send, ok := cmd.(SendMessage)
+	if !ok {
+		return true
+	}
+	f := p.fleet
+	received := MessageReceived{Host: p.host, Direct: true, Message: send.Message}
+	if send.Message.Origin != "" {
+		received.Host, received.Direct = send.Message.Origin, false
+	}
+	for _, host := range send.Hosts {
+		if f.cut[p.host] != f.cut[host] {
+			continue
+		}
+		f.after(f.between(500*time.Microsecond, 2*time.Millisecond), func() {
+			if to := f.processes[host]; to != nil {
+				to.post(received)
+			}
+		})
+	}
+	return true
+}
+
+// mostGranted returns the highest number of tokens granted within any window of the
+// tolerance.
+func (f *testFleet) mostGranted() int {
+	most, first := 0, 0
+	for i, at := range f.granted {
+		for at.Sub(f.granted[first]) >= fleetTolerance.Window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// permitted returns the limit that mostGranted must not exceed.
+func (f *testFleet) permitted() float64 {
+	return teamrate.Limit{Rate: f.team.Rate, Burst: f.team.Burst, Tolerance: fleetTolerance}.MaxPermitted()
+}
--- /dev/null
+++ b/control/mesh/teams_fleet_test.go
@@ -0,0 +1,35 @@
+package mesh
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drawFleet(t *rapid.T) *testFleet {
+	rate := rapid.Float64Range(2, 60).Draw(t, "rate")
+	burst := rate * rapid.Float64Range(0.5, 2).Draw(t, "burst_seconds")
+	return newTestFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 30).Draw(t, "hosts"), rate, burst)
+}
+
+// Guards against a team that gets more than its limit after all hosts have restarted.
+func TestRestartOfAllHostsKeepsATeamWithinItsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		demand := f.team.Rate * rapid.Float64Range(2, 10).Draw(t, "demand")
+		f.startAll(300*time.Millisecond, 300*time.Millisecond)
+		f.advance(time.Duration(rapid.IntRange(0, 12_000).Draw(t, "idle_ms")) * time.Millisecond)
+		f.generate(demand, 20*time.Second)
+		f.advance(time.Duration(rapid.IntRange(0, 8_000).Draw(t, "kill_after_ms")) * time.Millisecond)
+		for _, host := range f.hosts {
+			f.kill(host)
+		}
+		f.advance(time.Duration(rapid.IntRange(100, 1_000).Draw(t, "down_ms")) * time.Millisecond)
+		f.startAll(300*time.Millisecond, 300*time.Millisecond)
+		f.advance(8 * time.Second)
+		if most := f.mostGranted(); float64(most) > f.permitted() {
+			t.Fatalf("%d tokens within %v, permitted %.1f", most, fleetTolerance.Window, f.permitted())
+		}
+	})
+}
