mesh: a process grants the tokens of a team only as its owner, and owners follow from the list

Callers: a team got more than its limit after a restart of all hosts (396 of 395 requests in 5 s). Cause: in the first seconds after a start the processes hear different parts of the fleet. Each took the first of the hosts it heard for the owner of a team, and a process answered every token request that it could not forward, also when it considered another host the owner or heard less than half of the fleet. In the fleet in virtual time (28 processes) 10 to 15 processes acquired the same team within 200 ms; each began with a part of the burst and the tokens since its start. Change: candidates are the hosts with a listed server, and a process that has just started counts those that it has not heard yet; so all agree before they have heard each other. A process grants only when it is the owner in its own view and has heard more than half of the fleet. It sends its first status as soon as it knows the list, and a process answers the first status of a peer, so that this takes milliseconds instead of a second. The two seconds after a start in which a process owned nothing are gone: they rested on its not having heard anybody. Ruled out: a longer silence after a start, which only delays the disagreement.

--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -30,7 +30,8 @@
 	agenda    agenda
 	seq       int
 	boots     uint32
-	granted   []time.Time // tokens granted to requests of the team
+	granted   []time.Time     // tokens granted to requests of the team
+	owners    map[string]bool // hosts that acquired the ownership of the team's tokens
 	refused   int
 }
 
@@ -72,6 +73,7 @@
 		zones:     make(map[string]string),
 		processes: make(map[string]*fleetProcess),
 		cut:       make(map[string]bool),
+		owners:    make(map[string]bool),
 	}
 	for i := range hosts {
 		host := fmt.Sprintf("10.%d.0.%d", i%3+1, i/3+1)
@@ -192,8 +194,11 @@
 	}
 }
 
-// Send implements control.Outbound: it delivers datagrams.
+// Send implements control.Outbound: it delivers datagrams and records owners of tokens.
 func (p *fleetProcess) Send(cmd control.Command) bool {
+	if entry, ok := cmd.(LogEntry); ok && entry.Message == "team token ownership acquired" {
+		p.fleet.owners[p.host] = true
+	}
 	send, ok := cmd.(SendMessage)
 	if !ok {
 		return true
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -74,6 +74,7 @@
 	lastStatus          notice.Status // last one sent
 	loadChangePending   bool          // a load change has not been sent yet
 	urgentChangePending bool          // a probability change or shutdown phase has not been sent yet
+	peersKnown          bool          // a status was requested when the first peers became known
 }
 
 // Name returns "health".
@@ -113,6 +114,10 @@
 		}
 	case Stop, RefuseAttempts:
 		s.urgentChangePending = true // peers have to learn of a shutdown at once
+	case ServerListRead:
+		if !s.peersKnown && len(s.state.peers) > 0 {
+			s.peersKnown, s.urgentChangePending = true, true
+		}
 	}
 	if !now.Before(s.Deadline()) {
 		s.sendStatus(now, out)
@@ -156,6 +161,23 @@
 		relayCount = urgentRelaysPerZone
 	}
 	s.lastStatusAt, s.loadChangePending, s.urgentChangePending = now, false, false
+	status := s.newStatus(now)
+	s.lastStatus = status
+	s.state.broadcast(now, notice.Message{Status: &status}, relayCount, out)
+	s.sendHeartbeats(now, out)
+}
+
+// replyToNewPeer sends a status to a peer that has started: without it the peer would
+// take up to the status interval to hear half of the fleet, and until then it does not
+// own tokens.
+func (s *healthStage) replyToNewPeer(now time.Time, host string, out *control.Output) {
+	status := s.newStatus(now)
+	sendTo(out, []string{host}, notice.Message{Status: &status})
+}
+
+// newStatus returns the health and load of this host's backend server, and records them
+// for the requests of this process.
+func (s *healthStage) newStatus(now time.Time) notice.Status {
 	s.seq++
 	status := notice.Status{BootID: s.state.identity.BootID, Seq: s.seq, Stopping: s.state.stopping, RefusesAttempts: s.state.refusesAttempts}
 	load := s.load()
@@ -176,9 +198,7 @@
 		status.AgeMS = uint32(now.Sub(health.LastOutcomeAt).Milliseconds())
 	}
 	status.Unheard, status.StoreUnreachable = s.unheardPeers(now), s.state.storeUnreachable
-	s.lastStatus = status
-	s.state.broadcast(now, notice.Message{Status: &status}, relayCount, out)
-	s.sendHeartbeats(now, out)
+	return status
 }
 
 // sendHeartbeats sends a heartbeat directly to each peer in other availability zones, so
@@ -242,6 +262,9 @@
 	if !peer.HeardAt.IsZero() && now.Sub(peer.HeardAt) > s.state.scaledPeerTimeout() {
 		emitLog(out, "peer heard again", map[string]any{"host": host, "silent_ms": now.Sub(peer.HeardAt).Milliseconds()})
 	}
+	if peer.BootID != status.BootID {
+		s.replyToNewPeer(now, host, out)
+	}
 	peer.HeardAt, peer.BootID, peer.Seq = now, status.BootID, status.Seq
 	peer.Stopping, peer.StoreUnreachable, peer.Unheard = status.Stopping, status.StoreUnreachable, nil
 	if len(status.Unheard) > 0 {
--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -6,48 +6,94 @@
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
 )
 
-// owner returns the host that owns the tokens of a key and the host to send token
-// requests to: the owner, or a peer that forwards them when this process does not
-// hear the owner directly. The owner is ranked first by rendezvous hashing among all
-// hosts that this process or one of its reachable peers hears. Processes therefore
-// agree on it even in a partial network partition; two owners would grant the rate
-// twice.
-// Both are empty while this process hears less than half of the fleet.
-func (s *teamsStage) owner(now time.Time, key uint64) (owner, via string) {
-	members, heard := s.ownerCandidates(now)
-	if 2*heard <= len(s.state.peers) {
-		return "", ""
+// ownership is this process's view of who owns the tokens of a key.
+type ownership struct {
+	host string // empty if it is unknown
+	via  string // host to send token requests to: the owner, or a peer that forwards them
+	mine bool   // this process owns the tokens and may grant them
+}
+
+// owner returns the owner of the tokens of a key: the host ranked first by rendezvous
+// hashing among the hosts with a listed server that this process or one of its reachable
+// peers hears. Processes therefore agree on it even in a partial network partition; two
+// owners would grant the rate twice.
+// The owner is unknown while this process hears less than half of the fleet. It grants
+// tokens itself only while it hears more than half since its start, because processes on
+// the other side of a partition choose another owner.
+func (s *teamsStage) owner(now time.Time, key uint64) ownership {
+	candidates := s.ownerCandidates(now)
+	best := rendezvous.Rank(key, candidates.members, 1)
+	if len(best) == 0 || !candidates.isMajority(candidates.heard+candidates.presumed) {
+		return ownership{}
 	}
-	best := rendezvous.Rank(key, members, 1)
-	if len(best) == 0 {
-		return "", ""
+	host := best[0].ID
+	return ownership{
+		host: host,
+		via:  s.tokenHop(now, host),
+		mine: host == s.state.identity.Host && candidates.isMajority(candidates.heard),
 	}
-	owner = best[0].ID
+}
+
+// tokenHop returns the host to send token requests for an owner to.
+func (s *teamsStage) tokenHop(now time.Time, owner string) string {
 	if now.Before(s.tokenRelayUntil[owner]) {
 		if forwarder := s.findForwarder(now, owner); forwarder != "" {
-			return owner, forwarder
+			return forwarder
 		}
 	}
-	return owner, s.nextHop(now, owner)
+	if s.isPresumedAlive(now, owner) {
+		return owner
+	}
+	return s.nextHop(now, owner)
+}
+
+// candidates are the hosts that may own tokens.
+type candidates struct {
+	members  []rendezvous.Member
+	listed   int // hosts with a listed server
+	heard    int // listed hosts that this process hears, including its own
+	presumed int // listed hosts that it has not heard since its start, shortly after it
 }
 
-// ownerCandidates returns the hosts that may own tokens, and how many of them this
-// process hears itself.
-func (s *teamsStage) ownerCandidates(now time.Time) (members []rendezvous.Member, heard int) {
-	if now.Sub(s.state.identity.StartedAt) >= ownershipDelay && !s.state.stopping {
-		members = append(members, rendezvous.Member{ID: s.state.identity.Host})
-		heard++
+// isMajority reports whether hosts are more than half of those with a listed server.
+func (c candidates) isMajority(hosts int) bool { return 2*hosts > c.listed }
+
+// ownerCandidates returns the hosts that may own tokens. Only hosts with a listed server
+// are candidates: the list is the same for all processes, also for one that has just
+// started.
+func (s *teamsStage) ownerCandidates(now time.Time) candidates {
+	var c candidates
+	if len(s.state.liveStatesByHost[s.state.identity.Host]) > 0 {
+		c.listed, c.heard = 1, 1
+		if !s.state.stopping {
+			c.members = append(c.members, rendezvous.Member{ID: s.state.identity.Host})
+		}
 	}
 	for host, peer := range s.state.peers {
-		alive := s.state.isAlive(now, peer)
+		if peer.Unlisted {
+			continue
+		}
+		c.listed++
+		alive, presumed := s.state.isAlive(now, peer), s.isPresumedAlive(now, host)
 		if alive {
-			heard++
+			c.heard++
 		}
-		if alive || (!peer.Stopping && s.nextHop(now, host) != "") {
-			members = append(members, rendezvous.Member{ID: host})
+		if presumed {
+			c.presumed++
+		}
+		if alive || presumed || (!peer.Stopping && s.nextHop(now, host) != "") {
+			c.members = append(c.members, rendezvous.Member{ID: host})
 		}
 	}
-	return members, heard
+	return c
+}
+
+// isPresumedAlive reports whether a peer counts as alive although it has not been heard:
+// this process has started within the peer timeout. After a restart of all hosts, the
+// processes agree on the owners from the list before they have heard each other.
+func (s *teamsStage) isPresumedAlive(now time.Time, host string) bool {
+	peer := s.state.peers[host]
+	return peer != nil && peer.HeardAt.IsZero() && now.Sub(s.state.identity.StartedAt) < s.state.scaledPeerTimeout()
 }
 
 // nextHop returns the host to send messages for a host to: the host itself, or a
@@ -81,10 +127,20 @@
 	return n
 }
 
-// updateAliveCount records when the number of alive peers last changed: before that,
+// updateCandidates records when the hosts that may own tokens last changed: before that,
 // another process may have owned a team.
-func (s *teamsStage) updateAliveCount(now time.Time, alivePeers int) {
-	if alivePeers != s.alivePeers {
-		s.alivePeers, s.ownersChangedAt = alivePeers, now
+func (s *teamsStage) updateCandidates(now time.Time) {
+	members := s.ownerCandidates(now).members
+	changed := len(members) != len(s.candidates)
+	for _, member := range members {
+		changed = changed || !s.candidates[member.ID]
+	}
+	if !changed {
+		return
+	}
+	s.candidates = make(map[string]bool, len(members))
+	for _, member := range members {
+		s.candidates[member.ID] = true
 	}
+	s.ownersChangedAt = now
 }
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -57,9 +57,6 @@
 	// peer after one was not answered. It is short, since paths fail for seconds and
 	// the cause may be a single lost datagram.
 	tokenRelayDuration = 2 * time.Second
-	// ownershipDelay is how long after its start a process owns no tokens: it has
-	// not heard its peers yet and would consider itself the owner of every team.
-	ownershipDelay = 2 * time.Second
 )
 
 // pendingRequest is a token request that was sent to the owner.
@@ -91,8 +88,8 @@
 	nextID          uint32
 	// tolerance is the amount by which teams may exceed their rates.
 	tolerance       teamrate.Tolerance
-	alivePeers      int       // at the last tick
-	ownersChangedAt time.Time // when alivePeers last changed
+	candidates      map[string]bool // hosts that might own tokens at the last tick
+	ownersChangedAt time.Time       // when candidates last changed
 }
 
 // Name returns "teams".
@@ -132,21 +129,21 @@
 		s.removeUnknownTeams()
 	case control.Tick:
 		s.expireRequests(now, out)
-		s.updateAliveCount(now, s.countAlivePeers(now))
+		s.updateCandidates(now)
 	}
 }
 
 func (s *teamsStage) requestToken(now time.Time, request TokenRequest, out *control.Output) {
-	owner, via := s.owner(now, ownerKey(request.Purpose, request.name()))
+	owner := s.owner(now, ownerKey(request.Purpose, request.name()))
 	switch {
-	case owner == "":
-		s.decideLocally(now, request, "", out)
-	case owner == s.state.identity.Host:
+	case owner.mine:
 		n, wait := s.takeTokens(now, &request, 1, out)
 		request.Reply <- TokenDecision{Granted: n > 0, Wait: wait, Source: "self"}
+	case owner.host == "" || owner.host == s.state.identity.Host:
+		s.decideLocally(now, request, "", out)
 	default:
 		s.nextID++
-		p := &pendingRequest{request: request, owner: owner, via: via, sentAt: now}
+		p := &pendingRequest{request: request, owner: owner.host, via: owner.via, sentAt: now}
 		s.pending[s.nextID] = p
 		s.sendRequest(s.nextID, p, out)
 	}
@@ -175,9 +172,8 @@
 	if bucket == nil {
 		bucket = teamrate.NewBucket(s.ownersChangedAt, limit)
 		s.buckets[team.Name] = bucket
-		owner, _ := s.owner(now, ownerKey(notice.ForTeam, team.Name))
 		emitLog(out, "team token ownership acquired", map[string]any{
-			"team": team.Name, "since_ms": now.Sub(s.ownersChangedAt).Milliseconds(), "owner": owner,
+			"team": team.Name, "since_ms": now.Sub(s.ownersChangedAt).Milliseconds(),
 			"heard": s.countAlivePeers(now), "peers": len(s.state.peers),
 		})
 	}
@@ -189,8 +185,9 @@
 	return teamrate.Limit{Rate: team.Rate, Burst: team.Burst, Tolerance: s.tolerance}
 }
 
-// serveRequest answers the token request of a peer. A process that does not know the
-// team yet does not answer, and the peer decides locally.
+// serveRequest answers the token request of a peer or forwards it to the owner. A
+// process that is neither the owner nor hears it does not answer, and the peer decides
+// locally: granting tokens as a second owner would exceed the rate.
 func (s *teamsStage) serveRequest(now time.Time, host string, message *notice.TokenRequest, out *control.Output) {
 	if s.state.table == nil || s.state.peers[host] == nil {
 		return
@@ -203,10 +200,21 @@
 		}
 		request.Team = team
 	}
-	if owner, via := s.owner(now, ownerKey(message.Purpose, message.Name)); owner == via && owner != "" && owner != s.state.identity.Host && !message.Relayed {
-		s.relayToOwner(now, host, owner, message, out)
-		return
+	owner := s.owner(now, ownerKey(message.Purpose, message.Name))
+	switch {
+	case owner.mine:
+		s.grant(now, host, request, message, out)
+	case owner.host != "" && owner.host == owner.via && owner.host != s.state.identity.Host && !message.Relayed:
+		s.relayToOwner(now, host, owner.host, message, out)
+	default:
+		emitLog(out, "token request not answered: this process is not the owner", map[string]any{
+			"name": message.Name, "requester": host, "owner": owner.host, "heard": s.countAlivePeers(now), "peers": len(s.state.peers),
+		})
 	}
+}
+
+// grant takes tokens for the request of a peer and sends them.
+func (s *teamsStage) grant(now time.Time, host string, request *TokenRequest, message *notice.TokenRequest, out *control.Output) {
 	n, wait := s.takeTokens(now, request, int(message.Count), out)
 	grant := &notice.TokenGrant{ID: message.ID, Count: uint16(n)}
 	if n == 0 {
@@ -215,9 +223,8 @@
 	out.Emit(SendMessage{Hosts: []string{host}, Message: notice.Message{TokenGrant: grant}})
 }
 
-// relayToOwner forwards a token request to the owner. A peer that does not hear the
-// owner may send its requests here; granting them as a second owner would exceed the
-// rate.
+// relayToOwner forwards a token request to the owner: a peer that does not hear the owner
+// may send its requests here.
 func (s *teamsStage) relayToOwner(now time.Time, host, owner string, message *notice.TokenRequest, out *control.Output) {
 	for id, r := range s.relayed {
 		if now.Sub(r.relayedAt) > tokenRequestTimeout {
--- a/control/mesh/teams_fleet_test.go
+++ b/control/mesh/teams_fleet_test.go
@@ -33,3 +33,17 @@
 		}
 	})
 }
+
+// Guards against several owners of a team while restarted processes have not heard all
+// others yet.
+func TestRestartedProcessesAgreeOnOneOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		f.startAll(300*time.Millisecond, 300*time.Millisecond)
+		f.generate(f.team.Rate*3, 4*time.Second)
+		f.advance(4 * time.Second)
+		if len(f.owners) != 1 {
+			t.Fatalf("%d owners: %v", len(f.owners), f.owners)
+		}
+	})
+}
