mesh: a process forwards token requests of peers to the owner directly

Cause: a process that got no answer from an owner sends its own requests through a peer for two seconds. For requests of peers it used the same way, and since a request is forwarded only once, it did not answer them at all. Change: requests of peers go to the owner directly if this process hears it. Before: TestForwarderSendsToTheOwnerDirectly sends nothing. After: forwarded.

--- /dev/null
+++ b/control/mesh/owners_test.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/decide/routing"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
+)
+
+// rankedHosts returns five hosts in the order in which they would own the tokens of the
+// team "team".
+func rankedHosts() []string {
+	var members []rendezvous.Member
+	for _, host := range []string{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5"} {
+		members = append(members, rendezvous.Member{ID: host})
+	}
+	var hosts []string
+	for _, member := range rendezvous.Rank(ownerKey(notice.ForTeam, "team"), members, len(members)) {
+		hosts = append(hosts, member.ID)
+	}
+	return hosts
+}
+
+// startAmong starts a process on one of the hosts, which all have listed servers.
+func startAmong(t *testing.T, self string, hosts []string) *testProcess {
+	return startInFleet(t, self, slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == self })...)
+}
+
+// hear posts a status of each host. Each reports that it does not hear the other hosts
+// of the fleet.
+func (p *testProcess) hear(seq uint32, hosts ...string) {
+	unheard := slices.DeleteFunc(rankedHosts(), func(host string) bool { return slices.Contains(hosts, host) })
+	for _, host := range hosts {
+		p.post(MessageReceived{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{BootID: 1, Seq: seq, Unheard: unheard}}})
+	}
+}
+
+// hearEachSecond posts statuses of hosts every second for a duration.
+func (p *testProcess) hearEachSecond(d time.Duration, seq uint32, hosts ...string) {
+	for end := p.now.Add(d); p.now.Before(end); seq++ {
+		p.hear(seq, hosts...)
+		p.advance(min(time.Second, end.Sub(p.now)))
+	}
+}
+
+// Guards against a token request that nobody answers because the process that should
+// forward it to the owner uses a detour for its own requests.
+func TestForwarderSendsToTheOwnerDirectly(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[1], hosts)
+	p.hear(1, hosts...)
+	p.post(TokenRequest{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: make(chan TokenDecision, 1)})
+	p.advance(tokenRetryDelay + time.Millisecond) // from now on, its own requests take a detour
+	p.sent = nil
+	p.post(MessageReceived{Host: hosts[2], Direct: true, Message: notice.Message{TokenRequest: &notice.TokenRequest{ID: 9, Name: "team", Count: 1}}})
+	if len(p.sent) != 1 || p.sent[0].Message.TokenRequest == nil || p.sent[0].Hosts[0] != hosts[0] {
+		t.Errorf("sent %+v, want the request forwarded to the owner %s", p.sent, hosts[0])
+	}
+}
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -204,7 +204,7 @@
 	switch {
 	case owner.mine:
 		s.grant(now, host, request, message, out)
-	case owner.host != "" && owner.host == owner.via && owner.host != s.state.identity.Host && !message.Relayed:
+	case owner.host != "" && !message.Relayed && owner.host != s.state.identity.Host && s.nextHop(now, owner.host) == owner.host:
 		s.relayToOwner(now, host, owner.host, message, out)
 	default:
 		emitLog(out, "token request not answered: this process is not the owner", map[string]any{
