mesh: a new owner of a team's tokens starts with none from before the change

Callers: a team gets more than its limit when its owner changes: the next owner grants a whole burst although the one before it has just granted one. Cause: a bucket is filled from the time at which the hosts that may own tokens last changed. A process that lost the ownership kept its bucket, which was full when it returned. Change: each decision about an owner compares the candidates first; a process that does not own a team any more, or hears less than half of the fleet, removes its bucket and logs 'team token ownership released'.

--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
 )
 
 // ownership is this process's view of who owns the tokens of a key.
@@ -20,8 +22,9 @@
 // The owner is unknown while this process hears less than half of the fleet. It grants
 // tokens itself only while it hears more than half since its start, because processes on
 // the other side of a partition choose another owner.
-func (s *teamsStage) owner(now time.Time, key uint64) ownership {
+func (s *teamsStage) owner(now time.Time, key uint64, out *control.Output) ownership {
 	candidates := s.ownerCandidates(now)
+	s.updateCandidates(now, candidates, out)
 	best := rendezvous.Rank(key, candidates.members, 1)
 	if len(best) == 0 || !candidates.isMajority(candidates.heard+candidates.presumed) {
 		return ownership{}
@@ -127,20 +130,36 @@
 	return n
 }
 
-// updateCandidates records when the hosts that may own tokens last changed: before that,
-// another process may have owned a team.
-func (s *teamsStage) updateCandidates(now time.Time) {
-	members := s.ownerCandidates(now).members
-	changed := len(members) != len(s.candidates)
-	for _, member := range members {
+// updateCandidates records when the hosts that may own tokens, or the majority that this
+// process needs for owning any, last changed: before that, another process may have owned
+// a team. It is called with each decision about an owner, so that a new owner's bucket
+// holds no tokens from before the change.
+func (s *teamsStage) updateCandidates(now time.Time, c candidates, out *control.Output) {
+	majority := c.isMajority(c.heard)
+	changed := majority != s.majority || len(c.members) != len(s.candidates)
+	for _, member := range c.members {
 		changed = changed || !s.candidates[member.ID]
 	}
 	if !changed {
 		return
 	}
-	s.candidates = make(map[string]bool, len(members))
-	for _, member := range members {
+	s.candidates = make(map[string]bool, len(c.members))
+	for _, member := range c.members {
 		s.candidates[member.ID] = true
 	}
-	s.ownersChangedAt = now
+	s.majority, s.ownersChangedAt = majority, now
+	s.releaseBuckets(c, out)
+}
+
+// releaseBuckets removes the buckets of teams that this process does not own any more.
+// While another process grants their tokens, they would fill up.
+func (s *teamsStage) releaseBuckets(c candidates, out *control.Output) {
+	for name := range s.buckets {
+		best := rendezvous.Rank(ownerKey(notice.ForTeam, name), c.members, 1)
+		if s.majority && len(best) > 0 && best[0].ID == s.state.identity.Host {
+			continue
+		}
+		delete(s.buckets, name)
+		emitLog(out, "team token ownership released", map[string]any{"team": name, "heard": c.heard, "hosts": c.listed})
+	}
 }
--- a/control/mesh/owners_test.go
+++ b/control/mesh/owners_test.go
@@ -46,6 +46,55 @@
 	}
 }
 
+// grantedAtOnce returns how many of 100 requests of the team are granted immediately by
+// this process as the owner.
+func (p *testProcess) grantedAtOnce() int {
+	granted := 0
+	for range 100 {
+		reply := make(chan TokenDecision, 1)
+		p.post(TokenRequest{Team: &routing.Team{Name: "team", Rate: 5, Burst: 5}, Reply: reply})
+		select {
+		case decision := <-reply:
+			if decision.Granted && decision.Source == "self" {
+				granted++
+			}
+		default:
+		}
+	}
+	return granted
+}
+
+// Guards against an owner whose bucket holds the tokens of the time in which another
+// process was the owner.
+func TestNewOwnerHasNoTokensFromBeforeTheChange(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[1], hosts)
+	p.hear(1, hosts...)
+	p.hearEachSecond(8*time.Second, 2, hosts[2:]...)
+	p.hear(100, hosts...)
+	p.hearEachSecond(peerTimeout-time.Millisecond, 101, hosts[2:]...)
+	p.now = p.now.Add(2 * time.Millisecond) // the first owner has been silent for too long; no tick yet
+	if n := p.grantedAtOnce(); n == 0 || n >= 5 {
+		t.Errorf("%d tokens at once from a new owner of a team with a burst of 5", n)
+	}
+}
+
+// Guards against an owner that starts again with the bucket of an earlier ownership,
+// which was filled while another process granted the tokens.
+func TestOwnerThatReturnsHasNoTokensFromBefore(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[0], hosts)
+	p.hearEachSecond(3*time.Second, 1, hosts[1:]...)
+	if p.grantedAtOnce() == 0 {
+		t.Fatal("the process is not the owner")
+	}
+	p.advance(10 * time.Second)
+	p.hear(100, hosts[1:]...)
+	if n := p.grantedAtOnce(); n == 0 || n >= 5 {
+		t.Errorf("%d tokens at once from an owner that was cut off, with a burst of 5", n)
+	}
+}
+
 // Guards against a token request that nobody answers because the process that should
 // forward it to the owner uses a detour for its own requests.
 func TestForwarderSendsToTheOwnerDirectly(t *testing.T) {
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -88,8 +88,9 @@
 	nextID          uint32
 	// tolerance is the amount by which teams may exceed their rates.
 	tolerance       teamrate.Tolerance
-	candidates      map[string]bool // hosts that might own tokens at the last tick
-	ownersChangedAt time.Time       // when candidates last changed
+	candidates      map[string]bool // hosts that might own tokens at the last update
+	majority        bool            // more than half of the fleet was heard at the last update
+	ownersChangedAt time.Time       // when candidates or majority last changed
 }
 
 // Name returns "teams".
@@ -129,12 +130,12 @@
 		s.removeUnknownTeams()
 	case control.Tick:
 		s.expireRequests(now, out)
-		s.updateCandidates(now)
+		s.updateCandidates(now, s.ownerCandidates(now), out)
 	}
 }
 
 func (s *teamsStage) requestToken(now time.Time, request TokenRequest, out *control.Output) {
-	owner := s.owner(now, ownerKey(request.Purpose, request.name()))
+	owner := s.owner(now, ownerKey(request.Purpose, request.name()), out)
 	switch {
 	case owner.mine:
 		n, wait := s.takeTokens(now, &request, 1, out)
@@ -200,7 +201,7 @@
 		}
 		request.Team = team
 	}
-	owner := s.owner(now, ownerKey(message.Purpose, message.Name))
+	owner := s.owner(now, ownerKey(message.Purpose, message.Name), out)
 	switch {
 	case owner.mine:
 		s.grant(now, host, request, message, out)
