mesh: an owner that is cut off stops granting tokens before another takes over

Callers: during a partition a team gets more than its limit: its owner serves one side until it drops the other side, and by then that side has another owner. Cause: both sides used the same timeout. With statuses at most a second apart, the new owner may begin a second before the old one stops. Change: an owner has to have heard more than half of the fleet within 1.5 s (scaled as statuses are); the others choose another one after 2.5 s of silence.

--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -8,6 +8,11 @@
 	"github.com/ragwortyard/ragwortyard/fleet/notice"
 )
 
+// ownershipTimeout is how long an owner grants tokens without hearing more than half of
+// the fleet. It is longer than statusInterval, and a second shorter than peerTimeout,
+// after which the other processes choose another owner. It is scaled like both.
+const ownershipTimeout = 1500 * time.Millisecond
+
 // ownership is this process's view of who owns the tokens of a key.
 type ownership struct {
 	host string // empty if it is unknown
@@ -20,8 +25,8 @@
 // peers hears. Processes therefore agree on it even in a partial network partition; two
 // owners would grant the rate twice.
 // The owner is unknown while this process hears less than half of the fleet. It grants
-// tokens itself only while it hears more than half since its start, because processes on
-// the other side of a partition choose another owner.
+// tokens itself only while it has heard more than half within ownershipTimeout, because
+// processes on the other side of a partition choose another owner.
 func (s *teamsStage) owner(now time.Time, key uint64, out *control.Output) ownership {
 	candidates := s.ownerCandidates(now)
 	s.updateCandidates(now, candidates, out)
@@ -33,7 +38,7 @@
 	return ownership{
 		host: host,
 		via:  s.tokenHop(now, host),
-		mine: host == s.state.identity.Host && candidates.isMajority(candidates.heard),
+		mine: host == s.state.identity.Host && candidates.isMajority(candidates.recent),
 	}
 }
 
@@ -55,6 +60,7 @@
 	members  []rendezvous.Member
 	listed   int // hosts with a listed server
 	heard    int // listed hosts that this process hears, including its own
+	recent   int // of heard, those heard within the ownership timeout
 	presumed int // listed hosts that it has not heard since its start, shortly after it
 }
 
@@ -67,7 +73,7 @@
 func (s *teamsStage) ownerCandidates(now time.Time) candidates {
 	var c candidates
 	if len(s.state.liveStatesByHost[s.state.identity.Host]) > 0 {
-		c.listed, c.heard = 1, 1
+		c.listed, c.heard, c.recent = 1, 1, 1
 		if !s.state.stopping {
 			c.members = append(c.members, rendezvous.Member{ID: s.state.identity.Host})
 		}
@@ -81,6 +87,9 @@
 		if alive {
 			c.heard++
 		}
+		if alive && s.isRecent(now, peer) {
+			c.recent++
+		}
 		if presumed {
 			c.presumed++
 		}
@@ -91,6 +100,12 @@
 	return c
 }
 
+// isRecent reports whether a peer was heard within the ownership timeout.
+func (s *teamsStage) isRecent(now time.Time, peer *Peer) bool {
+	timeout := scaleInterval(ownershipTimeout, len(s.state.peers), statusScalePeers)
+	return now.Sub(peer.HeardAt) < timeout || now.Sub(peer.HeardDirectlyAt) < timeout
+}
+
 // isPresumedAlive reports whether a peer counts as alive although it has not been heard:
 // this process has started within the peer timeout. After a restart of all hosts, the
 // processes agree on the owners from the list before they have heard each other.
@@ -135,7 +150,7 @@
 // a team. It is called with each decision about an owner, so that a new owner's bucket
 // holds no tokens from before the change.
 func (s *teamsStage) updateCandidates(now time.Time, c candidates, out *control.Output) {
-	majority := c.isMajority(c.heard)
+	majority := c.isMajority(c.recent)
 	changed := majority != s.majority || len(c.members) != len(s.candidates)
 	for _, member := range c.members {
 		changed = changed || !s.candidates[member.ID]
--- a/control/mesh/owners_test.go
+++ b/control/mesh/owners_test.go
@@ -95,6 +95,18 @@
 	}
 }
 
+// Guards against an owner that is cut off and grants tokens until the others have chosen
+// another one.
+func TestOwnerThatHearsNobodyStopsBeforeAnotherTakesOver(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[0], hosts)
+	p.hearEachSecond(3*time.Second, 1, hosts[1:]...)
+	p.advance(peerTimeout - 1100*time.Millisecond) // the others drop this process after peerTimeout
+	if n := p.grantedAtOnce(); n > 0 {
+		t.Errorf("%d tokens granted by an owner that hears nobody", n)
+	}
+}
+
 // Guards against a token request that nobody answers because the process that should
 // forward it to the owner uses a detour for its own requests.
 func TestForwarderSendsToTheOwnerDirectly(t *testing.T) {
