teamrate: bound what processes grant on their own while they do not reach the owner

Callers: a team gets more than its limit while processes decide without its owner, after a restart of all hosts or in a partition. The owner used 0.6 of the tolerated excess of the rate and 0.4 of the tolerated requests for itself, and went on granting the shares of processes that it could not reach. Change: the processes begin with fractions of a token, staggered by their position in the hash order, so that together they grant whole tokens at the rate of their shares. An owner uses 0.3 and 0.2 of the tolerance, starts with a tenth of the burst, and leaves the shares of unreachable hosts to them. The share of the rate stays 0.6, that of the burst is 0.1. Sum in a window, with an owner that is cut off at its start: capacity + refill over the window + 0.6 of the rate for up to 2.5 s, less the second between the end of one owner and the next, + initial tokens: within the tolerance for bursts of up to two seconds of the rate.

--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -18,6 +18,9 @@
 	host string // empty if it is unknown
 	via  string // host to send token requests to: the owner, or a peer that forwards them
 	mine bool   // this process owns the tokens and may grant them
+	// unreachable is the fraction of the hosts with a listed server that cannot be reached,
+	// also not through a peer: their processes may decide on their own.
+	unreachable float64
 }
 
 // owner returns the owner of the tokens of a key: the host ranked first by rendezvous
@@ -39,6 +42,8 @@
 		host: host,
 		via:  s.tokenHop(now, host),
 		mine: host == s.state.identity.Host && candidates.isMajority(candidates.recent),
+
+		unreachable: float64(candidates.unreachable) / float64(candidates.listed),
 	}
 }
 
@@ -57,11 +62,12 @@
 
 // candidates are the hosts that may own tokens.
 type candidates struct {
-	members  []rendezvous.Member
-	listed   int // hosts with a listed server
-	heard    int // listed hosts that this process hears, including its own
-	recent   int // of heard, those heard within the ownership timeout
-	presumed int // listed hosts that it has not heard since its start, shortly after it
+	members     []rendezvous.Member
+	listed      int // hosts with a listed server
+	heard       int // listed hosts that this process hears, including its own
+	recent      int // of heard, those heard within the ownership timeout
+	presumed    int // listed hosts that it has not heard since its start, shortly after it
+	unreachable int // listed hosts that it hears neither itself nor through a peer
 }
 
 // isMajority reports whether hosts are more than half of those with a listed server.
@@ -93,8 +99,11 @@
 		if presumed {
 			c.presumed++
 		}
-		if alive || presumed || (!peer.Stopping && s.nextHop(now, host) != "") {
+		switch {
+		case alive, presumed, !peer.Stopping && s.nextHop(now, host) != "":
 			c.members = append(c.members, rendezvous.Member{ID: host})
+		case !peer.Stopping:
+			c.unreachable++
 		}
 	}
 	return c
@@ -114,6 +123,16 @@
 	return peer != nil && peer.HeardAt.IsZero() && now.Sub(s.state.identity.StartedAt) < s.state.scaledPeerTimeout()
 }
 
+// position returns the position of this process among all of the fleet in the order of
+// the hash for a key.
+func (s *teamsStage) position(key uint64) int {
+	members := make([]rendezvous.Member, 0, len(s.state.peers))
+	for host := range s.state.peers {
+		members = append(members, rendezvous.Member{ID: host})
+	}
+	return rendezvous.Position(key, members, s.state.identity.Host)
+}
+
 // nextHop returns the host to send messages for a host to: the host itself, or a
 // peer that hears it. It is empty when there is none.
 func (s *teamsStage) nextHop(now time.Time, host string) string {
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -138,7 +138,7 @@
 	owner := s.owner(now, ownerKey(request.Purpose, request.name()), out)
 	switch {
 	case owner.mine:
-		n, wait := s.takeTokens(now, &request, 1, out)
+		n, wait := s.takeTokens(now, &request, owner, 1, out)
 		request.Reply <- TokenDecision{Granted: n > 0, Wait: wait, Source: "self"}
 	case owner.host == "" || owner.host == s.state.identity.Host:
 		s.decideLocally(now, request, "", out)
@@ -159,16 +159,17 @@
 
 // takeTokens takes tokens or shared retries that this process owns. It returns the
 // number granted and the time until the next token.
-func (s *teamsStage) takeTokens(now time.Time, request *TokenRequest, want int, out *control.Output) (int, time.Duration) {
+func (s *teamsStage) takeTokens(now time.Time, request *TokenRequest, owner ownership, want int, out *control.Output) (int, time.Duration) {
 	if request.Purpose == notice.ForTeam {
-		return s.takeTeamTokens(now, request.Team, want, out)
+		return s.takeTeamTokens(now, request.Team, owner, want, out)
 	}
 	return s.retries.take(now, s.ownersChangedAt, request.Service, request.Purpose), 0
 }
 
 // takeTeamTokens takes tokens of a team that this process owns.
-func (s *teamsStage) takeTeamTokens(now time.Time, team *routing.Team, want int, out *control.Output) (int, time.Duration) {
+func (s *teamsStage) takeTeamTokens(now time.Time, team *routing.Team, owner ownership, want int, out *control.Output) (int, time.Duration) {
 	limit := s.limit(team)
+	limit.FallbackFraction = owner.unreachable
 	bucket := s.buckets[team.Name]
 	if bucket == nil {
 		bucket = teamrate.NewBucket(s.ownersChangedAt, limit)
@@ -204,7 +205,7 @@
 	owner := s.owner(now, ownerKey(message.Purpose, message.Name), out)
 	switch {
 	case owner.mine:
-		s.grant(now, host, request, message, out)
+		s.grant(now, host, request, owner, message, out)
 	case owner.host != "" && !message.Relayed && owner.host != s.state.identity.Host && s.nextHop(now, owner.host) == owner.host:
 		s.relayToOwner(now, host, owner.host, message, out)
 	default:
@@ -215,8 +216,8 @@
 }
 
 // grant takes tokens for the request of a peer and sends them.
-func (s *teamsStage) grant(now time.Time, host string, request *TokenRequest, message *notice.TokenRequest, out *control.Output) {
-	n, wait := s.takeTokens(now, request, int(message.Count), out)
+func (s *teamsStage) grant(now time.Time, host string, request *TokenRequest, owner ownership, message *notice.TokenRequest, out *control.Output) {
+	n, wait := s.takeTokens(now, request, owner, int(message.Count), out)
 	grant := &notice.TokenGrant{ID: message.ID, Count: uint16(n)}
 	if n == 0 {
 		grant.WaitMS = uint32(wait.Milliseconds())
@@ -297,12 +298,13 @@
 		return
 	}
 	limit := s.limit(request.Team)
+	processes := len(s.state.peers) + 1
 	bucket := s.fallbackBuckets[request.Team.Name]
-	if bucket == nil {
-		bucket = teamrate.NewFallbackBucket(now)
+	if bucket == nil || !bucket.UsedWithin(now, s.tolerance.Window) {
+		bucket = teamrate.NewFallbackBucket(now, limit, s.position(ownerKey(request.Purpose, request.Team.Name)), processes)
 		s.fallbackBuckets[request.Team.Name] = bucket
 	}
-	n := bucket.TakeFallback(now, limit, len(s.state.peers)+1, 1)
+	n := bucket.TakeFallback(now, limit, processes, 1)
 	emitLog(out, "team token decided locally: no answer from the owner", map[string]any{
 		"team": request.Team.Name, "granted": n > 0, "silent_owner": silentOwner, "heard": s.countAlivePeers(now), "peers": len(s.state.peers),
 	})
--- a/decide/rendezvous/rendezvous.go
+++ b/decide/rendezvous/rendezvous.go
@@ -126,3 +126,16 @@
 	_, _ = h.digest.WriteString(id)
 	return h.digest.Sum64()
 }
+
+// Position returns the number of members whose hash score for a key is higher than that
+// of the member with the given ID. It disregards zones.
+func Position(key uint64, members []Member, id string) int {
+	h := newHasher(key)
+	score, above := h.score(id), 0
+	for _, member := range members {
+		if other := h.score(member.ID); other > score || (other == score && member.ID < id) {
+			above++
+		}
+	}
+	return above
+}
--- a/decide/rendezvous/rendezvous_test.go
+++ b/decide/rendezvous/rendezvous_test.go
@@ -64,3 +64,15 @@
 		}
 	})
 }
+
+// Guards against two members with the same position, or an order other than Rank's.
+func TestPositionsFollowTheRanking(t *testing.T) {
+	members := []Member{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+	for key := range uint64(20) {
+		for i, member := range Rank(key, members, len(members)) {
+			if got := Position(key, members, member.ID); got != i {
+				t.Errorf("key %d: position of %s is %d, ranked %d", key, member.ID, got, i)
+			}
+		}
+	}
+}
--- a/decide/teamrate/teamrate.go
+++ b/decide/teamrate/teamrate.go
@@ -3,10 +3,10 @@
 // from it. A process that cannot reach the owner uses a local bucket with a share of
 // the rate.
 //
-// Ownership may change, and two processes may briefly own a team, so the limit has a
-// tolerance: Limit.MaxGranted is the maximum that one owner grants. A strict limit
-// would need leases and would refuse requests within the rate whenever an owner is
-// lost.
+// Ownership may change, and processes that are cut off from the owner decide on their
+// own, so the limit has a tolerance, of which an owner uses a part: see Limit.MaxGranted.
+// A strict limit would need leases and would refuse requests within the rate whenever an
+// owner is lost.
 package teamrate
 
 import (
@@ -14,20 +14,22 @@
 	"time"
 )
 
-// Shares of the tolerance that one owner uses. The rest covers a short time with a
-// second owner: with these shares, the fleet stays within the tolerance even if a
-// new owner takes over within a window.
+// Shares of the tolerance that one owner uses. The rest covers new owners, which start
+// with initialTokens, and local decisions of processes that are cut off from the owner:
+// up to half of the fleet, for up to half of a window before the owner leaves their
+// shares to them.
 const (
-	rateExcessShare   = 0.6  // of ExcessRatio, added to the rate
-	rateSlackShare    = 0.4  // of SlackTokens, spread over the window
-	burstExcessShare  = 0.4  // of ExcessRatio, added to the burst
-	burstSlackShare   = 0.3  // of SlackTokens, added to the burst
-	initialBurstShare = 0.15 // of the burst, initially in a new owner's bucket
-	initialSlackShare = 0.2  // of SlackTokens, initially in a new owner's bucket
-	// fallbackShare is the fraction of an even share of the limit that a process
-	// uses while the owner does not answer: the owner may still be granting the full
-	// rate to the other processes.
-	fallbackShare = 0.6
+	rateExcessShare   = 0.3  // of ExcessRatio, added to the rate
+	rateSlackShare    = 0.2  // of SlackTokens, spread over the window
+	burstExcessShare  = 0.2  // of ExcessRatio, added to the burst
+	burstSlackShare   = 0.2  // of SlackTokens, added to the burst
+	initialBurstShare = 0.1  // of the burst, initially in a new owner's bucket
+	initialSlackShare = 0.05 // of SlackTokens, initially in a new owner's bucket
+	// fallbackShare and fallbackBurstShare are the fractions of an even share of the rate
+	// and of the burst that a process uses while the owner does not answer: the owner may
+	// still be granting the full rate to the other processes.
+	fallbackShare      = 0.6
+	fallbackBurstShare = 0.1
 )
 
 // Tolerance is the amount by which a deployment permits a team to exceed its rate
@@ -43,6 +45,9 @@
 type Limit struct {
 	Rate  float64 // tokens per second
 	Burst float64 // tokens
+	// FallbackFraction is the fraction of the fleet that cannot reach the owner and decides
+	// on its own; the owner does not grant what these processes may.
+	FallbackFraction float64
 	Tolerance
 }
 
@@ -60,7 +65,7 @@
 
 // refillRate returns the tokens per second added to an owner's bucket.
 func (l Limit) refillRate() float64 {
-	refillRate := l.Rate * (1 + rateExcessShare*l.ExcessRatio)
+	refillRate := l.Rate * (1 + rateExcessShare*l.ExcessRatio - fallbackShare*l.FallbackFraction)
 	if l.Window > 0 {
 		refillRate += rateSlackShare * l.SlackTokens / l.Window.Seconds()
 	}
@@ -78,8 +83,10 @@
 
 // fallbackLimit returns the limit of one of n processes that cannot reach the owner.
 func (l Limit) fallbackLimit(n int) Limit {
-	share := fallbackShare / float64(max(n, 1))
-	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
+	return Limit{
+		Rate:  l.Rate * fallbackShare / float64(max(n, 1)),
+		Burst: l.Burst * fallbackBurstShare / float64(max(n, 1)),
+	}
 }
 
 // Bucket is the token bucket of one team. Use NewBucket or NewFallbackBucket to
@@ -94,12 +101,18 @@
 	return &Bucket{tokens: l.initialTokens(), refilledAt: ownedSince}
 }
 
-// NewFallbackBucket returns the bucket of a process that cannot reach the owner. It
-// starts with one token.
-func NewFallbackBucket(now time.Time) *Bucket {
-	return &Bucket{tokens: 1, refilledAt: now}
+// NewFallbackBucket returns the bucket of a process that cannot reach the owner: the one
+// at a position, counted from 0, of n processes. Each position starts with another
+// fraction of a token beside its share of the burst, so that the processes together grant
+// whole tokens at the rate of all shares and not one each at once.
+func NewFallbackBucket(now time.Time, l Limit, position, n int) *Bucket {
+	n = max(n, 1)
+	return &Bucket{tokens: l.fallbackLimit(n).Burst + float64(position)/float64(n), refilledAt: now}
 }
 
+// UsedWithin reports whether tokens were requested from the bucket within the last d.
+func (b *Bucket) UsedWithin(now time.Time, d time.Duration) bool { return now.Sub(b.refilledAt) <= d }
+
 // Take removes up to want tokens and returns the number removed.
 func (b *Bucket) Take(now time.Time, l Limit, want int) int {
 	b.tokens = math.Min(b.tokens+l.refillRate()*now.Sub(b.refilledAt).Seconds(), l.capacity())
--- a/decide/teamrate/teamrate_test.go
+++ b/decide/teamrate/teamrate_test.go
@@ -58,13 +58,13 @@
 	l := Limit{Rate: 27, Burst: 27, Tolerance: tolerance}
 	const processes = 27
 	sum := 0
-	for range processes {
-		b := NewFallbackBucket(start)
+	for position := range processes {
+		b := NewFallbackBucket(start, l, position, processes)
 		for i := range 500 {
 			sum += b.TakeFallback(start.Add(time.Duration(i)*10*time.Millisecond), l, processes, 1)
 		}
 	}
-	if limit := 5*l.Rate + l.Burst; float64(sum) > limit {
+	if limit := 5*fallbackShare*l.Rate + fallbackBurstShare*l.Burst; float64(sum) > limit {
 		t.Errorf("%d tokens in 5 s, limit %.0f", sum, limit)
 	}
 }
@@ -99,3 +99,17 @@
 		t.Errorf("%d tokens after 10 s without use, want the burst", got)
 	}
 }
+
+// Guards against a token for each of many processes that decide on their own, whatever
+// the limit of the team.
+func TestManyFallbackBucketsDoNotStartWithATokenEach(t *testing.T) {
+	l := Limit{Rate: 2, Burst: 2, Tolerance: tolerance}
+	const processes = 300
+	sum := 0
+	for position := range processes {
+		sum += NewFallbackBucket(start, l, position, processes).TakeFallback(start, l, processes, 1)
+	}
+	if float64(sum) > l.Burst {
+		t.Errorf("%d tokens at once, burst %.0f", sum, l.Burst)
+	}
+}
