mesh: hosts that stop count as heard when the owner of tokens needs a majority

Callers: while hosts stop in turn and others are cut off, requests within the rate are refused: no process owns the tokens. Cause: the majority that an owner and its requesters need was counted over hosts that may own tokens themselves. A host that stops may not, but it is heard, so it is not on the other side of a partition. Change: heard hosts count whether or not they stop. Before: TestOwnerGrantsWhileOtherHostsStop: no token with three of five hosts stopping. After: granted.

--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -64,7 +64,7 @@
 type candidates struct {
 	members     []rendezvous.Member
 	listed      int // hosts with a listed server
-	heard       int // listed hosts that this process hears, including its own
+	heard       int // listed hosts that this process hears, including its own and those that stop
 	recent      int // of heard, those heard within the ownership timeout
 	presumed    int // listed hosts that it has not heard since its start, shortly after it
 	unreachable int // listed hosts that it hears neither itself nor through a peer
@@ -90,10 +90,10 @@
 		}
 		c.listed++
 		alive, presumed := s.state.isAlive(now, peer), s.isPresumedAlive(now, host)
-		if alive {
+		if s.state.isHeard(now, peer) {
 			c.heard++
 		}
-		if alive && s.isRecent(now, peer) {
+		if s.isRecent(now, peer) {
 			c.recent++
 		}
 		if presumed {
--- a/control/mesh/owners_test.go
+++ b/control/mesh/owners_test.go
@@ -121,3 +121,18 @@
 		t.Errorf("sent %+v, want the request forwarded to the owner %s", p.sent, hosts[0])
 	}
 }
+
+// Guards against a fleet without an owner while several hosts stop in turn: a host that
+// stops is still heard.
+func TestOwnerGrantsWhileOtherHostsStop(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[0], hosts)
+	p.hear(1, hosts[1:]...)
+	for _, host := range hosts[2:] {
+		p.post(MessageReceived{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{BootID: 1, Seq: 2, Stopping: true}}})
+	}
+	p.advance(time.Second)
+	if p.grantedAtOnce() == 0 {
+		t.Error("no token while three of five hosts stop")
+	}
+}
--- a/control/mesh/peers.go
+++ b/control/mesh/peers.go
@@ -19,10 +19,15 @@
 	Unheard          map[string]bool // hosts that the peer has not heard directly within the peer timeout
 }
 
+// isHeard reports whether a peer was heard within the peer timeout.
+func (s *state) isHeard(now time.Time, p *Peer) bool {
+	return now.Sub(p.HeardAt) < s.scaledPeerTimeout()
+}
+
 // isAlive reports whether a peer was heard within the peer timeout and is not
 // stopping.
 func (s *state) isAlive(now time.Time, p *Peer) bool {
-	return now.Sub(p.HeardAt) < s.scaledPeerTimeout() && !p.Stopping
+	return s.isHeard(now, p) && !p.Stopping
 }
 
 // isReachable reports whether an alive peer was also heard directly within the peer
