mesh: a status follows at once when a host is not heard any more

Callers: requests within the rate of a team are refused for up to 3.5 s after its owner was cut off. Cause: a host stops being a candidate when every reachable peer has reported that it does not hear it. Each process drops it after 2.5 s, but told so with its next regular status, up to a second later. Change: a newly unheard host triggers a status, at most one in 100 ms as for changes of the load. Before: TestSilentHostIsReportedAtOnce: no status within 200 ms. After: one within 100 ms of the timeout.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -72,7 +72,7 @@
 	lastStatusAt        time.Time
 	lastHeartbeatAt     time.Time
 	lastStatus          notice.Status // last one sent
-	loadChangePending   bool          // a load change has not been sent yet
+	loadChangePending   bool          // a load change or an unheard peer has not been sent yet
 	urgentChangePending bool          // a probability change or shutdown phase has not been sent yet
 	peersKnown          bool          // a status was requested when the first peers became known
 }
@@ -118,6 +118,9 @@
 		if !s.peersKnown && len(s.state.peers) > 0 {
 			s.peersKnown, s.urgentChangePending = true, true
 		}
+	case control.Tick:
+		// Peers stop considering a host that nobody hears, for instance as an owner of tokens.
+		s.loadChangePending = s.loadChangePending || len(s.unheardPeers(now)) > len(s.lastStatus.Unheard)
 	}
 	if !now.Before(s.Deadline()) {
 		s.sendStatus(now, out)
--- a/control/mesh/owners_test.go
+++ b/control/mesh/owners_test.go
@@ -136,3 +136,22 @@
 		t.Error("no token while three of five hosts stop")
 	}
 }
+
+// Guards against a silent owner that is replaced late because each process waits for the
+// next regular status of the others to learn that they do not hear it either.
+func TestSilentHostIsReportedAtOnce(t *testing.T) {
+	hosts := rankedHosts()
+	p := startAmong(t, hosts[1], hosts)
+	p.hear(1, hosts...)
+	p.hearEachSecond(peerTimeout-100*time.Millisecond, 2, hosts[2:]...)
+	p.sent = nil
+	for range 30 { // requests cause ticks
+		p.advance(10 * time.Millisecond)
+	}
+	for _, send := range p.sent {
+		if status := send.Message.Status; status != nil && slices.Contains(status.Unheard, hosts[0]) {
+			return
+		}
+	}
+	t.Errorf("no status reports the silent host within 200 ms: %+v", p.sent)
+}
