teamrate: a new owner starts with a third of the tolerated requests

Callers: after a restart of all hosts, requests within the rate are refused until tokens have accrued: a new owner of a small team started with 1 or 2 tokens. Change: initial tokens are a tenth of the burst and 0.3 of the tolerated requests (0.05 before); the owner's own use of them falls from 0.2 to 0.1 for rate and burst each.

--- a/decide/teamrate/teamrate.go
+++ b/decide/teamrate/teamrate.go
@@ -19,12 +19,12 @@
 // up to half of the fleet, for up to half of a window before the owner leaves their
 // shares to them.
 const (
-	rateExcessShare   = 0.3  // of ExcessRatio, added to the rate
-	rateSlackShare    = 0.2  // of SlackTokens, spread over the window
-	burstExcessShare  = 0.2  // of ExcessRatio, added to the burst
-	burstSlackShare   = 0.2  // of SlackTokens, added to the burst
-	initialBurstShare = 0.1  // of the burst, initially in a new owner's bucket
-	initialSlackShare = 0.05 // of SlackTokens, initially in a new owner's bucket
+	rateExcessShare   = 0.3 // of ExcessRatio, added to the rate
+	rateSlackShare    = 0.1 // of SlackTokens, spread over the window
+	burstExcessShare  = 0.2 // of ExcessRatio, added to the burst
+	burstSlackShare   = 0.1 // of SlackTokens, added to the burst
+	initialBurstShare = 0.1 // of the burst, initially in a new owner's bucket
+	initialSlackShare = 0.3 // of SlackTokens, initially in a new owner's bucket
 	// fallbackShare and fallbackBurstShare are the fractions of an even share of the rate
 	// and of the burst that a process uses while the owner does not answer: the owner may
 	// still be granting the full rate to the other processes.
