mesh: a process that returns as the owner of shared retries waits a window

Cause: the same as for the tokens of teams: the budget of a service was kept while another process was the owner, and was full when the ownership came back, so that both granted the fixed number of retries within a window. Change: budgets are removed with the ownership; a new one is charged in full for a window, as before. Before: TestOwnerOfRetriesThatReturnsWaitsAWindow: a retry granted at once. After: none for a window, then granted.

--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -120,7 +120,7 @@
 		KeyTrustDuration: 4 * time.Second,
 		DrainTime:        drainTime,
 		Tolerance:        fleetTolerance,
-		SharedRetries:    SharedRetries{Window: 10 * time.Second, MaxPerWindow: 40},
+		SharedRetries:    SharedRetries{Window: retryWindow, MaxPerWindow: 40},
 		Load:             func() pipeline.Load { return pipeline.Load{Slots: 7} },
 		BootClock:        func() time.Duration { return time.Hour },
 	}, p)
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -14,7 +14,10 @@
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
-const drainTime = 2 * time.Second
+const (
+	drainTime   = 2 * time.Second
+	retryWindow = 10 * time.Second
+)
 
 // testProcess is a control loop in virtual time that records the commands it emits.
 type testProcess struct {
@@ -45,6 +48,7 @@
 		KeyTrustDuration: 4 * time.Second,
 		DrainTime:        drainTime,
 		Tolerance:        teamrate.Tolerance{Window: 5 * time.Second, ExcessRatio: 0.25, SlackTokens: 20},
+		SharedRetries:    SharedRetries{Window: retryWindow, MaxPerWindow: 40},
 		Load:             func() pipeline.Load { return pipeline.Load{Slots: 7} },
 		BootClock:        func() time.Duration { return p.now.Sub(p.started) + time.Hour },
 	}, p)
--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -185,15 +185,22 @@
 	s.releaseBuckets(c, out)
 }
 
-// releaseBuckets removes the buckets of teams that this process does not own any more.
-// While another process grants their tokens, they would fill up.
+// releaseBuckets removes the buckets of teams and the shared retries of services that this
+// process does not own any more. While another process grants them, they would fill up.
 func (s *teamsStage) releaseBuckets(c candidates, out *control.Output) {
+	owns := func(key uint64) bool {
+		best := rendezvous.Rank(key, c.members, 1)
+		return s.majority && len(best) > 0 && best[0].ID == s.state.identity.Host
+	}
 	for name := range s.buckets {
-		best := rendezvous.Rank(ownerKey(notice.ForTeam, name), c.members, 1)
-		if s.majority && len(best) > 0 && best[0].ID == s.state.identity.Host {
-			continue
+		if !owns(ownerKey(notice.ForTeam, name)) {
+			delete(s.buckets, name)
+			emitLog(out, "team token ownership released", map[string]any{"team": name, "heard": c.heard, "hosts": c.listed})
+		}
+	}
+	for service := range s.retries.budgets {
+		if !owns(ownerKey(notice.ForCallRetry, service)) {
+			delete(s.retries.budgets, service)
 		}
-		delete(s.buckets, name)
-		emitLog(out, "team token ownership released", map[string]any{"team": name, "heard": c.heard, "hosts": c.listed})
 	}
 }
--- a/control/mesh/owners_test.go
+++ b/control/mesh/owners_test.go
@@ -158,3 +158,34 @@
 	}
 	t.Errorf("no status reports the silent host within 200 ms: %+v", p.sent)
 }
+
+// Guards against shared retries granted from a budget that the process kept while another
+// owner granted them.
+func TestOwnerOfRetriesThatReturnsWaitsAWindow(t *testing.T) {
+	hosts := rankedHosts()
+	var members []rendezvous.Member
+	for _, host := range hosts {
+		members = append(members, rendezvous.Member{ID: host})
+	}
+	self := rendezvous.Rank(ownerKey(notice.ForCallRetry, "roster"), members, 1)[0].ID
+	others := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == self })
+	p := startAmong(t, self, hosts)
+	retry := func() bool {
+		reply := make(chan TokenDecision, 1)
+		p.post(TokenRequest{Purpose: notice.ForCallRetry, Service: "roster", Reply: reply})
+		return (<-reply).Granted
+	}
+	p.hearEachSecond(retryWindow+time.Second, 1, others...)
+	if !retry() {
+		t.Fatal("the owner grants nothing")
+	}
+	p.advance(10 * time.Second)
+	p.hear(100, others...)
+	if retry() {
+		t.Error("a retry granted at once by an owner that was cut off")
+	}
+	p.hearEachSecond(retryWindow+time.Second, 101, others...)
+	if !retry() {
+		t.Error("no retry after a window")
+	}
+}
