slots, platform: an exit keeps to the rate that its backend server names

Cause: nothing read the header. Change: each complete answer and each refusal of a server sets or lifts the rate at its exit, which all requests to the server pass. The queue lets requests start at that rate, at most a second's worth at once; a request that would have to wait for longer than it may is refused as not run at once, with the time until another may start. A server that accepts nothing gets a request every four seconds, since only answers tell when the limit ends. An unreadable limit is logged and changes nothing.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -1,6 +1,7 @@
 // Package slotqueue implements a priority queue for the execution slots of one
-// backend server. It refuses a request immediately if it would not start in time. A
-// queue is not safe for concurrent use.
+// backend server, with an optional limit of the rate at which requests start. It refuses
+// a request immediately if it would not start in time. A queue is not safe for concurrent
+// use.
 package slotqueue
 
 import (
@@ -40,6 +41,7 @@
 	running         int
 	items           []Item // sorted by sortTime
 	meanServiceTime time.Duration
+	startRate       startRate
 }
 
 // New returns a queue for a server that runs slots requests at once. At most
@@ -51,6 +53,12 @@
 // SetSlots changes the number of slots.
 func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
 
+// LimitStarts limits how many requests start per second, until AllowAllStarts.
+func (q *Queue) LimitStarts(now time.Time, perSecond float64) { q.startRate.set(now, perSecond) }
+
+// AllowAllStarts removes the limit of LimitStarts.
+func (q *Queue) AllowAllStarts() { q.startRate.clear() }
+
 // PushResult is the result of Push.
 type PushResult uint8
 
@@ -65,7 +73,7 @@
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
 // that is expected to wait for longer than maxWait.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) PushResult {
-	if q.running < q.slots && len(q.items) == 0 {
+	if q.running < q.slots && len(q.items) == 0 && q.startRate.take(now) {
 		q.running++
 		return Granted
 	}
@@ -79,10 +87,11 @@
 		}
 		return -1
 	})
-	if q.estimatedWaitAt(position) > maxWait {
+	wait := q.estimatedWaitAt(now, position)
+	if wait > maxWait {
 		return Refused
 	}
-	if q.cannotFinish(now.Add(q.estimatedWaitAt(position)), item) {
+	if q.cannotFinish(now.Add(wait), item) {
 		return MissesDeadline
 	}
 	q.items = slices.Insert(q.items, position, item)
@@ -96,17 +105,18 @@
 }
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
-func (q *Queue) estimatedWaitAt(position int) time.Duration {
+func (q *Queue) estimatedWaitAt(now time.Time, position int) time.Duration {
+	wait := q.startRate.wait(now, position+1)
 	if q.running < q.slots {
-		return 0
+		return wait
 	}
-	return q.meanServiceTime * time.Duration(position+1) / time.Duration(q.slots)
+	return max(wait, q.meanServiceTime*time.Duration(position+1)/time.Duration(q.slots))
 }
 
 // Pop removes the first waiting request and gives it a slot. It reports false if no
-// request waits or no slot is free.
+// request waits, no slot is free or none may start yet.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	if q.running >= q.slots || len(q.items) == 0 {
+	if q.running >= q.slots || len(q.items) == 0 || !q.startRate.take(now) {
 		return Item{}, false
 	}
 	item := q.items[0]
@@ -142,9 +152,10 @@
 	return expired
 }
 
-// NextExpiry returns the earliest time at which RemoveExpired will remove a request.
-// It reports false if none waits.
-func (q *Queue) NextExpiry() (time.Time, bool) {
+// NextEvent returns the earliest time at which RemoveExpired will remove a request, or
+// at which Pop will return one because the rate of starts permits it. It reports false if
+// none waits.
+func (q *Queue) NextEvent(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for i := range q.items {
 		expiry := q.items[i].Deadline.Add(-time.Duration(minServiceFraction * float64(q.meanServiceTime)))
@@ -152,6 +163,9 @@
 			next = expiry
 		}
 	}
+	if start := now.Add(q.startRate.wait(now, 1)); q.running < q.slots && start.Before(next) {
+		next = start
+	}
 	return next, len(q.items) > 0
 }
 
@@ -196,10 +210,6 @@
 // slot, or 0 while it is unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
 
-// EstimatedWait estimates how long a request that arrives now would wait.
-func (q *Queue) EstimatedWait() time.Duration {
-	if q.running < q.slots && len(q.items) == 0 {
-		return 0
-	}
-	return q.estimatedWaitAt(len(q.items))
-}
+// StartWait returns how long a request that arrives now would wait because of the rate of
+// starts.
+func (q *Queue) StartWait(now time.Time) time.Duration { return q.startRate.wait(now, len(q.items)+1) }
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -1,6 +1,7 @@
 package slotqueue
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -104,3 +105,66 @@
 		t.Errorf("result %d for an expected wait of two service times", v)
 	}
 }
+
+// limitWindow is the window in which the starts of a limited server are counted.
+const limitWindow = 4 * time.Second
+
+// Guards against more requests at a server than the rate that it accepts permits, also
+// when the rate changes and requests wait.
+func TestStartsStayWithinTheRateLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 20).Draw(t, "rate")
+		q := New(50, 50)
+		q.LimitStarts(start, rate)
+		now, id := start, uint64(0)
+		var starts []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			q.LimitStarts(now, rate)
+			id++
+			if q.Push(now, Item{ID: id, Deadline: now.Add(time.Minute)}, time.Minute) == Granted {
+				starts = append(starts, now)
+			}
+			for _, ok := q.Pop(now); ok; _, ok = q.Pop(now) {
+				starts = append(starts, now)
+			}
+			for q.Running() > 40 {
+				q.Release(0)
+			}
+		}
+		for i := range starts {
+			n := 0
+			for n < len(starts)-i && starts[i+n].Sub(starts[i]) < limitWindow {
+				n++
+			}
+			if permitted := 1.5*rate*limitWindow.Seconds() + 5; float64(n) > permitted {
+				t.Fatalf("%d starts within %v at %.2f per second, permitted %.1f", n, limitWindow, rate, permitted)
+			}
+		}
+	})
+}
+
+// Guards against requests that wait for the rate limit although they cannot be answered
+// in time, and against a queue that does not wake up when the next request may start.
+func TestWaitForTheRateLimitIsForeseen(t *testing.T) {
+	q := New(7, 28)
+	q.LimitStarts(start, 0.5)
+	deadline := start.Add(5 * time.Second)
+	results := make([]PushResult, 4)
+	for i := range results {
+		results[i] = q.Push(start, Item{ID: uint64(i), Deadline: deadline}, time.Minute)
+	}
+	if want := []PushResult{Granted, Queued, Queued, MissesDeadline}; !slices.Equal(results, want) {
+		t.Errorf("results %v, want %v", results, want)
+	}
+	if next, ok := q.NextEvent(start); !ok || !next.Equal(start.Add(2*time.Second)) {
+		t.Errorf("next event %v after the start, want 2 s", next.Sub(start))
+	}
+	if wait := q.StartWait(start); wait != 6*time.Second {
+		t.Errorf("a further request waits %v, want 6 s", wait)
+	}
+	q.AllowAllStarts()
+	if _, ok := q.Pop(start); !ok {
+		t.Error("no start after the limit has ended")
+	}
+}
--- /dev/null
+++ b/decide/slotqueue/startrate.go
@@ -0,0 +1,66 @@
+package slotqueue
+
+import (
+	"math"
+	"time"
+)
+
+// minStartRate is the lowest rate, in requests per second, at which requests start on a
+// server. Only answers tell when a limit ends, so a server that accepts nothing still
+// gets a request every four seconds.
+const minStartRate = 0.25
+
+// startRate is a token bucket that limits how often requests start. The zero value does
+// not limit them.
+type startRate struct {
+	perSecond  float64 // 0 if there is no limit
+	tokens     float64
+	refilledAt time.Time
+}
+
+// set changes the rate. A server that names a limit gets one request at once; when the
+// limit changes, requests that have started still count.
+func (r *startRate) set(now time.Time, perSecond float64) {
+	tokens := 1.0
+	if r.perSecond > 0 {
+		tokens = r.tokensAt(now)
+	}
+	r.perSecond = max(perSecond, minStartRate)
+	r.tokens, r.refilledAt = min(tokens, r.capacity()), now
+}
+
+// clear removes the limit.
+func (r *startRate) clear() { *r = startRate{} }
+
+// capacity is the number of requests that may start at once after a pause: those of a
+// second.
+func (r *startRate) capacity() float64 { return max(r.perSecond, 1) }
+
+func (r *startRate) tokensAt(now time.Time) float64 {
+	return min(r.tokens+r.perSecond*now.Sub(r.refilledAt).Seconds(), r.capacity())
+}
+
+// take reports whether a request may start, and counts it if so.
+func (r *startRate) take(now time.Time) bool {
+	if r.perSecond <= 0 {
+		return true
+	}
+	r.tokens, r.refilledAt = r.tokensAt(now), now
+	if r.tokens < 1 {
+		return false
+	}
+	r.tokens--
+	return true
+}
+
+// wait returns the time until the n-th of the next requests may start.
+func (r *startRate) wait(now time.Time, n int) time.Duration {
+	if r.perSecond <= 0 {
+		return 0
+	}
+	missing := float64(n) - r.tokensAt(now)
+	if missing <= 0 {
+		return 0
+	}
+	return time.Duration(math.Ceil(missing / r.perSecond * float64(time.Second)))
+}
--- a/filters/deliver/deliver.go
+++ b/filters/deliver/deliver.go
@@ -36,6 +36,8 @@
 	// the request.
 	Matches(req *pipeline.Request) func(http.Header) bool
 	Classify(answer *httpconn.Response) ResponseClass
+	// RateLimit returns the rate limit that a response names, or that it names none.
+	RateLimit(answer *httpconn.Response) (pipeline.RateLimit, error)
 }
 
 // Filter is the last filter of the exit chain.
@@ -45,6 +47,9 @@
 	Conns *httpconn.Client
 	// Observe receives the outcome of a request as evidence about the backend server.
 	Observe func(backend string, outcome belief.Outcome)
+	// ObserveLimit receives the rate limit that a response named. It reports whether a
+	// limit began, changed or ended.
+	ObserveLimit func(backend string, limit pipeline.RateLimit) bool
 	// DependencyFailed reports whether a call by the backend server itself failed
 	// recently. Its error responses then do not count against it.
 	DependencyFailed func(now time.Time) bool
@@ -96,7 +101,11 @@
 
 // handleResponse reports the outcome of a response and returns its result.
 func (f *Filter) handleResponse(req *pipeline.Request, answer *httpconn.Response) *pipeline.Result {
-	switch f.Codec.Classify(answer) {
+	class := f.Codec.Classify(answer)
+	if class == Completed || class == NotExecuted {
+		f.observeLimit(req, answer)
+	}
+	switch class {
 	case NotExecuted:
 		f.Observe(req.Backend, belief.Failed)
 		f.log(req, "backend server refused a request", answer.Status, nil)
@@ -125,6 +134,20 @@
 	return hop.CompleteResult(answer.Status, pipeline.Header(answer.Header), answer.Body)
 }
 
+// observeLimit reports the rate limit that a response names. An unreadable one leaves the
+// limit as it is.
+func (f *Filter) observeLimit(req *pipeline.Request, answer *httpconn.Response) {
+	limit, err := f.Codec.RateLimit(answer)
+	if err != nil {
+		f.log(req, "backend server named an unreadable rate limit", answer.Status, err)
+		return
+	}
+	if f.ObserveLimit(req.Backend, limit) {
+		f.Log.Info("backend server changed the rate that it accepts", zap.String("attempt", req.ID), zap.String("backend", req.Backend),
+			zap.Bool("limited", limit.Limited), zap.Float64("per_second", limit.PerSecond))
+	}
+}
+
 // handleError returns the result of an exchange that failed without a response.
 func (f *Filter) handleError(ctx context.Context, req *pipeline.Request, err error, took time.Duration) *pipeline.Result {
 	var failure *httpconn.Error
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -38,6 +38,7 @@
 	departures    chan departure
 	cancellations chan uint64
 	withdrawals   chan withdrawal
+	limits        chan observedLimit
 	tickets       map[uint64]*ticket // tickets that wait or hold a slot, by ID
 	withdrawn     expiringSet
 	executed      expiringSet // attempts that held a slot
@@ -45,6 +46,7 @@
 	load          atomic.Pointer[pipeline.Load]
 	retries       atomic.Pointer[retrySnapshot]
 	lastID        atomic.Uint64
+	limit         observedLimit // last observed limit of the server's rate
 	postEvent     func(control.Event) bool
 	lastCrashAt   time.Time
 	stopped       chan struct{}
@@ -55,6 +57,7 @@
 	item        slotqueue.Item
 	attemptID   string
 	originalID  string // identifier of the request at the backend server, which its calls name as their parent
+	backend     string
 	fingerprint crashcount.Fingerprint
 	maxWait     time.Duration
 	isRetry     bool
@@ -68,6 +71,12 @@
 	crashed bool          // the backend server crashed while the request ran
 }
 
+// observedLimit is the rate limit that a backend server named in an answer.
+type observedLimit struct {
+	backend string
+	limit   pipeline.RateLimit
+}
+
 // withdrawal requests that an attempt never runs.
 type withdrawal struct {
 	attemptID string
@@ -84,12 +93,13 @@
 		departures:    make(chan departure, channelCapacity),
 		cancellations: make(chan uint64, channelCapacity),
 		withdrawals:   make(chan withdrawal),
+		limits:        make(chan observedLimit, channelCapacity),
 		tickets:       make(map[uint64]*ticket),
 		started:       time.Now(),
 		postEvent:     postEvent,
 		stopped:       make(chan struct{}),
 	}
-	q.publishLoad(slots)
+	q.publishLoad(time.Now(), slots)
 	return q
 }
 
@@ -115,18 +125,21 @@
 			q.cancel(id)
 		case w := <-q.withdrawals:
 			w.reply <- q.withdraw(time.Now(), w)
+		case l := <-q.limits:
+			q.applyLimit(time.Now(), l)
 		case <-timer.C:
 		}
 		n := slots()
 		q.queue.SetSlots(n)
-		q.grantSlots(time.Now())
-		q.publishLoad(n)
-		q.resetTimer(timer)
+		now := time.Now()
+		q.grantSlots(now)
+		q.publishLoad(now, n)
+		q.resetTimer(now, timer)
 	}
 }
 
-func (q *Queue) resetTimer(timer *time.Timer) {
-	next, ok := q.queue.NextExpiry()
+func (q *Queue) resetTimer(now time.Time, timer *time.Timer) {
+	next, ok := q.queue.NextEvent(now)
 	if !ok {
 		timer.Stop()
 		return
@@ -134,13 +147,15 @@
 	timer.Reset(max(time.Until(next), time.Millisecond))
 }
 
-func (q *Queue) publishLoad(slots int) {
+func (q *Queue) publishLoad(now time.Time, slots int) {
 	q.load.Store(&pipeline.Load{
 		Running:         q.queue.Running(),
 		Waiting:         q.queue.Waiting(),
 		Urgent:          q.queue.WaitingWithRankUpTo(pipeline.MaxUrgentRank),
 		Slots:           slots,
 		MeanServiceTime: q.queue.MeanServiceTime(),
+		Limit:           q.limit.limit,
+		StartWait:       q.queue.StartWait(now),
 	})
 	q.retries.Store(countRetries(q.tickets))
 	q.postEvent(mesh.LoadChanged{})
@@ -186,6 +201,9 @@
 		t.decision <- pipeline.CodeDuplicateSend
 		return
 	}
+	if t.backend != q.limit.backend {
+		q.applyLimit(now, observedLimit{backend: t.backend}) // another server has the address
+	}
 	switch q.queue.Push(now, t.item, t.maxWait) {
 	case slotqueue.Granted:
 		q.tickets[t.item.ID] = t
@@ -212,6 +230,30 @@
 	q.queue.Release(dep.held)
 }
 
+// ObserveLimit takes over the rate limit that a backend server named in an answer, or that
+// it named none. It reports whether a limit began, changed or ended.
+func (q *Queue) ObserveLimit(backend string, limit pipeline.RateLimit) bool {
+	previous := q.Load().Limit
+	if previous == limit {
+		return false
+	}
+	select {
+	case q.limits <- observedLimit{backend: backend, limit: limit}:
+	case <-q.stopped:
+	}
+	return limit.Limited || previous.Limited
+}
+
+// applyLimit limits the rate at which requests start.
+func (q *Queue) applyLimit(now time.Time, l observedLimit) {
+	q.limit = l
+	if l.limit.Limited {
+		q.queue.LimitStarts(now, l.limit.PerSecond)
+	} else {
+		q.queue.AllowAllStarts()
+	}
+}
+
 // reportCrash reports the fingerprints of all requests in the queue or in flight
 // when the first connection was lost in a crash.
 func (q *Queue) reportCrash(now time.Time) {
@@ -311,6 +353,7 @@
 		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, Deadline: req.Deadline},
 		attemptID:   req.ID,
 		originalID:  f.OriginalID(req),
+		backend:     req.Backend,
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
 		maxWait:     req.MaxQueueWait,
 		isRetry:     req.ReachedBackend,
@@ -341,8 +384,12 @@
 	return nil
 }
 
-// retryAfter returns the Retry-After of a refused request: one service time.
-func (q *Queue) retryAfter() time.Duration { return q.Load().MeanServiceTime }
+// retryAfter returns the Retry-After of a refused request: one service time, or the time
+// until another request may start.
+func (q *Queue) retryAfter() time.Duration {
+	load := q.Load()
+	return max(load.MeanServiceTime, load.StartWait)
+}
 
 // await returns the decision on a ticket. If the caller cancels first, it removes
 // the ticket and still waits for the decision, since a slot may have been granted at
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -13,4 +13,14 @@
 	Urgent          int // waiting requests with a rank up to MaxUrgentRank
 	Slots           int
 	MeanServiceTime time.Duration // mean time that a request holds a slot; 0 when unknown
+	Limit           RateLimit
+	StartWait       time.Duration // time until another request may start within Limit
+}
+
+// RateLimit is the rate of requests that a backend server accepts from all processes
+// together.
+type RateLimit struct {
+	Known     bool    // an answer has told whether the server limits the rate
+	Limited   bool    // the server limits the rate
+	PerSecond float64 // requests per second if Limited
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -11,11 +11,13 @@
 // registerMetrics registers the gauges of the process.
 func (s *Sidecar) registerMetrics() {
 	gauges := map[string]func() float64{
-		"ragwortyard_slots_running":        func() float64 { return float64(s.queue.Load().Running) },
-		"ragwortyard_slots_waiting":        func() float64 { return float64(s.queue.Load().Waiting) },
-		"ragwortyard_requests_open":        func() float64 { return float64(s.openRequests.Load()) },
-		"ragwortyard_events_total":         func() float64 { return float64(s.loop.Stats().Events.Load()) },
-		"ragwortyard_events_dropped_total": func() float64 { return float64(s.loop.Stats().DroppedEvents.Load()) },
+		"ragwortyard_slots_running":            func() float64 { return float64(s.queue.Load().Running) },
+		"ragwortyard_slots_waiting":            func() float64 { return float64(s.queue.Load().Waiting) },
+		"ragwortyard_slots_start_wait_seconds": func() float64 { return s.queue.Load().StartWait.Seconds() },
+		"ragwortyard_backend_rate_limit":       func() float64 { return s.queue.Load().Limit.PerSecond },
+		"ragwortyard_requests_open":            func() float64 { return float64(s.openRequests.Load()) },
+		"ragwortyard_events_total":             func() float64 { return float64(s.loop.Stats().Events.Load()) },
+		"ragwortyard_events_dropped_total":     func() float64 { return float64(s.loop.Stats().DroppedEvents.Load()) },
 		"ragwortyard_commands_dropped_total": func() float64 {
 			return float64(s.loop.Stats().DroppedCommands.Load())
 		},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -171,6 +171,7 @@
 			Codec:            platform.BackendCodec{},
 			Conns:            httpconn.NewClient(httpsend.Dial, backendIdleTimeout, maxIdleBackendConns),
 			Observe:          s.observe,
+			ObserveLimit:     s.queue.ObserveLimit,
 			DependencyFailed: s.callFailures.recent,
 			Log:              s.log,
 		},
