mesh, hop, dispatch: entries know the rate that a backend server names

Callers: with exits that keep to the named rates, requests are refused or wait at limited servers while others are free; and an exit that has just started sends its server up to a request per slot before an answer tells it the rate again. Cause: entries choose by slots, waiting requests and past failures; a limited server has free slots. Change: results between processes, and statuses while a limit lasts, carry the rate and the time until another request may start. A server at its limit costs as much as one without free slots, plus the wait. Attempts name the rate that the entry knows, and an exit keeps to it until an answer of its server names one or none. Unusable rates are refused and logged. Statuses keep their format; the limit is a field of its own that older processes skip.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -60,6 +60,9 @@
 	// entry proxy selects; two slots are about a third of a server.
 	minProbabilityChange = 0.1
 	minLoadChange        = 2
+	// minStartWaitChange is the smallest change of the time until another request may
+	// start within the rate limit of a server that triggers a status.
+	minStartWaitChange = 200 * time.Millisecond
 )
 
 // healthStage maintains the health of all backend servers: it estimates that of this
@@ -72,6 +75,8 @@
 	lastStatusAt        time.Time
 	lastHeartbeatAt     time.Time
 	lastStatus          notice.Status // last one sent
+	lastLoad            pipeline.Load // reported with lastStatus
+	limitNamed          bool          // the backend server of this host has named a rate limit
 	loadChangePending   bool          // a load change or an unheard peer has not been sent yet
 	urgentChangePending bool          // a probability change or shutdown phase has not been sent yet
 	peersKnown          bool          // a status was requested when the first peers became known
@@ -106,11 +111,11 @@
 	case LoadChanged:
 		load := s.load()
 		change := load.Running + load.Waiting - int(s.lastStatus.Running) - int(s.lastStatus.Waiting)
-		s.loadChangePending = s.loadChangePending || change >= minLoadChange || change <= -minLoadChange
+		s.loadChangePending = s.loadChangePending || change >= minLoadChange || change <= -minLoadChange || s.limitChanged(now, &load)
 	case MessageReceived:
 		s.recordHeardDirectly(now, ev)
 		if ev.Message.Status != nil {
-			s.receiveStatus(now, ev.Host, ev.Message.Status, out)
+			s.receiveStatus(now, ev.Host, &ev.Message, out)
 		}
 	case Stop, RefuseAttempts:
 		s.urgentChangePending = true // peers have to learn of a shutdown at once
@@ -164,9 +169,9 @@
 		relayCount = urgentRelaysPerZone
 	}
 	s.lastStatusAt, s.loadChangePending, s.urgentChangePending = now, false, false
-	status := s.newStatus(now)
-	s.lastStatus = status
-	s.state.broadcast(now, notice.Message{Status: &status}, relayCount, out)
+	message := s.newStatus(now)
+	s.lastStatus = *message.Status
+	s.state.broadcast(now, message, relayCount, out)
 	s.sendHeartbeats(now, out)
 }
 
@@ -174,16 +179,16 @@
 // take up to the status interval to hear half of the fleet, and until then it does not
 // own tokens.
 func (s *healthStage) replyToNewPeer(now time.Time, host string, out *control.Output) {
-	status := s.newStatus(now)
-	sendTo(out, []string{host}, notice.Message{Status: &status})
+	sendTo(out, []string{host}, s.newStatus(now))
 }
 
 // newStatus returns the health and load of this host's backend server, and records them
 // for the requests of this process.
-func (s *healthStage) newStatus(now time.Time) notice.Status {
+func (s *healthStage) newStatus(now time.Time) notice.Message {
 	s.seq++
 	status := notice.Status{BootID: s.state.identity.BootID, Seq: s.seq, Stopping: s.state.stopping, RefusesAttempts: s.state.refusesAttempts}
 	load := s.load()
+	s.lastLoad = load
 	status.Running, status.Waiting, status.Urgent = clampUint16(load.Running), clampUint16(load.Waiting), clampUint16(load.Urgent)
 	status.MeanServiceTimeMS = uint32(load.MeanServiceTime.Milliseconds())
 	newest := s.state.newestAtAddress()
@@ -193,6 +198,7 @@
 		}
 		health := server.live.Health()
 		server.live.SetLoad(&load)
+		server.live.SetLimit(now, &load)
 		health.MeanServiceTime = load.MeanServiceTime
 		health.Stopping, health.RefusesAttempts = s.state.stopping, s.state.refusesAttempts
 		server.live.health.Store(&health)
@@ -201,7 +207,29 @@
 		status.AgeMS = uint32(now.Sub(health.LastOutcomeAt).Milliseconds())
 	}
 	status.Unheard, status.StoreUnreachable = s.unheardPeers(now), s.state.storeUnreachable
-	return status
+	return notice.Message{Status: &status, BackendLimit: s.newBackendLimit(&load)}
+}
+
+// newBackendLimit returns the rate limit of this host's backend server, or nil if it has
+// not named any.
+func (s *healthStage) newBackendLimit(load *pipeline.Load) *notice.BackendLimit {
+	s.limitNamed = s.limitNamed || (load.Limit.Known && load.Limit.Limited)
+	if !s.limitNamed {
+		return nil
+	}
+	return &notice.BackendLimit{
+		Limited: load.Limit.Limited, PerSecond: float32(load.Limit.PerSecond), WaitMS: uint32(load.StartWait.Milliseconds()),
+	}
+}
+
+// limitChanged reports whether the rate limit, or the time until another request may start
+// within it, differs from what the peers expect after the last status.
+func (s *healthStage) limitChanged(now time.Time, load *pipeline.Load) bool {
+	if !load.Limit.Limited && !s.lastLoad.Limit.Limited {
+		return false
+	}
+	expected := max(s.lastLoad.StartWait-now.Sub(s.lastStatusAt), 0)
+	return load.Limit != s.lastLoad.Limit || (load.StartWait-expected).Abs() >= minStartWaitChange
 }
 
 // sendHeartbeats sends a heartbeat directly to each peer in other availability zones, so
@@ -257,7 +285,8 @@
 
 // receiveStatus applies the status of a peer unless a newer one was received
 // before it.
-func (s *healthStage) receiveStatus(now time.Time, host string, status *notice.Status, out *control.Output) {
+func (s *healthStage) receiveStatus(now time.Time, host string, message *notice.Message, out *control.Output) {
+	status := message.Status
 	peer := s.state.peers[host]
 	if peer == nil || (peer.BootID == status.BootID && status.Seq <= peer.Seq) {
 		return
@@ -280,7 +309,12 @@
 	if server == nil || server.Host != host {
 		return
 	}
-	server.live.SetLoad(&pipeline.Load{Running: int(status.Running), Waiting: int(status.Waiting), Urgent: int(status.Urgent)})
+	load := pipeline.Load{Running: int(status.Running), Waiting: int(status.Waiting), Urgent: int(status.Urgent)}
+	if message.BackendLimit != nil {
+		s.receiveLimit(host, message.BackendLimit, &load, out)
+	}
+	server.live.SetLoad(&load)
+	server.live.SetLimit(now, &load)
 	server.live.health.Store(&Health{
 		BadProbability:  float64(status.BadProbability),
 		LastOutcomeAt:   now.Add(-time.Duration(status.AgeMS) * time.Millisecond),
@@ -289,3 +323,17 @@
 		RefusesAttempts: status.RefusesAttempts,
 	})
 }
+
+// receiveLimit adds the rate limit that a peer reported to a load.
+func (s *healthStage) receiveLimit(host string, reported *notice.BackendLimit, load *pipeline.Load, out *control.Output) {
+	if !reported.Limited {
+		load.Limit.Known = true
+		return
+	}
+	limit, err := pipeline.NewRateLimit(float64(reported.PerSecond))
+	if err != nil {
+		emitLog(out, "peer reported an unusable rate limit", map[string]any{"host": host, "error": err.Error()})
+		return
+	}
+	load.Limit, load.StartWait = limit, time.Duration(reported.WaitMS)*time.Millisecond
+}
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -27,6 +27,7 @@
 	loop       *control.Loop[Snapshot]
 	now        time.Time
 	sent       []SendMessage
+	load       func() pipeline.Load // an idle server if nil
 }
 
 // Send implements control.Outbound.
@@ -49,8 +50,13 @@
 		DrainTime:        drainTime,
 		Tolerance:        teamrate.Tolerance{Window: 5 * time.Second, ExcessRatio: 0.25, SlackTokens: 20},
 		SharedRetries:    SharedRetries{Window: retryWindow, MaxPerWindow: 40},
-		Load:             func() pipeline.Load { return pipeline.Load{Slots: 7} },
-		BootClock:        func() time.Duration { return p.now.Sub(p.started) + time.Hour },
+		Load: func() pipeline.Load {
+			if p.load != nil {
+				return p.load()
+			}
+			return pipeline.Load{Slots: 7}
+		},
+		BootClock: func() time.Duration { return p.now.Sub(p.started) + time.Hour },
 	}, p)
 	return p
 }
@@ -541,3 +547,36 @@
 		t.Error("a reader answers for a list that it read long ago")
 	}
 }
+
+// Guards against entry proxies that go on choosing a server at its rate limit: they learn
+// the limit and its end from statuses, and a process that does not know it says nothing.
+func TestRateLimitIsReportedToPeers(t *testing.T) {
+	load := pipeline.Load{Slots: 7}
+	exit := startProcess(t, "10.0.0.2")
+	exit.load = func() pipeline.Load { return load }
+	entry := startProcess(t, "10.0.0.1")
+	servers := []Server{newServer("mine", "10.0.0.1", 1), newServer("s", "10.0.0.2", 2)}
+	exit.post(ServerListRead{Complete: true, Put: servers})
+	entry.post(ServerListRead{Complete: true, Put: servers})
+	for _, step := range []struct {
+		load pipeline.Load
+		want pipeline.RateLimit
+	}{
+		{pipeline.Load{Slots: 7}, pipeline.RateLimit{}},
+		{pipeline.Load{Slots: 7, Limit: pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}, StartWait: time.Second}, pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}},
+		{pipeline.Load{Slots: 7, Limit: pipeline.RateLimit{Known: true}}, pipeline.RateLimit{}},
+	} {
+		exit.sent, load = nil, step.load
+		exit.post(LoadChanged{})
+		exit.advance(150 * time.Millisecond)
+		entry.now = exit.now
+		for _, send := range exit.sent {
+			entry.post(MessageReceived{Host: "10.0.0.2", Direct: true, Message: send.Message})
+		}
+		for _, target := range entry.loop.Snapshot().Services["roster"] {
+			if limit, _ := target.Live.Limit(entry.now); target.ID == "s" && limit != step.want {
+				t.Errorf("entry knows %+v, want %+v", limit, step.want)
+			}
+		}
+	}
+}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -52,6 +52,7 @@
 	waiting         atomic.Int32
 	urgent          atomic.Int32
 	inFlight        atomic.Int32
+	limit           atomic.Pointer[observedLimit]
 	pathFailedAt    atomic.Int64 // last failure to reach the exit proxy, in nanoseconds since timeBase; 0 for never
 	heardDirectlyAt atomic.Int64 // last datagram received directly, in nanoseconds since timeBase
 }
@@ -76,6 +77,31 @@
 	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load()), int(l.urgent.Load())
 }
 
+// observedLimit is the rate limit of a backend server as its exit proxy last reported it.
+type observedLimit struct {
+	limit     pipeline.RateLimit
+	startWait time.Duration // time until another request may start, at the time at
+	at        time.Time
+}
+
+// SetLimit records the rate limit that the server's exit proxy reported with a load. A load
+// of an exit proxy that does not know the limit changes nothing.
+func (l *LiveState) SetLimit(now time.Time, load *pipeline.Load) {
+	if load.Limit.Known {
+		l.limit.Store(&observedLimit{limit: load.Limit, startWait: load.StartWait, at: now})
+	}
+}
+
+// Limit returns the last known rate limit and the time until another request may start
+// within it.
+func (l *LiveState) Limit(now time.Time) (pipeline.RateLimit, time.Duration) {
+	observed := l.limit.Load()
+	if observed == nil || !observed.limit.Limited {
+		return pipeline.RateLimit{}, 0
+	}
+	return observed.limit, max(observed.startWait-now.Sub(observed.at), 0)
+}
+
 // AttemptStarted counts an attempt of this process; AttemptEnded must follow.
 func (l *LiveState) AttemptStarted() { l.inFlight.Add(1) }
 
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -16,6 +16,8 @@
 	QueuedAhead            int           // requests in the queue of its exit proxy that would be served first
 	Slots                  int
 	MeanServiceTime        time.Duration // mean time that a request holds a slot; 0 when unknown
+	RateLimited            bool          // the server limits the rate of requests that it accepts
+	StartWait              time.Duration // time until it accepts another request within its rate limit
 	WarmUpLeft             time.Duration // remaining time after its start in which it is slow
 	SameZone               bool
 	Stopping               bool // its process stops soon, which would cut a long request
@@ -125,7 +127,11 @@
 // estimated wait for one. A request that would start too late counts as failed.
 func (c *Candidate) loadCost(r Request) float64 {
 	slots := max(c.Slots, 1)
-	cost := costBusySlots * float64(min(c.Running, slots)) / float64(slots)
+	busy := min(c.Running, slots)
+	if c.RateLimited {
+		busy = slots // it is near its limit, whatever the number of its slots
+	}
+	cost := costBusySlots * float64(busy) / float64(slots)
 	wait := c.EstimatedWait()
 	switch {
 	case wait <= 0:
@@ -137,16 +143,17 @@
 	return cost
 }
 
-// EstimatedWait estimates how long a further request would wait for a slot.
+// EstimatedWait estimates how long a further request would wait for a slot and for the
+// rate limit.
 func (c *Candidate) EstimatedWait() time.Duration {
 	slots := max(c.Slots, 1)
 	ahead := c.Running + c.QueuedAhead + 1 - slots
 	if ahead <= 0 {
-		return 0
+		return c.StartWait
 	}
 	serviceTime := c.MeanServiceTime
 	if serviceTime <= 0 {
 		serviceTime = defaultServiceTime
 	}
-	return serviceTime * time.Duration(ahead) / time.Duration(slots)
+	return max(serviceTime*time.Duration(ahead)/time.Duration(slots), c.StartWait)
 }
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -71,3 +71,21 @@
 		}
 	})
 }
+
+// Guards against requests that go to a server at its rate limit while others have free
+// slots, and that avoid it although all others are busy for longer.
+func TestServerAtItsRateLimitIsUsedLast(t *testing.T) {
+	r := Request{TargetLatency: 2 * time.Second, TimeLeft: 8 * time.Second, Bytes: 2000}
+	free := Candidate{Running: 3, Slots: 7, MeanServiceTime: time.Second}
+	busy := Candidate{Running: 7, QueuedAhead: 14, Slots: 7, MeanServiceTime: time.Second}
+	limited := Candidate{Slots: 7, MeanServiceTime: time.Second, RateLimited: true, StartWait: 500 * time.Millisecond}
+	if ExpectedCost(r, &limited) <= ExpectedCost(r, &free) {
+		t.Error("a server at its rate limit costs less than one with free slots")
+	}
+	if ExpectedCost(r, &limited) >= ExpectedCost(r, &busy) {
+		t.Error("a server at its rate limit costs more than one with a wait of two seconds")
+	}
+	if wait := limited.EstimatedWait(); wait != limited.StartWait {
+		t.Errorf("estimated wait %v, want %v", wait, limited.StartWait)
+	}
+}
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -27,6 +27,7 @@
 	}
 	if answer.HasLoad {
 		target.Live.SetLoad(&answer.Load)
+		target.Live.SetLimit(time.Now(), &answer.Load)
 	}
 }
 
@@ -83,6 +84,7 @@
 	if r.req.Rank <= pipeline.MaxUrgentRank && r.req.ParentID == "" {
 		waiting = urgent
 	}
+	limit, startWait := target.Live.Limit(now)
 	return selection.Candidate{
 		GrayFailureProbability: belief.DecayToPrior(health.BadProbability, now.Sub(health.LastOutcomeAt)),
 		EvidenceAge:            now.Sub(health.LastOutcomeAt),
@@ -90,6 +92,8 @@
 		QueuedAhead:            waiting,
 		Slots:                  target.Slots,
 		MeanServiceTime:        health.MeanServiceTime,
+		RateLimited:            limit.Limited,
+		StartWait:              startWait,
 		WarmUpLeft:             target.WarmUpUntil.Sub(now),
 		SameZone:               target.SameZone,
 		Stopping:               health.Stopping,
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -233,6 +233,7 @@
 	attempt := r.req.Copy()
 	attempt.ID = r.filter.NewID()
 	attempt.Backend = target.ID
+	attempt.BackendLimit, _ = target.Live.Limit(time.Now())
 	attempt.ReachedBackend = r.possiblyExecuted > 0 || r.reachedBackend
 	attempt.MaxQueueWait = firstQueueWait
 	if r.queueFullRefusals >= maxQueueFullRefusals || candidate.EstimatedWait() > 0 {
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -58,6 +58,7 @@
 	attemptID   string
 	originalID  string // identifier of the request at the backend server, which its calls name as their parent
 	backend     string
+	limit       pipeline.RateLimit // of the server, as the entry proxy knows it
 	fingerprint crashcount.Fingerprint
 	maxWait     time.Duration
 	isRetry     bool
@@ -204,6 +205,9 @@
 	if t.backend != q.limit.backend {
 		q.applyLimit(now, observedLimit{backend: t.backend}) // another server has the address
 	}
+	if t.limit.Limited && !q.limit.limit.Known && !q.limit.limit.Limited {
+		q.applyLimit(now, observedLimit{backend: t.backend, limit: pipeline.RateLimit{Limited: true, PerSecond: t.limit.PerSecond}})
+	}
 	switch q.queue.Push(now, t.item, t.maxWait) {
 	case slotqueue.Granted:
 		q.tickets[t.item.ID] = t
@@ -354,6 +358,7 @@
 		attemptID:   req.ID,
 		originalID:  f.OriginalID(req),
 		backend:     req.Backend,
+		limit:       req.BackendLimit,
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
 		maxWait:     req.MaxQueueWait,
 		isRetry:     req.ReachedBackend,
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -54,6 +54,8 @@
 	keySlots           = "s"
 	keyResultAttemptID = "i"
 	keyAge             = "o" // milliseconds since an attempt was sent
+	keyRateLimit       = "l" // requests per second that the backend server accepts; only while it limits them
+	keyStartWait       = "p" // milliseconds until another request may start within the rate limit
 )
 
 // encodeRequest returns the headerRequest value of an attempt, which expires after
@@ -84,6 +86,9 @@
 	if req.ReachedBackend {
 		v.Set(keyReachedBackend, "1")
 	}
+	if req.BackendLimit.Limited {
+		v.Set(keyRateLimit, strconv.FormatFloat(req.BackendLimit.PerSecond, 'g', rateLimitDigits, 64))
+	}
 	return v.Encode()
 }
 
@@ -113,6 +118,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("target latency: %w", err)
 	}
+	limit, err := optionalRateLimit(v)
+	if err != nil {
+		return nil, err
+	}
 	if v.Get(keyID) == "" || v.Get(keyBackend) == "" {
 		return nil, errors.New("attempt identifier or backend server is missing")
 	}
@@ -138,6 +147,7 @@
 		Backend:        v.Get(keyBackend),
 		MaxQueueWait:   time.Duration(wait) * time.Millisecond,
 		ReachedBackend: v.Get(keyReachedBackend) == "1",
+		BackendLimit:   limit,
 	}, nil
 }
 
@@ -154,6 +164,10 @@
 	v.Set(keyWaiting, strconv.Itoa(load.Waiting))
 	v.Set(keyUrgent, strconv.Itoa(load.Urgent))
 	v.Set(keySlots, strconv.Itoa(load.Slots))
+	if load.Limit.Limited {
+		v.Set(keyRateLimit, strconv.FormatFloat(load.Limit.PerSecond, 'g', rateLimitDigits, 64))
+		v.Set(keyStartWait, strconv.FormatInt(load.StartWait.Milliseconds(), 10))
+	}
 	return v.Encode()
 }
 
@@ -189,6 +203,16 @@
 		return attemptResult{}, fmt.Errorf("retry after: %w", err)
 	}
 	o.retryAfter = time.Duration(millis) * time.Millisecond
+	if o.load.Limit, err = optionalRateLimit(v); err != nil {
+		return attemptResult{}, err
+	}
+	if o.code == pipeline.CodeOK {
+		o.load.Limit.Known = true // the answer of the backend server has named a limit or none
+	}
+	if millis, err = optionalInt(v, keyStartWait); err != nil {
+		return attemptResult{}, fmt.Errorf("start wait: %w", err)
+	}
+	o.load.StartWait = time.Duration(millis) * time.Millisecond
 	return o, nil
 }
 
@@ -199,3 +223,19 @@
 	}
 	return 0, nil
 }
+
+// rateLimitDigits is the precision of rate limits between processes.
+const rateLimitDigits = 4
+
+// optionalRateLimit returns the rate limit of a backend server, or none if it is absent.
+func optionalRateLimit(v url.Values) (pipeline.RateLimit, error) {
+	text := v.Get(keyRateLimit)
+	if text == "" {
+		return pipeline.RateLimit{}, nil
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return pipeline.RateLimit{}, fmt.Errorf("rate limit: %w", err)
+	}
+	return pipeline.NewRateLimit(perSecond)
+}
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -28,8 +28,10 @@
 func startExitProxy(t *testing.T, f exitFilter, withdraw bool) string {
 	t.Helper()
 	handler := &Handler{
-		Chain:    pipeline.Chain{f},
-		Load:     func() pipeline.Load { return pipeline.Load{Running: 3, Waiting: 2, Urgent: 1, Slots: 7} },
+		Chain: pipeline.Chain{f},
+		Load: func() pipeline.Load {
+			return pipeline.Load{Running: 3, Waiting: 2, Urgent: 1, Slots: 7, Limit: rateLimit, StartWait: 400 * time.Millisecond}
+		},
 		Withdraw: func(context.Context, string, time.Duration) bool { return withdraw },
 		Log:      zap.NewNop(),
 	}
@@ -44,10 +46,13 @@
 		Header: pipeline.Header{"X-Kept": {"1"}}, Payload: []byte("body"),
 		Deadline: time.Now().Add(10 * time.Second), Principal: pipeline.Principal{Team: "acme"},
 		Service: "roster", Class: pipeline.Class{TargetLatency: 2 * time.Second}, Fingerprint: 1 << 60,
-		CallerService: "bookings", Rank: 2, Backend: "i-1", MaxQueueWait: 150 * time.Millisecond, ReachedBackend: true,
+		CallerService: "bookings", Rank: 2, Backend: "i-1", MaxQueueWait: 150 * time.Millisecond, ReachedBackend: true, BackendLimit: rateLimit,
 	}
 }
 
+// rateLimit is the limit that both sides of the tests name.
+var rateLimit = pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}
+
 // Guards against fields of an attempt or its answer that are lost or changed between
 // processes.
 func TestAttemptRoundTrip(t *testing.T) {
@@ -60,6 +65,9 @@
 	defer client.Close()
 	want := newAttempt("a-1")
 	answer := client.Do(context.Background(), addr, want)
+	if answer.Load.Limit != (pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}) || answer.Load.StartWait != 400*time.Millisecond || !got.BackendLimit.Limited || got.BackendLimit.PerSecond != 2.5 {
+		t.Errorf("limit in the answer %+v, in the attempt %+v", answer.Load, got.BackendLimit)
+	}
 	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 || answer.Load.Urgent != 1 {
 		t.Fatalf("answer %+v", answer)
 	}
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -119,13 +119,22 @@
 // datagram.
 const MaxServersPerChange = 8
 
+// BackendLimit reports the rate limit of the backend server of a Status.
+type BackendLimit struct {
+	_         struct{} `cbor:",toarray"`
+	Limited   bool     // false once the server names no limit any more
+	PerSecond float32  // requests per second that the server accepts from all processes
+	WaitMS    uint32   // time until another request may start
+}
+
 // Heartbeat shows that the direct path from the sender works. It is needed because
 // statuses may be forwarded by other processes.
 type Heartbeat struct {
 	_ struct{} `cbor:",toarray"`
 }
 
-// Message is the content of one datagram. Exactly one of the pointers is set.
+// Message is the content of one datagram. Exactly one of the pointers is set, except that
+// BackendLimit accompanies Status.
 type Message struct {
 	Status       *Status       `cbor:"1,keyasint,omitempty"`
 	TokenRequest *TokenRequest `cbor:"2,keyasint,omitempty"`
@@ -138,6 +147,9 @@
 	ServerListChange *ServerListChange `cbor:"8,keyasint,omitempty"`
 	Heartbeat        *Heartbeat        `cbor:"9,keyasint,omitempty"`
 
+	// BackendLimit accompanies Status if the backend server has named a limit.
+	BackendLimit *BackendLimit `cbor:"12,keyasint,omitempty"`
+
 	// ForwardToZone asks the receiver to forward the message to the other processes in
 	// its availability zone.
 	ForwardToZone bool `cbor:"10,keyasint,omitempty"`
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -1,6 +1,10 @@
 package pipeline
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // MaxUrgentRank is the largest rank of urgent requests, which do not wait for less
 // urgent ones. Calls made by backend servers have this rank.
@@ -24,3 +28,11 @@
 	Limited   bool    // the server limits the rate
 	PerSecond float64 // requests per second if Limited
 }
+
+// NewRateLimit returns a limit that a server has named, or an error if it is not a rate.
+func NewRateLimit(perSecond float64) (RateLimit, error) {
+	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return RateLimit{}, fmt.Errorf("rate limit %v is not a number of requests per second", perSecond)
+	}
+	return RateLimit{Known: true, Limited: true, PerSecond: perSecond}, nil
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -82,6 +82,9 @@
 	MaxAttempts int
 	// Backend is the backend server that the attempt is sent to.
 	Backend string
+	// BackendLimit is the rate limit of Backend that the entry proxy knows. An exit proxy
+	// that has just started keeps to it until an answer of the server names one.
+	BackendLimit RateLimit
 	// ReachedBackend means that an earlier attempt of the request has reached a
 	// backend server.
 	ReachedBackend bool
--- a/sidecar/limit_test.go
+++ b/sidecar/limit_test.go
@@ -78,3 +78,38 @@
 		t.Errorf("%d of 100 requests ran and %d were refused with the time to come back", ran, refused.Load())
 	}
 }
+
+// Guards against a backend server that gets as many requests as it has slots when the
+// process beside it has started again and has no answer of the server yet.
+func TestStartedExitKeepsToTheRateThatEntriesKnow(t *testing.T) {
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	exit := exitBeside(t, func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	const attempts = 20
+	refused := make(chan *pipeline.Result, attempts)
+	for i := range attempts {
+		go func() {
+			req := attempt(fmt.Sprint(i))
+			req.BackendLimit = pipeline.RateLimit{Limited: true, PerSecond: 1}
+			refused <- exit.run(t.Context(), req)
+		}()
+	}
+	timeout := time.After(3 * time.Second)
+	for n := 1; n < attempts; n++ {
+		select {
+		case result := <-refused:
+			if result.Outcome != pipeline.NotRun {
+				t.Errorf("result %+v", result)
+			}
+		case <-timeout:
+			t.Fatalf("%d requests at once at a server that accepts 1 per second", arrived.Load())
+		}
+	}
+	if n := arrived.Load(); n > 1 {
+		t.Errorf("%d requests at once at a server that accepts 1 per second", n)
+	}
+}
