sidecar, mesh: a backend server that says in its answers that it is leaving gets no more requests

Callers and servers: a server that leaves says so in all its answers (Server-Leaving); requests went on to it until the platform's list said so, which may take as long as the store is away. Cause: nothing read the header. Change: the exit refuses further attempts as not run, and tells all processes with its status that the server takes none; an entry that passed on such an answer does not choose the server again, also when the exit starts anew. A server that starts again under its identifier has a new live state and is used.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -25,6 +25,13 @@
 // ControlEvent marks LoadChanged as an event.
 func (LoadChanged) ControlEvent() {}
 
+// ServerLeaving reports that the backend server of this host said in an answer that it is
+// leaving.
+type ServerLeaving struct{}
+
+// ControlEvent marks ServerLeaving as an event.
+func (ServerLeaving) ControlEvent() {}
+
 // MessageReceived is a datagram from another process.
 type MessageReceived struct {
 	Host    string // IP address of the host that the message originates from
@@ -117,7 +124,7 @@
 		if ev.Message.Status != nil {
 			s.receiveStatus(now, ev.Host, &ev.Message, out)
 		}
-	case Stop, RefuseAttempts:
+	case Stop, RefuseAttempts, ServerLeaving:
 		s.urgentChangePending = true // peers have to learn of a shutdown at once
 	case ServerListRead:
 		if !s.peersKnown && len(s.state.peers) > 0 {
@@ -200,7 +207,8 @@
 		server.live.SetLoad(&load)
 		server.live.SetLimit(now, &load)
 		health.MeanServiceTime = load.MeanServiceTime
-		health.Stopping, health.RefusesAttempts = s.state.stopping, s.state.refusesAttempts
+		status.RefusesAttempts = s.state.refusesAttempts || server.live.Leaving()
+		health.Stopping, health.RefusesAttempts = s.state.stopping, status.RefusesAttempts
 		server.live.health.Store(&health)
 		status.Backend = id
 		status.BadProbability = float32(belief.DecayToPrior(health.BadProbability, now.Sub(health.LastOutcomeAt)))
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -580,3 +580,21 @@
 		}
 	}
 }
+
+// Guards against entry proxies that learn late that a server is leaving: its exit proxy
+// tells them as soon as an answer says so.
+func TestLeavingServerIsReportedAtOnce(t *testing.T) {
+	p := startProcess(t, "10.0.0.1")
+	p.post(ServerListRead{Complete: true, Put: []Server{newServer("mine", "10.0.0.1", 1), newServer("s", "10.0.0.2", 2)}})
+	p.advance(3 * time.Second)
+	p.loop.Snapshot().Local["mine"].Live.MarkLeaving()
+	p.sent = nil
+	p.post(ServerLeaving{})
+	p.advance(100 * time.Millisecond)
+	for _, send := range p.sent {
+		if s := send.Message.Status; s != nil && s.RefusesAttempts && !s.Stopping {
+			return
+		}
+	}
+	t.Errorf("no status that refuses attempts within 100 ms: %+v", p.sent)
+}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -53,6 +53,7 @@
 	urgent          atomic.Int32
 	inFlight        atomic.Int32
 	limit           atomic.Pointer[observedLimit]
+	leaving         atomic.Bool  // an answer of the server said that it is leaving
 	pathFailedAt    atomic.Int64 // last failure to reach the exit proxy, in nanoseconds since timeBase; 0 for never
 	heardDirectlyAt atomic.Int64 // last datagram received directly, in nanoseconds since timeBase
 }
@@ -102,6 +103,13 @@
 	return observed.limit, max(observed.startWait-now.Sub(observed.at), 0)
 }
 
+// MarkLeaving records that an answer of the server said that it is leaving. It reports
+// whether this is new. A server that starts again gets a new live state.
+func (l *LiveState) MarkLeaving() bool { return !l.leaving.Swap(true) }
+
+// Leaving reports whether an answer of the server said that it is leaving.
+func (l *LiveState) Leaving() bool { return l.leaving.Load() }
+
 // AttemptStarted counts an attempt of this process; AttemptEnded must follow.
 func (l *LiveState) AttemptStarted() { l.inFlight.Add(1) }
 
--- a/filters/deliver/deliver.go
+++ b/filters/deliver/deliver.go
@@ -38,6 +38,8 @@
 	Classify(answer *httpconn.Response) ResponseClass
 	// RateLimit returns the rate limit that a response names, or that it names none.
 	RateLimit(answer *httpconn.Response) (pipeline.RateLimit, error)
+	// Leaving reports whether a response says that the backend server is leaving.
+	Leaving(answer *httpconn.Response) bool
 }
 
 // Filter is the last filter of the exit chain.
@@ -50,6 +52,8 @@
 	// ObserveLimit receives the rate limit that a response named. It reports whether a
 	// limit began, changed or ended.
 	ObserveLimit func(backend string, limit pipeline.RateLimit) bool
+	// ObserveLeaving records that a response said that the backend server is leaving.
+	ObserveLeaving func(backend string)
 	// DependencyFailed reports whether a call by the backend server itself failed
 	// recently. Its error responses then do not count against it.
 	DependencyFailed func(now time.Time) bool
@@ -104,6 +108,9 @@
 	class := f.Codec.Classify(answer)
 	if class == Completed || class == NotExecuted {
 		f.observeLimit(req, answer)
+		if f.Codec.Leaving(answer) {
+			f.ObserveLeaving(req.Backend)
+		}
 	}
 	switch class {
 	case NotExecuted:
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -28,6 +28,9 @@
 	if answer.HasLoad {
 		target.Live.SetLoad(&answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
+		if answer.Load.Leaving {
+			target.Live.MarkLeaving()
+		}
 	}
 }
 
@@ -98,7 +101,7 @@
 		SameZone:               target.SameZone,
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Draining || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -220,3 +220,18 @@
 		}
 	})
 }
+
+// Guards against requests to a server from an entry proxy that has passed on an answer
+// saying that the server is leaving, also after its exit proxy has started again.
+func TestServerThatSaysItLeavesIsNotChosenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		target := snap.Services["roster"][0]
+		r := requestState{filter: &Filter{}, req: request(true)}
+		r.updateTarget(t.Context(), target, hop.Answer{Result: hop.CompleteResult(200, pipeline.Header{}, nil), Reached: true, HasLoad: true, Load: pipeline.Load{Leaving: true}})
+		r.updateTarget(t.Context(), target, hop.Answer{Result: hop.CompleteResult(200, pipeline.Header{}, nil), Reached: true, HasLoad: true})
+		if !r.candidate(time.Now(), snap, target).Excluded {
+			t.Error("the server may be chosen")
+		}
+	})
+}
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -55,6 +55,7 @@
 	keyResultAttemptID = "i"
 	keyAge             = "o" // milliseconds since an attempt was sent
 	keyRateLimit       = "l" // requests per second that the backend server accepts; only while it limits them
+	keyLeaving         = "x" // the backend server is leaving
 	keyStartWait       = "p" // milliseconds until another request may start within the rate limit
 )
 
@@ -168,6 +169,9 @@
 		v.Set(keyRateLimit, strconv.FormatFloat(load.Limit.PerSecond, 'g', rateLimitDigits, 64))
 		v.Set(keyStartWait, strconv.FormatInt(load.StartWait.Milliseconds(), 10))
 	}
+	if load.Leaving {
+		v.Set(keyLeaving, "1")
+	}
 	return v.Encode()
 }
 
@@ -213,6 +217,7 @@
 		return attemptResult{}, fmt.Errorf("start wait: %w", err)
 	}
 	o.load.StartWait = time.Duration(millis) * time.Millisecond
+	o.load.Leaving = v.Get(keyLeaving) == "1"
 	return o, nil
 }
 
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -30,7 +30,7 @@
 	handler := &Handler{
 		Chain: pipeline.Chain{f},
 		Load: func() pipeline.Load {
-			return pipeline.Load{Running: 3, Waiting: 2, Urgent: 1, Slots: 7, Limit: rateLimit, StartWait: 400 * time.Millisecond}
+			return pipeline.Load{Running: 3, Waiting: 2, Urgent: 1, Slots: 7, Limit: rateLimit, StartWait: 400 * time.Millisecond, Leaving: true}
 		},
 		Withdraw: func(context.Context, string, time.Duration) bool { return withdraw },
 		Log:      zap.NewNop(),
@@ -65,7 +65,7 @@
 	defer client.Close()
 	want := newAttempt("a-1")
 	answer := client.Do(context.Background(), addr, want)
-	if answer.Load.Limit != (pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}) || answer.Load.StartWait != 400*time.Millisecond || !got.BackendLimit.Limited || got.BackendLimit.PerSecond != 2.5 {
+	if answer.Load.Limit != (pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}) || answer.Load.StartWait != 400*time.Millisecond || !answer.Load.Leaving || !got.BackendLimit.Limited || got.BackendLimit.PerSecond != 2.5 {
 		t.Errorf("limit in the answer %+v, in the attempt %+v", answer.Load, got.BackendLimit)
 	}
 	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 || answer.Load.Urgent != 1 {
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -19,6 +19,7 @@
 	MeanServiceTime time.Duration // mean time that a request holds a slot; 0 when unknown
 	Limit           RateLimit
 	StartWait       time.Duration // time until another request may start within Limit
+	Leaving         bool          // an answer of the server said that it is leaving
 }
 
 // RateLimit is the rate of requests that a backend server accepts from all processes
--- a/sidecar/limit_test.go
+++ b/sidecar/limit_test.go
@@ -17,15 +17,13 @@
 	"github.com/ragwortyard/ragwortyard/platform"
 )
 
-// exitBeside returns a process whose backend server is a handler, and runs its control
-// loop and its queue.
+// exitBeside returns a process whose backend server is a handler, and runs its queue.
 func exitBeside(t *testing.T, handler http.HandlerFunc) *Sidecar {
 	backend := httptest.NewServer(handler)
 	t.Cleanup(backend.Close)
 	s := settings()
 	s.BackendAddr = strings.TrimPrefix(backend.URL, "http://")
 	exit := New(s, zap.NewNop())
-	go exit.loop.Run(t.Context())
 	go exit.queue.Run(t.Context(), func() int { return 50 })
 	return exit
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -172,6 +172,7 @@
 			Conns:            httpconn.NewClient(httpsend.Dial, backendIdleTimeout, maxIdleBackendConns),
 			Observe:          s.observe,
 			ObserveLimit:     s.queue.ObserveLimit,
+			ObserveLeaving:   s.observeLeaving,
 			DependencyFailed: s.callFailures.recent,
 			Log:              s.log,
 		},
@@ -183,6 +184,24 @@
 	s.post(mesh.OutcomeObserved{Backend: backend, Outcome: outcome})
 }
 
+// observeLeaving records that a backend server said in an answer that it is leaving.
+func (s *Sidecar) observeLeaving(backend string) {
+	target := s.loop.Snapshot().Local[backend]
+	if target != nil && target.Live.MarkLeaving() {
+		s.log.Info("backend server says that it is leaving", zap.String("backend", backend))
+		s.post(mesh.ServerLeaving{})
+	}
+}
+
+// load returns the load of the backend server of this host.
+func (s *Sidecar) load() pipeline.Load {
+	load := s.queue.Load()
+	for _, target := range s.loop.Snapshot().Local {
+		load.Leaving = load.Leaving || target.Live.Leaving()
+	}
+	return load
+}
+
 // admission is a filter that refuses attempts that this exit proxy must no longer run.
 // It is placed before and after the wait for a slot, because the backend server may
 // leave during the wait.
@@ -199,7 +218,7 @@
 	}
 	snap := a.sidecar.loop.Snapshot()
 	target := snap.Local[req.Backend]
-	if (target != nil && target.Draining) || snap.Delisted[req.Backend] {
+	if (target != nil && (target.Draining || target.Live.Leaving())) || snap.Delisted[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
 	}
 	return nil
@@ -285,7 +304,7 @@
 		return err
 	}
 	callers := s.newServer(s.countOpenRequests(s.callerHandler()))
-	peers := s.newServer(s.countOpenRequests(&hop.Handler{Chain: s.exit, Load: s.queue.Load, Withdraw: s.queue.Withdraw, Log: s.log}))
+	peers := s.newServer(s.countOpenRequests(&hop.Handler{Chain: s.exit, Load: s.load, Withdraw: s.queue.Withdraw, Log: s.log}))
 	ready := s.newServer(platform.ReadinessHandler(s.ready))
 	operator := s.newServer(s.metricsHandler())
 	group, groupCtx := errgroup.WithContext(ctx)
