httpconn: bound the memory for a server that sends bytes without end

Callers: a process that reads such bytes is ended by the limit of its memory, and with it all requests that it holds. Cause: http.ReadResponse reads a header of any length; bodies were read up to 64 MB, and a process has 184 to 536 MB. Change: a header of more than 64 KB or a body of more than 4 MB is no response; the connection is closed.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -68,9 +68,13 @@
 
 // Limits of an exchange.
 const (
-	maxResponseBytes = 64 << 20 // longer bodies are an InvalidResponse
-	maxResponsesRead = 4        // per exchange, including interim responses and late ones to earlier requests
-	bufferBytes      = 4 << 10  // read buffer; the header of a typical response fits in it
+	// maxHeaderBytes and maxResponseBytes limit the memory for a peer that sends bytes
+	// without end; longer responses are an InvalidResponse. A few dozen responses of this
+	// size fit into the memory of a process.
+	maxHeaderBytes   = 64 << 10
+	maxResponseBytes = 4 << 20
+	maxResponsesRead = 4       // per exchange, including interim responses and late ones to earlier requests
+	bufferBytes      = 4 << 10 // read buffer; the header of a typical response fits in it
 	// earlyResponseTimeout is how long to wait for a response after sending failed: a
 	// server may reject a request before it has read the whole body.
 	earlyResponseTimeout = 100 * time.Millisecond
@@ -106,6 +110,7 @@
 type conn struct {
 	net.Conn
 	reader        *bufio.Reader
+	headerLimit   *limitedReader
 	reusableUntil time.Time // not reused from then on
 	idleSince     time.Time
 }
@@ -171,7 +176,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	limited := &limitedReader{reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, bufferBytes), headerLimit: limited}, nil
+}
+
+// errHeaderTooLong is returned while a header exceeds maxHeaderBytes.
+var errHeaderTooLong = errors.New("the response header exceeds the size limit")
+
+// limitedReader fails once more than a number of bytes have been read since limit.
+type limitedReader struct {
+	reader  io.Reader
+	limited bool
+	left    int
+}
+
+func (r *limitedReader) limit(n int) { r.limited, r.left = true, n }
+
+func (r *limitedReader) unlimit() { r.limited = false }
+
+// Read implements io.Reader.
+func (r *limitedReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.reader.Read(p)
+	}
+	if r.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := r.reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
 }
 
 func (c *Client) popIdle(addr string) *conn {
@@ -230,7 +263,9 @@
 
 func (c *conn) receive(x *Exchange) (*Response, bool, error) {
 	for range maxResponsesRead {
+		c.headerLimit.limit(maxHeaderBytes)
 		resp, err := http.ReadResponse(c.reader, x.Request)
+		c.headerLimit.unlimit()
 		if err != nil {
 			return nil, false, classifyReadError(err)
 		}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -180,3 +180,56 @@
 		t.Fatalf("error %v", err)
 	}
 }
+
+// serveEndless answers each request with a text and then with bytes without end. It
+// returns the number of bytes that it could send.
+func serveEndless(t *testing.T, start, repeated string) (*scriptedServer, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	var sent atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, start)
+			for chunk := []byte(strings.Repeat(repeated, 4096/len(repeated))); err == nil; {
+				var n int
+				n, err = conn.Write(chunk)
+				sent.Add(int64(n))
+			}
+			conn.Close()
+		}
+	}()
+	return &scriptedServer{listener: listener}, &sent
+}
+
+// Guards against a process that runs out of memory because a server sends bytes without
+// end, in a header or a body.
+func TestEndlessResponsesAreCut(t *testing.T) {
+	for name, c := range map[string]struct {
+		start, repeated string
+		limit           int64
+	}{
+		"no response":         {"", "x", maxHeaderBytes},
+		"one header line":     {"HTTP/1.1 200 OK\r\nLong: ", "x", maxHeaderBytes},
+		"header lines":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n", maxHeaderBytes},
+		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x", maxResponseBytes},
+		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n", 4 * maxResponseBytes},
+	} {
+		s, sent := serveEndless(t, c.start, c.repeated)
+		_, err := do(client(2), s, "1")
+		var failed *Error
+		if !errors.As(err, &failed) || failed.Kind != InvalidResponse {
+			t.Errorf("%s: error %v", name, err)
+		}
+		if permitted := c.limit + 16<<20; sent.Load() > permitted {
+			t.Errorf("%s: %d bytes were read", name, sent.Load())
+		}
+	}
+}
