platform, httpconn: a refusal without an identifier counts on a new connection only

Callers: a request that a server runs is reported as not run (503), and may be sent to a second server. Cause: a faulty server may write an earlier refusal once more on a kept connection. Answers with another identifier were skipped, but one without an identifier was taken for the answer to the next request, since refusals might lack it. Change: on a connection that carried an earlier request, only an answer with the identifier of the request is its answer; others are skipped, up to four, and the request's own answer is read.

--- a/filters/deliver/deliver.go
+++ b/filters/deliver/deliver.go
@@ -33,8 +33,8 @@
 	// Request returns the HTTP request to send. left is the time until the deadline.
 	Request(req *pipeline.Request, addr string, left time.Duration) *http.Request
 	// Matches returns a function that reports whether a response header belongs to
-	// the request.
-	Matches(req *pipeline.Request) func(http.Header) bool
+	// the request. reused means that the connection carried an earlier request.
+	Matches(req *pipeline.Request) func(h http.Header, reused bool) bool
 	Classify(answer *httpconn.Response) ResponseClass
 	// RateLimit returns the rate limit that a response names, or that it names none.
 	RateLimit(answer *httpconn.Response) (pipeline.RateLimit, error)
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -109,7 +109,7 @@
 		Addr:    addr,
 		Request: out,
 		Body:    req.Payload,
-		MatchResponse: func(h http.Header) bool {
+		MatchResponse: func(h http.Header, _ bool) bool {
 			o, err := decodeResult(h)
 			return err == nil && o.id == req.ID
 		},
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -28,7 +28,9 @@
 	Request *http.Request
 	Body    []byte // the whole body
 	// MatchResponse reports whether a response belongs to the request; nil accepts all.
-	MatchResponse func(http.Header) bool
+	// reused means that the connection carried an earlier request, so that the response may
+	// be a late one to that request.
+	MatchResponse func(h http.Header, reused bool) bool
 	// OnInterim is called for each interim (1xx) response; it may be nil.
 	OnInterim func()
 	// MaxIdle is the longest idle time of a connection that may be reused, if that is
@@ -111,6 +113,7 @@
 	net.Conn
 	reader        *bufio.Reader
 	headerLimit   *limitedReader
+	reused        bool      // the connection carried an earlier request
 	reusableUntil time.Time // not reused from then on
 	idleSince     time.Time
 }
@@ -222,7 +225,7 @@
 // release returns a connection to the idle list. It closes the oldest connections of
 // the address if they are too old or too many.
 func (c *Client) release(addr string, cn *conn, resp http.Header) {
-	cn.idleSince = time.Now()
+	cn.idleSince, cn.reused = time.Now(), true
 	cn.reusableUntil = cn.idleSince.Add(keepAliveTime(resp, c.maxIdle))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -279,7 +282,7 @@
 		if err != nil {
 			return nil, false, &Error{InvalidResponse, err}
 		}
-		if x.MatchResponse != nil && !x.MatchResponse(resp.Header) {
+		if x.MatchResponse != nil && !x.MatchResponse(resp.Header, c.reused) {
 			if resp.Close {
 				break
 			}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -78,7 +78,7 @@
 		Addr:          addr,
 		Request:       &http.Request{Method: "PUT", URL: &url.URL{Scheme: "http", Host: addr, Opaque: "/a"}, Header: http.Header{}, Host: "a"},
 		Body:          []byte("body"),
-		MatchResponse: func(h http.Header) bool { return h.Get("Id") == id },
+		MatchResponse: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	})
 }
 
