mesh, pipeline: a status to one peer is not what all peers know; cap rate limits

Found by reading the change: a status that answers a started peer counted as broadcast when the wait for a rate limit was compared, so a changed wait could reach the others a status later; a named limit of 1e300 became infinite in datagrams and was refused there.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -82,7 +82,7 @@
 	lastStatusAt        time.Time
 	lastHeartbeatAt     time.Time
 	lastStatus          notice.Status // last one sent
-	lastLoad            pipeline.Load // reported with lastStatus
+	lastLoad            pipeline.Load // broadcast with lastStatus
 	limitNamed          bool          // the backend server of this host has named a rate limit
 	loadChangePending   bool          // a load change or an unheard peer has not been sent yet
 	urgentChangePending bool          // a probability change or shutdown phase has not been sent yet
@@ -176,8 +176,9 @@
 		relayCount = urgentRelaysPerZone
 	}
 	s.lastStatusAt, s.loadChangePending, s.urgentChangePending = now, false, false
-	message := s.newStatus(now)
-	s.lastStatus = *message.Status
+	load := s.load()
+	message := s.newStatus(now, &load)
+	s.lastStatus, s.lastLoad = *message.Status, load
 	s.state.broadcast(now, message, relayCount, out)
 	s.sendHeartbeats(now, out)
 }
@@ -186,16 +187,15 @@
 // take up to the status interval to hear half of the fleet, and until then it does not
 // own tokens.
 func (s *healthStage) replyToNewPeer(now time.Time, host string, out *control.Output) {
-	sendTo(out, []string{host}, s.newStatus(now))
+	load := s.load()
+	sendTo(out, []string{host}, s.newStatus(now, &load))
 }
 
 // newStatus returns the health and load of this host's backend server, and records them
 // for the requests of this process.
-func (s *healthStage) newStatus(now time.Time) notice.Message {
+func (s *healthStage) newStatus(now time.Time, load *pipeline.Load) notice.Message {
 	s.seq++
 	status := notice.Status{BootID: s.state.identity.BootID, Seq: s.seq, Stopping: s.state.stopping, RefusesAttempts: s.state.refusesAttempts}
-	load := s.load()
-	s.lastLoad = load
 	status.Running, status.Waiting, status.Urgent = clampUint16(load.Running), clampUint16(load.Waiting), clampUint16(load.Urgent)
 	status.MeanServiceTimeMS = uint32(load.MeanServiceTime.Milliseconds())
 	newest := s.state.newestAtAddress()
@@ -204,8 +204,8 @@
 			continue
 		}
 		health := server.live.Health()
-		server.live.SetLoad(&load)
-		server.live.SetLimit(now, &load)
+		server.live.SetLoad(load)
+		server.live.SetLimit(now, load)
 		health.MeanServiceTime = load.MeanServiceTime
 		status.RefusesAttempts = s.state.refusesAttempts || server.live.Leaving()
 		health.Stopping, health.RefusesAttempts = s.state.stopping, status.RefusesAttempts
@@ -215,7 +215,7 @@
 		status.AgeMS = uint32(now.Sub(health.LastOutcomeAt).Milliseconds())
 	}
 	status.Unheard, status.StoreUnreachable = s.unheardPeers(now), s.state.storeUnreachable
-	return notice.Message{Status: &status, BackendLimit: s.newBackendLimit(&load)}
+	return notice.Message{Status: &status, BackendLimit: s.newBackendLimit(load)}
 }
 
 // newBackendLimit returns the rate limit of this host's backend server, or nil if it has
--- a/control/mesh/owners.go
+++ b/control/mesh/owners.go
@@ -65,7 +65,7 @@
 	members     []rendezvous.Member
 	listed      int // hosts with a listed server
 	heard       int // listed hosts that this process hears, including its own and those that stop
-	recent      int // of heard, those heard within the ownership timeout
+	recent      int // listed hosts heard within the ownership timeout, including its own
 	presumed    int // listed hosts that it has not heard since its start, shortly after it
 	unreachable int // listed hosts that it hears neither itself nor through a peer
 }
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -30,10 +30,14 @@
 	PerSecond float64 // requests per second if Limited
 }
 
+// maxRateLimit is the highest rate limit, in requests per second. Higher ones limit nothing
+// and would not fit into the messages between processes.
+const maxRateLimit = 1e9
+
 // NewRateLimit returns a limit that a server has named, or an error if it is not a rate.
 func NewRateLimit(perSecond float64) (RateLimit, error) {
 	if math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
 		return RateLimit{}, fmt.Errorf("rate limit %v is not a number of requests per second", perSecond)
 	}
-	return RateLimit{Known: true, Limited: true, PerSecond: perSecond}, nil
+	return RateLimit{Known: true, Limited: true, PerSecond: min(perSecond, maxRateLimit)}, nil
 }
