soak: check the rate of a team and the rates that servers name

Change: one of three teams sends three times its rate, and its requests that ran are counted over windows of 5 s; servers name one request per second for 7 s (server-limited), and their requests are counted over 4 s after 3 s. Refusals of the team above its rate do not count as not recovered.

--- a/internal/fakebackend/backend.go
+++ b/internal/fakebackend/backend.go
@@ -25,6 +25,10 @@
 	Backend string
 	Began   time.Time
 	KeySeen bool // the request contained the caller's key
+	// NamedRate is the rate limit that the server names, in requests per second, since
+	// NamedSince; 0 for none.
+	NamedRate  float64
+	NamedSince time.Time
 }
 
 // Faults are the faults that a backend server injects. The zero value is a healthy
@@ -34,6 +38,7 @@
 	Hang       bool    // executes requests and never responds
 	Reset      bool    // executes requests and resets the connection
 	SlowFactor float64 // multiplies service times; 0 means 1
+	NamedRate  float64 // rate limit named in all responses, in requests per second; 0 for none
 }
 
 // Backend is a fake backend server that implements the platform's protocol.
@@ -46,6 +51,7 @@
 	id         string
 	random     *rand.Rand
 	faults     Faults
+	namedSince time.Time // when the first response named the current rate limit; zero before
 	running    atomic.Int32
 	server     *http.Server
 	serverDone chan struct{} // closed when server has released the listener
@@ -86,7 +92,7 @@
 func (b *Backend) SetFaults(f Faults) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.faults = f
+	b.faults, b.namedSince = f, time.Time{}
 }
 
 // Body returns the response body for a request.
@@ -104,6 +110,13 @@
 	attempt := r.Header.Get(platform.HeaderAttemptID)
 	b.mu.Lock()
 	id, faults := b.id, b.faults
+	if faults.NamedRate > 0 {
+		w.Header().Set(platform.HeaderServerLimit, strconv.FormatFloat(faults.NamedRate, 'f', -1, 64))
+		if b.namedSince.IsZero() {
+			b.namedSince = time.Now()
+		}
+	}
+	namedSince := b.namedSince
 	serviceTime := time.Duration((0.5 + b.random.ExpFloat64()*0.5) * float64(b.MeanServiceTime))
 	b.mu.Unlock()
 	w.Header().Set(platform.HeaderAttemptID, attempt)
@@ -124,7 +137,7 @@
 	}
 	b.OnExecution(Execution{
 		Attempt: attempt, Team: r.Header.Get(platform.HeaderTeam), Backend: id, Began: time.Now(),
-		KeySeen: r.Header.Get(platform.HeaderAPIKey) != "",
+		KeySeen: r.Header.Get(platform.HeaderAPIKey) != "", NamedRate: faults.NamedRate, NamedSince: namedSince,
 	})
 	if faults.SlowFactor > 0 {
 		serviceTime = time.Duration(faults.SlowFactor * float64(serviceTime))
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -19,6 +19,8 @@
 	WithdrawnKeyAccepted   = "a request was executed although its key had been withdrawn"
 	RequestAfterDrain      = "a request reached a backend server after its drain time"
 	AbortedByShutdown      = "a graceful shutdown aborted a request"
+	TeamRateExceeded       = "a team got more than its rate and burst"
+	NamedRateExceeded      = "a backend server got more than the rate that it named"
 	NotRecovered           = "requests fail after the faults have ended"
 	FaultInjectionFailed   = "the soak failed to inject a fault"
 	UnknownRequest         = "a backend server executed a request that no caller sent"
@@ -238,7 +240,7 @@
 	defer c.mu.Unlock()
 	succeeded, total := 0, 0
 	for _, r := range c.requests {
-		if _, withdrawn := c.withdrawn[r.key]; withdrawn || r.sent.Before(from) || r.ended.IsZero() {
+		if _, withdrawn := c.withdrawn[r.key]; withdrawn || r.sent.Before(from) || r.ended.IsZero() || r.isOverTeamRate() {
 			continue
 		}
 		total++
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -102,3 +103,35 @@
 		})
 	}
 }
+
+// Guards against a checker that misses a team or a server above its rate, or reports one
+// that keeps to it.
+func TestRatesAreChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			pause     time.Duration // between two requests
+			invariant string
+		}{
+			"within the rates":            {700 * time.Millisecond, ""},
+			"server above its rate":       {100 * time.Millisecond, NamedRateExceeded},
+			"team above its rate as well": {20 * time.Millisecond, TeamRateExceeded},
+		} {
+			checker := newInvariantChecker()
+			named := time.Now()
+			for i := range 400 {
+				r := &request{id: fmt.Sprint(i), team: teamName(limitedTeam), idempotent: true}
+				checker.recordSent(r)
+				checker.recordExecution(fakebackend.Execution{Attempt: r.id, Team: r.team, Backend: "i-1", Began: time.Now(), NamedRate: namedRate, NamedSince: named})
+				<-time.After(c.pause)
+			}
+			checker.checkRates()
+			found := c.invariant == "" && len(checker.violations) == 0
+			for _, v := range checker.violations {
+				found = found || v.Invariant == c.invariant
+			}
+			if !found {
+				t.Errorf("%s: violations %v", name, checker.violations)
+			}
+		}
+	})
+}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,7 @@
 	ServerHangs   FaultKind = "server-hangs"   // never responds
 	ServerResets  FaultKind = "server-resets"  // executes the request and resets the connection
 	ServerSlow    FaultKind = "server-slow"    // service times are five times as long
+	ServerLimited FaultKind = "server-limited" // names a rate below its load
 	ServerCrash   FaultKind = "server-crash"   // stops and restarts under another identifier
 	ServerDrain   FaultKind = "server-drain"   // announces that it drains, stops, and is replaced
 	KeyWithdrawn  FaultKind = "key-withdrawn"  // the configuration removes a key and adds one
@@ -51,32 +52,35 @@
 	kind      FaultKind
 	weight    int
 	fleetWide bool // concerns no single host
+
+	duration time.Duration // replaces the drawn one; 0 for none
 }{
-	{Kill, 3, false},
-	{Pause, 3, false},
-	{Terminate, 4, false},
-	{Reload, 2, false},
-	{StoreDown, 2, true},
-	{StoreCompact, 2, true},
-	{StoreCut, 2, false},
-	{StoreReset, 1, false},
-	{LinkDelay, 2, false},
-	{LinkSilent, 2, false},
-	{LinkCutIn, 2, false},
-	{LinkCutOut, 2, false},
-	{LinkReset, 2, false},
-	{DatagramsLost, 2, false},
-	{Isolated, 2, false},
-	{ServerFails, 3, false},
-	{ServerHangs, 1, false},
-	{ServerResets, 1, false},
-	{ServerSlow, 2, false},
-	{ServerCrash, 2, false},
-	{ServerDrain, 3, false},
-	{KeyWithdrawn, 3, true},
-	{RouteChanged, 2, true},
-	{TerminateMany, 1, true},
-	{KillAll, 1, true},
+	{Kill, 3, false, 0},
+	{Pause, 3, false, 0},
+	{Terminate, 4, false, 0},
+	{Reload, 2, false, 0},
+	{StoreDown, 2, true, 0},
+	{StoreCompact, 2, true, 0},
+	{StoreCut, 2, false, 0},
+	{StoreReset, 1, false, 0},
+	{LinkDelay, 2, false, 0},
+	{LinkSilent, 2, false, 0},
+	{LinkCutIn, 2, false, 0},
+	{LinkCutOut, 2, false, 0},
+	{LinkReset, 2, false, 0},
+	{DatagramsLost, 2, false, 0},
+	{Isolated, 2, false, isolationTime},
+	{ServerFails, 3, false, 0},
+	{ServerHangs, 1, false, 0},
+	{ServerResets, 1, false, 0},
+	{ServerSlow, 2, false, 0},
+	{ServerLimited, 3, false, limitedTime},
+	{ServerCrash, 2, false, 0},
+	{ServerDrain, 3, false, 0},
+	{KeyWithdrawn, 3, true, 0},
+	{RouteChanged, 2, true, 0},
+	{TerminateMany, 1, true, 0},
+	{KillAll, 1, true, 0},
 }
 
 // Fault is one scheduled fault.
@@ -105,6 +109,8 @@
 	// isolationTime exceeds keyRevocationTime, so that an isolated host has to reject keys
 	// at the end.
 	isolationTime = 7 * time.Second
+	// limitedTime exceeds namedRateGrace by a window in which requests are counted.
+	limitedTime = namedRateGrace + namedRateWindow
 	// faultsPerSecond makes faults overlap: they last 3 s on average.
 	faultsPerSecond = 1.2
 )
@@ -127,8 +133,8 @@
 		for _, k := range faultKinds {
 			if pick -= k.weight; pick < 0 {
 				fault.Kind = k.kind
-				if k.kind == Isolated {
-					fault.Duration = min(isolationTime, length-settleTime-at)
+				if k.duration > 0 {
+					fault.Duration = min(k.duration, length-settleTime-at)
 				}
 				if k.fleetWide {
 					fault.Host = -1
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -95,6 +95,7 @@
 	}
 	<-traffic.Done()
 	pending.Wait()
+	tb.checker.checkRates()
 	tb.checker.checkRecovery(tb.checker.started.Add(length - settleTime/2))
 }
 
@@ -186,6 +187,8 @@
 	ServerHangs:  {Hang: true},
 	ServerResets: {Reset: true},
 	ServerSlow:   {SlowFactor: 5},
+
+	ServerLimited: {NamedRate: namedRate},
 }
 
 func (tb *testbed) applyToFleet(ctx context.Context, f Fault, now time.Time) {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -12,7 +12,6 @@
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/routing"
-	"github.com/ragwortyard/ragwortyard/decide/teamrate"
 	"github.com/ragwortyard/ragwortyard/internal/fakebackend"
 	"github.com/ragwortyard/ragwortyard/internal/fakestore"
 	"github.com/ragwortyard/ragwortyard/platform"
@@ -164,7 +163,7 @@
 		ReadinessAddr: net.JoinHostPort(private, portReadiness), BackendAddr: net.JoinHostPort(private, portServer), StoreAddr: toStore,
 		KeyRevocationTime: keyRevocationTime, DrainTime: drainTime, StopTimeout: graceTime,
 		RetryBudgetRatio: 0.2, RetryBudgetExtra: 60, RetryBudgetWindow: 10 * time.Second,
-		RateTolerance: teamrate.Tolerance{Window: 5 * time.Second, ExcessRatio: 0.25, SlackTokens: 20},
+		RateTolerance: rateTolerance,
 	}
 	data, err := platform.EncodeSettings(&settings)
 	if err != nil {
@@ -236,8 +235,11 @@
 	tb.config.Version += 3
 	tb.config.Teams = nil
 	for i := range teamCount {
-		// The rate is far above the load, since the soak does not check quotas.
-		tb.config.Teams = append(tb.config.Teams, routing.Team{Name: teamName(i), Keys: []string{keyName(i, tb.keyWithdrawalsOf(i))}, Rate: 10_000, Burst: 10_000})
+		team := routing.Team{Name: teamName(i), Keys: []string{keyName(i, tb.keyWithdrawalsOf(i))}, Rate: 10_000, Burst: 10_000}
+		if i == limitedTeam {
+			team.Rate, team.Burst = limitedTeamRate, limitedTeamBurst
+		}
+		tb.config.Teams = append(tb.config.Teams, team)
 	}
 	tb.config.RequireKeys = true
 	change(&tb.config)
