mesh: a process that no store reader has answered reads the configuration as often as the list

Cause: a process on a new host is a peer of nobody until its backend server is listed: its queries are not answered and nothing is announced to it. It read the list after 0.7 s without an answer, the configuration only after 2.8 s. Change: until a reader has answered, the age of the list holds for the configuration, too; one read a second at most. Before: TestConfigurationIsReadWhileNoReaderHasAnswered: not read for 1.5 s. After: it passes, at most 5 reads in 3 s.

--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -478,6 +478,28 @@
 	return nil
 }
 
+// Guards against an outdated configuration at a process that has started on a new host: peers
+// that do not know the host neither answer its queries nor announce versions to it.
+func TestConfigurationIsReadWhileNoReaderHasAnswered(t *testing.T) {
+	p := startNonReader(t)
+	reads := 0
+	for end := p.now.Add(3 * time.Second); p.now.Before(end); {
+		p.post(TableConfirmed{BootTime: p.now.Sub(p.started) + time.Hour})
+		p.storeReads = nil
+		began := p.now
+		for len(p.storeReads) == 0 || !p.storeReads[len(p.storeReads)-1].Config {
+			p.advance(10 * time.Millisecond)
+			if age := p.now.Sub(began); age > 1500*time.Millisecond {
+				t.Fatalf("configuration not read %v after it was last confirmed", age)
+			}
+		}
+		reads++
+	}
+	if reads > 5 {
+		t.Errorf("%d reads in 3 s", reads)
+	}
+}
+
 // Guards against an outdated list after the readers lost their connection to the store
 // or their messages were lost.
 func TestListIsReadWhenNoReaderAnswers(t *testing.T) {
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -250,8 +250,12 @@
 	if now.Sub(s.ownReadAt) < minOwnReadInterval {
 		return
 	}
+	maxAge := maxConfirmationAge
+	if s.lastAnswerAt.IsZero() {
+		maxAge = maxListAge // peers may not know this host yet, and then announce nothing to it
+	}
 	read := ReadStore{
-		Config:  s.bootClock()-s.confirmedAt > maxConfirmationAge,
+		Config:  s.bootClock()-s.confirmedAt > maxAge,
 		Servers: now.Sub(s.lastAnswerAt) > maxListAge,
 	}
 	if read.Config || read.Servers {
