--- a/review/standin/scenarios_test.go
+++ b/review/standin/scenarios_test.go
@@ -107,13 +107,13 @@
 	return false
 }
 
-// largeBodies sends two bodies of the largest size that the configuration allows, and
+// largeBodies sends three bodies of the largest size that the configuration allows, and
 // looks for other requests that are cut. The platform kills a process that exceeds its
 // memory.
 func largeBodies(f *fleet, trouble bool) (int, error) {
 	const (
 		consumers  = 8 // with one request at a time
-		largeCount = 2
+		largeCount = 3
 	)
 	for i, service := range []string{serviceAgenda, serviceSealing, serviceSealing} {
 		if _, err := f.addMachine([]string{"stgo-a", "stgo-b"}[i%2], service, newBackend(slots, constantWork(660*time.Millisecond))); err != nil {
