slots, deliver: log attempts that got no slot, and those canceled during their run

Whether the attempt had waited for a slot at the exit proxy or its backend server had been at work could not be told, and the two need different remedies. Change: the exit proxy logs an attempt that waited and got no slot, with its code and wait, and one that was canceled while the backend server worked. Attempts refused on arrival are logged by their entry proxy already.

--- a/filters/deliver/deliver.go
+++ b/filters/deliver/deliver.go
@@ -195,6 +195,7 @@
 		f.log(req, "no answer of the backend server in time", 0, nil)
 		return pipeline.Refuse(pipeline.CodeDeadlineInRun, "")
 	}
+	f.log(req, "request was canceled while the backend server worked", 0, nil)
 	return pipeline.Refuse(pipeline.CodeCanceled, "")
 }
 
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/crashcount"
@@ -26,6 +28,8 @@
 	// connection with unacknowledged data is closed after 2 s, and no attempt
 	// outlives the deadline of its request.
 	attemptRetention = 30 * time.Second
+	// minLoggedWait distinguishes attempts that waited from those refused on arrival.
+	minLoggedWait = 5 * time.Millisecond
 	// crashWindow is the time within which lost connections count as one crash.
 	crashWindow = time.Second
 )
@@ -345,6 +349,7 @@
 	// OriginalID returns the identifier under which the backend server knows the
 	// request. Calls by the backend server name it as their parent.
 	OriginalID func(req *pipeline.Request) string
+	Log        *zap.Logger
 }
 
 // Name returns "slots".
@@ -370,7 +375,9 @@
 	case <-q.stopped:
 		return pipeline.Refuse(pipeline.CodeStopping, "")
 	}
+	arrived := time.Now()
 	if code := q.await(ctx, t); code != pipeline.CodeOK {
+		f.logRefusal(req, code, time.Since(arrived))
 		result := pipeline.Refuse(code, "")
 		result.RetryAfter = q.retryAfter()
 		return result
@@ -389,6 +396,16 @@
 	return nil
 }
 
+// logRefusal logs that an attempt got no slot. Attempts that are refused on arrival are
+// logged by their entry proxy.
+func (f *Filter) logRefusal(req *pipeline.Request, code pipeline.Code, waited time.Duration) {
+	if waited < minLoggedWait {
+		return
+	}
+	f.Log.Info("attempt got no slot", zap.String("attempt", req.ID), zap.String("backend", req.Backend),
+		zap.Uint16("code", uint16(code)), zap.Int64("waited_ms", waited.Milliseconds()), zap.Int("rank", req.Rank))
+}
+
 // retryAfter returns the Retry-After of a refused request: one service time, or the time
 // until another request may start.
 func (q *Queue) retryAfter() time.Duration {
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/pipeline"
@@ -20,7 +22,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go q.Run(ctx, func() int { return slots })
 	original := func(req *pipeline.Request) string { return "original-" + req.ID }
-	return &Filter{Queue: q, OriginalID: original}, func() { cancel(); <-q.stopped }
+	return &Filter{Queue: q, OriginalID: original, Log: zap.NewNop()}, func() { cancel(); <-q.stopped }
 }
 
 func discardEvent(control.Event) bool { return true }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -167,7 +167,7 @@
 	return pipeline.Chain{
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
 		admission{s},
-		&slots.Filter{Queue: s.queue, OriginalID: platform.BackendCodec{}.AttemptID},
+		&slots.Filter{Queue: s.queue, OriginalID: platform.BackendCodec{}.AttemptID, Log: s.log},
 		admission{s},
 		&deliver.Filter{
 			Addr:             s.settings.BackendAddr,
