sidecar, dispatch, slots: a planned stop answers requests that wait for a slot

Cause: a stop refused new requests but set no limit for accepted ones. Their attempts could wait for a slot at another process, or at the stopping one, beyond the end of the process. Change: the schedule of a stop moves to decide/shutdown and gets a last start. Then the entry proxy withdraws its open attempts, answers confirmed ones as not run with the time until the restart, and starts no more. An exit proxy that stops refuses its waiting attempts at once instead of when a slot becomes free. Why it works: a withdrawal is confirmed only by the owner of the slots and for good, so the refusal is true; an attempt that holds a slot is not withdrawn, and its answer is awaited as before. Test before the fix: TestPlannedStopAnswersRequestsThatWaitForASlot fails at both places, for instance "c0-1 sent 151.233067ms after the stop began, cut 5.701926752s later, run: false" (6 and 10 requests). It passes now. Runs that outlast the stop are still cut.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -10,13 +10,16 @@
 	"go.uber.org/zap"
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/shutdown"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
-// Sender sends one attempt to the exit proxy on a host.
+// Sender sends attempts to the exit proxies on other hosts and on this one.
 type Sender interface {
 	Do(ctx context.Context, host string, req *pipeline.Request) hop.Answer
+	// Withdraw asks the exit proxy on a host not to run an attempt.
+	Withdraw(ctx context.Context, host, attemptID string, sent time.Time) hop.WithdrawResult
 }
 
 // Filter is the last filter of the entry chain.
@@ -29,7 +32,12 @@
 	// this host was made on behalf of a retried request. Such calls are charged to
 	// the retry budget. parent identifies the request that made the call.
 	RetryProbability func(parent string) float64
-	Log              *zap.Logger
+	// StopBegan is closed when a planned stop of this process begins.
+	StopBegan <-chan struct{}
+	// StopSchedule returns the schedule of the planned stop. It is called only after
+	// StopBegan has been closed.
+	StopSchedule func() shutdown.Schedule
+	Log          *zap.Logger
 }
 
 // Name returns "dispatch".
@@ -69,10 +77,10 @@
 	req               *pipeline.Request
 	budget            *retryBudget
 	results           chan attemptResult
-	openAttempts      int  // attempts without a result
-	attemptsSent      int  // all attempts, including those that did not run
-	possiblyExecuted  int  // attempts that may have run
-	reachedBackend    bool // a backend server received an attempt without running it
+	open              map[string]openAttempt // attempts without a result, by identifier
+	attemptsSent      int                    // all attempts, including those that did not run
+	possiblyExecuted  int                    // attempts that may have run
+	reachedBackend    bool                   // a backend server received an attempt without running it
 	queueFullRefusals int
 	excluded          map[string]bool // backend servers that are not chosen again
 	queueFull         map[string]bool // backend servers whose exit proxy had no free slot
@@ -80,10 +88,17 @@
 	lastRefusal       *pipeline.Result // the last result of an attempt that did not run
 }
 
+// openAttempt is an attempt without a result.
+type openAttempt struct {
+	target *mesh.Target
+	sent   time.Time
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
-	target *mesh.Target
-	answer hop.Answer
+	attemptID string
+	target    *mesh.Target
+	answer    hop.Answer
 }
 
 // Handle sends attempts until one succeeds, no retry is permitted or the deadline has
@@ -95,7 +110,8 @@
 		filter:    f,
 		req:       req,
 		budget:    f.Budgets.forService(req.Service),
-		results:   make(chan attemptResult, maxAttemptsSent),
+		results:   make(chan attemptResult, 2*maxAttemptsSent), // an attempt has a second result if it is withdrawn
+		open:      make(map[string]openAttempt),
 		excluded:  make(map[string]bool),
 		queueFull: make(map[string]bool),
 	}
@@ -114,10 +130,22 @@
 	defer end.Stop()
 	hedge := r.hedgeTimer()
 	defer hedge.Stop()
+	stopBegan := r.filter.StopBegan
+	var lastStart <-chan time.Time
 	for {
 		select {
+		case <-stopBegan:
+			stopBegan = nil
+			timer := time.NewTimer(time.Until(r.filter.StopSchedule().LastStart()))
+			defer timer.Stop()
+			lastStart = timer.C
+		case <-lastStart:
+			r.withdrawOpenAttempts(ctx)
 		case e := <-r.results:
-			r.openAttempts--
+			if _, open := r.open[e.attemptID]; !open {
+				continue
+			}
+			delete(r.open, e.attemptID)
 			if result := r.handleResult(ctx, e); result != nil {
 				return result
 			}
@@ -148,6 +176,9 @@
 // request, or nil if an attempt is still open or another one was sent.
 func (r *requestState) handleResult(ctx context.Context, e attemptResult) *pipeline.Result {
 	result := e.answer.Result
+	if result.Code == pipeline.CodeDuplicateSend { // only withdrawn attempts are refused with it
+		result = r.withdrawnResult()
+	}
 	switch {
 	case isSuccess(result):
 		return result
@@ -164,7 +195,7 @@
 			return nil
 		}
 	}
-	if r.openAttempts > 0 {
+	if len(r.open) > 0 {
 		return nil
 	}
 	if r.bestResult != nil {
@@ -196,7 +227,7 @@
 // before the deadline.
 func (r *requestState) canRetryInTime() bool {
 	left := time.Until(r.req.Deadline)
-	return left > r.req.Class.TargetLatency/8 && r.attemptsSent < maxAttemptsSent
+	return left > r.req.Class.TargetLatency/8 && r.attemptsSent < maxAttemptsSent && !r.isLastStartPast()
 }
 
 // sendElsewhere sends a request that did not run to another backend server. If the
@@ -221,11 +252,14 @@
 // canSendAgain reports whether another attempt may follow one that reached no backend
 // server. Such an attempt takes no retry from the budget.
 func (r *requestState) canSendAgain() bool {
-	return r.attemptsSent < maxAttemptsSent && time.Now().Before(r.req.Deadline)
+	return r.attemptsSent < maxAttemptsSent && time.Now().Before(r.req.Deadline) && !r.isLastStartPast()
 }
 
 // send starts the next attempt. It reports false if no backend server is left.
 func (r *requestState) send(ctx context.Context) bool {
+	if r.isLastStartPast() {
+		return false
+	}
 	target, candidate := r.choose()
 	if target == nil {
 		return false
@@ -240,7 +274,10 @@
 		attempt.MaxQueueWait = time.Until(r.req.Deadline)
 		r.excluded[target.ID] = true
 	}
-	r.openAttempts++
+	if schedule, stopping := r.stopSchedule(); stopping {
+		attempt.MaxQueueWait = min(attempt.MaxQueueWait, time.Until(schedule.LastStart()))
+	}
+	r.open[attempt.ID] = openAttempt{target, time.Now()}
 	r.attemptsSent++
 	r.possiblyExecuted++
 	target.Live.AttemptStarted()
@@ -250,7 +287,7 @@
 		answer := r.filter.Sender.Do(ctx, target.Host, attempt)
 		r.updateTarget(ctx, target, answer)
 		r.logAttempt(target, &candidate, attempt, answer, time.Since(started))
-		r.results <- attemptResult{target, answer}
+		r.results <- attemptResult{attempt.ID, target, answer}
 	}()
 	return true
 }
@@ -259,12 +296,17 @@
 // backend server is left.
 func (r *requestState) unservedResult() *pipeline.Result {
 	result := r.lastRefusal
-	if result == nil {
+	switch {
+	case result != nil:
+	case r.isLastStartPast():
+		result = pipeline.Refuse(pipeline.CodeStopping, "")
+	default:
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
 	}
+	r.postponeRetryBeyondStop(result)
 	return result
 }
 
@@ -274,7 +316,7 @@
 	switch {
 	case r.bestResult != nil:
 		return r.bestResult
-	case r.openAttempts > 0:
+	case len(r.open) > 0:
 		return pipeline.Refuse(pipeline.CodeDeadlineInRun, "")
 	}
 	return r.unservedResult()
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -43,6 +43,11 @@
 	return e.answers(n, req)
 }
 
+// Withdraw implements Sender.
+func (e *exitProxies) Withdraw(context.Context, string, string, time.Time) hop.WithdrawResult {
+	return hop.NotWithdrawn
+}
+
 type discardCommands struct{}
 
 func (discardCommands) Send(control.Command) bool { return true }
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,9 @@
 	limit         observedLimit // last observed limit of the server's rate
 	postEvent     func(control.Event) bool
 	lastCrashAt   time.Time
+	closed        bool          // no slot is granted any more
+	closing       chan struct{} // closed when no slot shall be granted any more
+	closeOnce     sync.Once
 	stopped       chan struct{}
 }
 
@@ -102,6 +106,7 @@
 		tickets:       make(map[uint64]*ticket),
 		started:       time.Now(),
 		postEvent:     postEvent,
+		closing:       make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
 	q.publishLoad(time.Now(), slots)
@@ -117,11 +122,16 @@
 	defer close(q.stopped)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	closing := q.closing
 	for {
 		select {
 		case <-ctx.Done():
 			q.refuseAll()
 			return
+		case <-closing:
+			closing = nil
+			q.closed = true
+			q.refuseAll()
 		case t := <-q.arrivals:
 			q.handleArrival(time.Now(), t)
 		case dep := <-q.departures:
@@ -206,6 +216,10 @@
 		t.decision <- pipeline.CodeDuplicateSend
 		return
 	}
+	if q.closed {
+		t.decision <- pipeline.CodeStopping
+		return
+	}
 	if t.backend != q.limit.backend {
 		q.applyLimit(now, observedLimit{backend: t.backend}) // another server has the address
 	}
@@ -329,6 +343,10 @@
 	}
 }
 
+// Close refuses all waiting requests and all later ones. Requests that hold a slot keep
+// it. Close may be called more than once.
+func (q *Queue) Close() { q.closeOnce.Do(func() { close(q.closing) }) }
+
 // Withdraw ensures that an attempt never runs. age is the time since it was sent. It
 // reports false if the attempt holds a slot or may have held one.
 func (q *Queue) Withdraw(ctx context.Context, attemptID string, age time.Duration) bool {
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -192,3 +192,31 @@
 		}
 	})
 }
+
+// Guards against attempts that wait at an exit proxy that stops, until they are cut, and
+// against ending the attempts that run.
+func TestClosedQueueRefusesWaitingAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, discardEvent)
+		defer stop()
+		running := request("running", 0)
+		if r := f.Handle(t.Context(), running); r != nil {
+			t.Fatal(r)
+		}
+		waiting := make(chan *pipeline.Result, 1)
+		go func() { waiting <- f.Handle(t.Context(), request("waiting", time.Hour)) }()
+		synctest.Wait()
+		f.Queue.Close()
+		if r := <-waiting; r == nil || r.Outcome != pipeline.NotRun || r.Code != pipeline.CodeStopping {
+			t.Errorf("waiting: %+v", r)
+		}
+		if f.Queue.Withdraw(t.Context(), "running", time.Millisecond) {
+			t.Error("the withdrawal of a running attempt is confirmed")
+		}
+		running.Complete(pipeline.Completion{Outcome: pipeline.Answered})
+		synctest.Wait()
+		if r := f.Handle(t.Context(), request("late", time.Hour)); r == nil || r.Code != pipeline.CodeStopping {
+			t.Errorf("late: %+v", r)
+		}
+	})
+}
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -80,7 +80,7 @@
 // idempotent; otherwise it waits for the answer.
 func (c *Client) resolveUnacknowledged(ctx context.Context, cancel func(), addr string, req *pipeline.Request, sent time.Time, acked chan struct{}, done chan Answer) Answer {
 	withdrawn := make(chan bool, 1)
-	go func() { withdrawn <- c.withdraw(ctx, addr, req.ID, sent) }()
+	go func() { withdrawn <- c.Withdraw(ctx, addr, req.ID, sent) == Withdrawn }()
 	select {
 	case answer := <-done:
 		return answer
@@ -181,9 +181,18 @@
 	}
 }
 
-// withdraw asks an exit proxy, over a new connection, not to run an attempt. It returns
-// true only if the exit proxy confirms that the attempt has not run and never will.
-func (c *Client) withdraw(ctx context.Context, addr, id string, sent time.Time) bool {
+// WithdrawResult is the result of a withdrawal.
+type WithdrawResult uint8
+
+// The results of a withdrawal.
+const (
+	Unanswered   WithdrawResult = iota // the exit proxy did not answer
+	Withdrawn                          // the attempt has not run and never will
+	NotWithdrawn                       // the attempt runs, has run, or may have run before the exit proxy started
+)
+
+// Withdraw asks the exit proxy at addr, over a new connection, not to run an attempt.
+func (c *Client) Withdraw(ctx context.Context, addr, id string, sent time.Time) WithdrawResult {
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
 	// The age is rounded up, because an exit proxy that started after the attempt was
@@ -194,5 +203,11 @@
 	fresh := httpconn.NewClient(httpsend.Dial, idleTimeout, 0)
 	defer fresh.Close()
 	answer, err := fresh.Do(ctx, &httpconn.Exchange{Addr: addr, Request: out})
-	return err == nil && answer.Status == http.StatusOK
+	switch {
+	case err != nil:
+		return Unanswered
+	case answer.Status == http.StatusOK:
+		return Withdrawn
+	}
+	return NotWithdrawn
 }
--- a/sidecar/planned_stop_test.go
+++ b/sidecar/planned_stop_test.go
@@ -20,16 +20,20 @@
 	"github.com/ragwortyard/ragwortyard/platform"
 )
 
-// stopFixture is a process with a backend server and a store, and a record of what the
-// backend server ran.
+// stopFixture is a process that is stopped, with a store and backend servers, and a record
+// of what the backend servers ran.
 type stopFixture struct {
 	settings platform.Settings
+	store    *fakestore.Store
 	mu       sync.Mutex
 	executed map[string]bool // by attempt
 }
 
-// stopTestIP is an address of its own, since the port of the metrics is fixed.
-const stopTestIP = "127.0.77.1"
+// Each process has an address of its own, since the port of the metrics is fixed.
+const (
+	stopTestIP = "127.0.77.1"
+	peerTestIP = "127.0.77.2"
+)
 
 // freeAddr returns an address on which nothing listens.
 func freeAddr(t *testing.T) string {
@@ -42,59 +46,77 @@
 	return listener.Addr().String()
 }
 
+// newStopFixture returns a process on a host without a backend server of the service
+// roster. addBackend adds those.
 func newStopFixture(t *testing.T) *stopFixture {
 	t.Helper()
-	f := &stopFixture{executed: make(map[string]bool)}
-	store := fakestore.NewStore()
+	f := &stopFixture{store: fakestore.NewStore(), executed: make(map[string]bool)}
 	storeListener, err := net.Listen("tcp", stopTestIP+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	storeServer := &http.Server{Handler: store}
+	storeServer := &http.Server{Handler: f.store}
 	go func() { _ = storeServer.Serve(storeListener) }()
 	t.Cleanup(func() { storeServer.Close() })
-	backendListener, err := net.Listen("tcp", stopTestIP+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	backend := fakebackend.NewBackend(1, 400, 700*time.Millisecond, func(e fakebackend.Execution) {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.executed[e.Attempt] = true
-	})
-	backend.Serve("i-1", backendListener)
-	t.Cleanup(backend.Close)
 
 	f.settings = settings()
 	f.settings.IP = stopTestIP
-	f.settings.StoreAddr, f.settings.BackendAddr = storeListener.Addr().String(), backendListener.Addr().String()
+	f.settings.StoreAddr, f.settings.BackendAddr = storeListener.Addr().String(), freeAddr(t)
 	f.settings.CallersAddr, f.settings.PeersAddr, f.settings.ReadinessAddr, f.settings.DatagramAddr = freeAddr(t), freeAddr(t), freeAddr(t), freeAddr(t)
 	f.settings.RateTolerance.Window = time.Second
 
 	config, err := platform.EncodeConfig(&routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "roster"}},
 		Routes: []routing.Route{{
-			Name: "book", Host: "a.example", Prefix: "/", AllowAnonymous: true, Timeout: 5 * time.Second, TargetLatency: time.Second, MaxAttempts: 1,
+			Name: "book", Host: "a.example", Prefix: "/", AllowAnonymous: true, Timeout: 14 * time.Second, TargetLatency: time.Second, MaxAttempts: 1,
 			WeightedServices: []routing.WeightedService{{Service: "roster", Weight: 1}},
 		}},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	entry, err := platform.EncodeServer(&mesh.Server{Service: "roster", Zone: "a", Addr: f.settings.BackendAddr, Slots: 400, StartUnixMS: 1}, 1)
+	f.store.Put("op/config", string(config))
+	return f
+}
+
+// addBackend starts a backend server of the service roster on a host and registers it.
+func (f *stopFixture) addBackend(t *testing.T, id, addr string, slots int, meanServiceTime time.Duration) {
+	t.Helper()
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	store.Put("op/config", string(config))
-	store.Put("servers/i-1", string(entry))
-	return f
+	backend := fakebackend.NewBackend(1, slots, meanServiceTime, func(e fakebackend.Execution) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.executed[e.Attempt] = true
+	})
+	backend.Serve(id, listener)
+	t.Cleanup(backend.Close)
+	entry, err := platform.EncodeServer(&mesh.Server{Service: "roster", Zone: "a", Addr: addr, Slots: slots, StartUnixMS: 1}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.store.Put("servers/"+id, string(entry))
+}
+
+// peerSettings returns the settings of a second process, on another host. The ports for
+// other processes are the same on all hosts.
+func (f *stopFixture) peerSettings() platform.Settings {
+	s := f.settings
+	s.NodeName, s.IP = "peer", peerTestIP
+	for _, addr := range []*string{&s.CallersAddr, &s.PeersAddr, &s.ReadinessAddr, &s.DatagramAddr, &s.BackendAddr} {
+		*addr = net.JoinHostPort(peerTestIP, portOf(*addr))
+	}
+	return s
 }
 
-// run runs the process until it has stopped. The planned stop begins when ctx is done.
-func (f *stopFixture) run(ctx context.Context, t *testing.T) <-chan struct{} {
+// run runs a process until it has stopped. The planned stop begins when ctx is done.
+func run(ctx context.Context, t *testing.T, s platform.Settings) <-chan struct{} {
 	t.Helper()
 	done := make(chan struct{})
-	process := New(f.settings, zap.NewNop())
+	t.Cleanup(func() { <-done }) // the context of the test is done by then
+	process := New(s, zap.NewNop())
 	go func() {
 		defer close(done)
 		if err := process.Run(ctx, nil); err != nil {
@@ -122,7 +144,7 @@
 
 // sendUntil sends requests, each after the answer to the one before, on kept connections
 // until the end, and returns those that were cut.
-func (f *stopFixture) sendUntil(client int, end time.Time) (answered int, cut []cutRequest) {
+func (f *stopFixture) sendUntil(client int, deadline time.Duration, end time.Time) (answered int, cut []cutRequest) {
 	var conn net.Conn
 	var reader *bufio.Reader
 	for n := 0; time.Now().Before(end); n++ {
@@ -135,7 +157,7 @@
 		}
 		id := fmt.Sprintf("c%d-%d", client, n)
 		sent := time.Now()
-		_, err := fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: 5000\r\nContent-Length: 4\r\n\r\nbook", platform.HeaderAttemptID, id, platform.HeaderDeadline)
+		_, err := fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: 4\r\n\r\nbook", platform.HeaderAttemptID, id, platform.HeaderDeadline, deadline.Milliseconds())
 		var resp *http.Response
 		if err == nil {
 			resp, err = http.ReadResponse(reader, nil)
@@ -166,18 +188,44 @@
 // those that were just accepted, and those that come late in the grace time. Clients use
 // open connections, and new ones, until the process is gone.
 func TestPlannedStopUnderLoadCutsNoRequest(t *testing.T) {
-	const clients = 150
 	f := newStopFixture(t)
+	f.addBackend(t, "i-1", f.settings.BackendAddr, 400, 700*time.Millisecond)
 	ctx, stop := context.WithCancel(t.Context())
-	defer stop()
-	stopped := f.run(ctx, t)
+	stopped := run(ctx, t, f.settings)
+	f.stopUnderLoad(t, 150, 5*time.Second, stop, stopped)
+}
+
+// Guards against requests that wait for a slot at another process, or at the one that
+// stops, until a planned stop cuts them without an answer.
+func TestPlannedStopAnswersRequestsThatWaitForASlot(t *testing.T) {
+	t.Run("at another process", func(t *testing.T) {
+		f := newStopFixture(t)
+		f.addBackend(t, "i-1", f.peerSettings().BackendAddr, 2, 900*time.Millisecond)
+		run(t.Context(), t, f.peerSettings())
+		ctx, stop := context.WithCancel(t.Context())
+		stopped := run(ctx, t, f.settings)
+		f.stopUnderLoad(t, 16, 14*time.Second, stop, stopped)
+	})
+	t.Run("at the stopping process", func(t *testing.T) {
+		f := newStopFixture(t)
+		f.addBackend(t, "i-1", f.settings.BackendAddr, 2, 15*time.Second) // no slot becomes free before the end
+		ctx, stop := context.WithCancel(t.Context())
+		stopped := run(ctx, t, f.settings)
+		f.stopUnderLoad(t, 16, 14*time.Second, stop, stopped)
+	})
+}
+
+// stopUnderLoad begins a planned stop of the process while clients send requests, and
+// checks that no request is cut.
+func (f *stopFixture) stopUnderLoad(t *testing.T, clients int, deadline time.Duration, stop func(), stopped <-chan struct{}) {
+	t.Helper()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	answered, cut := 0, []cutRequest(nil)
 	end := time.Now().Add(f.settings.StopTimeout + time.Second)
 	for client := range clients {
 		wg.Go(func() {
-			n, lost := f.sendUntil(client, end)
+			n, lost := f.sendUntil(client, deadline, end)
 			mu.Lock()
 			defer mu.Unlock()
 			answered += n
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -29,6 +29,7 @@
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/shutdown"
 	"github.com/ragwortyard/ragwortyard/filters/blocked"
 	"github.com/ragwortyard/ragwortyard/filters/continuation"
 	"github.com/ragwortyard/ragwortyard/filters/deliver"
@@ -88,10 +89,10 @@
 	commands         *commandExecutor
 	callFailures     callFailures
 	ids              idGenerator
-	openRequests     atomic.Int64              // requests from callers and peers that are not answered yet
-	refusingCallers  atomic.Bool               // callers' requests are refused because the process is stopping
-	refusingAttempts atomic.Bool               // attempts are refused because the process is stopping
-	stopDeadline     atomic.Pointer[time.Time] // deadline of the planned stop; nil before it begins
+	openRequests     atomic.Int64 // requests from callers and peers that are not answered yet
+	refusingCallers  atomic.Bool  // callers' requests are refused because the process is stopping
+	refusingAttempts atomic.Bool  // attempts are refused because the process is stopping
+	stop             plannedStop
 }
 
 // New returns a Sidecar that is ready to run.
@@ -101,6 +102,7 @@
 		log:      log.With(zap.String("node", settings.NodeName)),
 		metrics:  metrics.NewSet(),
 		peers:    hop.NewClient(),
+		stop:     plannedStop{began: make(chan struct{})},
 	}
 	s.store = platform.NewStore(settings.StoreAddr, s.metrics)
 	s.ids.prefix = strconv.FormatUint(uint64(rand.Uint32()), 36) + "-"
@@ -158,6 +160,8 @@
 			},
 			NewID:            s.ids.next,
 			RetryProbability: s.queue.RetryProbability,
+			StopBegan:        s.stop.began,
+			StopSchedule:     func() shutdown.Schedule { return s.stop.schedule },
 			Log:              s.log,
 		},
 	}
@@ -241,6 +245,18 @@
 	return hop.Answer{Result: result, Reached: true}
 }
 
+// Withdraw asks the exit proxy on a host not to run an attempt. If host is this one, it
+// asks the queue directly.
+func (s *Sidecar) Withdraw(ctx context.Context, host, attemptID string, sent time.Time) hop.WithdrawResult {
+	switch {
+	case host != s.settings.IP:
+		return s.peers.Withdraw(ctx, net.JoinHostPort(host, portOf(s.settings.PeersAddr)), attemptID, sent)
+	case s.queue.Withdraw(ctx, attemptID, time.Since(sent)):
+		return hop.Withdrawn
+	}
+	return hop.NotWithdrawn
+}
+
 // slotCount returns the number of slots of this host's backend server.
 func (s *Sidecar) slotCount() int {
 	n := 0
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragwortyard/ragwortyard/decide/shutdown"
 	"github.com/ragwortyard/ragwortyard/decide/teamrate"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 	"github.com/ragwortyard/ragwortyard/platform"
@@ -21,6 +22,10 @@
 	}
 }
 
+// callerDrainTime is how long callers may continue to send new requests: they leave after
+// two of the readiness checks made once a second.
+const callerDrainTime = 2600 * time.Millisecond
+
 // Guards against callers' requests that are accepted late in a planned stop and cut when
 // the process is killed. One request stays open, so that the stop lasts until its
 // deadline.
@@ -33,7 +38,7 @@
 		go func() { defer close(done); s.shutdown() }()
 		began := time.Now()
 		filter := intake{s}
-		for time.Since(began) < s.settings.StopTimeout-killMargin {
+		for time.Now().Before(shutdown.NewSchedule(began, s.settings.StopTimeout).Deadline) {
 			after := time.Since(began)
 			result := filter.Handle(t.Context(), &pipeline.Request{})
 			switch {
@@ -53,30 +58,20 @@
 	})
 }
 
-// Guards against lost capacity if a process refuses attempts as soon as it begins to
-// stop, and against attempts that are cut because the process ends before its peers know
+// Guards against attempts that are cut because the process ends before its peers know
 // that it refuses attempts.
-func TestAttemptsAreRefusedAfterCallersDrain(t *testing.T) {
+func TestStopEndsAfterRefusalIsAnnounced(t *testing.T) {
 	started := time.Now()
 	at := func(d time.Duration) time.Time { return started.Add(d) }
-	c := stopProgress{started: started, deadline: at(5700 * time.Millisecond)}
-	for _, d := range []time.Duration{0, time.Second, callerDrainTime} {
-		if c.shouldRefuseAttempts(at(d)) || c.isDone(at(d), 0) {
-			t.Errorf("refuses attempts or ends %v after the stop began", d)
-		}
-	}
-	if !c.shouldRefuseAttempts(at(callerDrainTime + drainPollInterval)) {
-		t.Error("accepts attempts after its callers have drained")
-	}
-	short := stopProgress{started: started, deadline: at(3 * time.Second)}
-	if !short.shouldRefuseAttempts(at(3*time.Second - refuseAttemptsBeforeDeadline + drainPollInterval)) {
-		t.Error("accepts attempts shortly before the deadline")
+	c := stopProgress{Schedule: shutdown.NewSchedule(started, 6*time.Second)}
+	if c.isDone(at(3*time.Second), 0) {
+		t.Error("ends before attempts are refused")
 	}
 	c.refusedAttemptsAt = at(3200 * time.Millisecond)
 	if c.isDone(c.refusedAttemptsAt.Add(closeAnnouncementTime/2), 0) || !c.isDone(c.refusedAttemptsAt.Add(closeAnnouncementTime), 0) {
 		t.Error("ends before the announcement time is over, or does not end after it")
 	}
-	if c.isDone(c.refusedAttemptsAt.Add(time.Second), 1) || !c.isDone(c.deadline.Add(time.Millisecond), 1) {
+	if c.isDone(c.refusedAttemptsAt.Add(time.Second), 1) || !c.isDone(c.Deadline.Add(time.Millisecond), 1) {
 		t.Error("ends with open requests before the deadline, or does not end after it")
 	}
 }
