httpconn: bound the large bodies that are read at the same time

Report of other operators: a faulty backend server sent bytes that were no answer, without end; the process that had called it kept them all and ran out of memory, and the requests of other callers ended with it. Here: one answer was bounded (header 64 KB, body 4 MB), but not the answers under way together, and io.ReadAll takes a multiple of a body while it grows. Change: a body beyond 64 KB waits until its size, or 4 MB if no length is declared, fits into an eighth of the memory that the settings name (limits.memory_mb), and is read in chunks. Smaller bodies never wait. A declared length beyond 4 MB is refused without reading. Why it works: only complete answers leave the read, so bytes that are no answer hold memory only there, and there the sum is bounded. The share is taken whole before the first byte beyond 64 KB, so bodies that are read can always end. TestLargeBodies covers whole and cut bodies beyond 64 KB.

--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -35,9 +35,12 @@
 	conns *httpconn.Client
 }
 
-// NewClient returns a client without open connections.
-func NewClient() *Client {
-	return &Client{conns: httpconn.NewClient(httpsend.Dial, idleTimeout, maxIdleConnsPerPeer)}
+// NewClient returns a client without open connections. maxLargeBodyBytes limits the memory
+// for large answers that are being read at the same time.
+func NewClient(maxLargeBodyBytes int64) *Client {
+	return &Client{conns: httpconn.NewClient(httpconn.Options{
+		Dial: httpsend.Dial, MaxIdle: idleTimeout, MaxIdlePerAddr: maxIdleConnsPerPeer, MaxLargeBodyBytes: maxLargeBodyBytes,
+	})}
 }
 
 // Close closes the idle connections.
@@ -200,7 +203,7 @@
 	age := time.Since(sent).Milliseconds() + 1
 	query := url.Values{keyID: {id}, keyAge: {strconv.FormatInt(age, 10)}}.Encode()
 	out := newRequest(&pipeline.Request{Method: http.MethodPost, Path: withdrawPath, RawQuery: query, Host: addr}, addr)
-	fresh := httpconn.NewClient(httpsend.Dial, idleTimeout, 0)
+	fresh := httpconn.NewClient(httpconn.Options{Dial: httpsend.Dial})
 	defer fresh.Close()
 	answer, err := fresh.Do(ctx, &httpconn.Exchange{Addr: addr, Request: out})
 	switch {
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -61,7 +61,7 @@
 		got = req
 		return CompleteResult(201, pipeline.Header{"Sum": {"5"}}, []byte("answer"))
 	}, false)
-	client := NewClient()
+	client := NewClient(0)
 	defer client.Close()
 	want := newAttempt("a-1")
 	answer := client.Do(context.Background(), addr, want)
@@ -87,7 +87,7 @@
 		result.RetryAfter = 300 * time.Millisecond
 		return result
 	}, false)
-	answer := NewClient().Do(context.Background(), addr, newAttempt("a-2"))
+	answer := NewClient(0).Do(context.Background(), addr, newAttempt("a-2"))
 	r := answer.Result
 	if r.Code != pipeline.CodeQueueFull || r.Outcome != pipeline.NotRun || r.RetryAfter != 300*time.Millisecond {
 		t.Errorf("%+v", r)
@@ -98,7 +98,7 @@
 // was sent. If no connection could be opened, the attempt must be reported as not run.
 func TestLostConnectionOutcome(t *testing.T) {
 	addr := startExitProxy(t, func(context.Context, *pipeline.Request) *pipeline.Result { panic(http.ErrAbortHandler) }, false)
-	if r := NewClient().Do(context.Background(), addr, newAttempt("a-3")).Result; r.Outcome != pipeline.Unknown {
+	if r := NewClient(0).Do(context.Background(), addr, newAttempt("a-3")).Result; r.Outcome != pipeline.Unknown {
 		t.Errorf("%+v", r)
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -107,7 +107,7 @@
 	}
 	closed := listener.Addr().String()
 	listener.Close()
-	if r := NewClient().Do(context.Background(), closed, newAttempt("a-4")).Result; r.Code != pipeline.CodePathBroken || r.Outcome != pipeline.NotRun {
+	if r := NewClient(0).Do(context.Background(), closed, newAttempt("a-4")).Result; r.Code != pipeline.CodePathBroken || r.Outcome != pipeline.NotRun {
 		t.Errorf("no connection could be opened: %+v", r)
 	}
 }
@@ -172,13 +172,13 @@
 func TestWithdrawalOnSilentConnection(t *testing.T) {
 	never := func(context.Context, *pipeline.Request) *pipeline.Result { panic(http.ErrAbortHandler) }
 	addr := listenFirstSilent(t, startExitProxy(t, never, true))
-	if r := NewClient().Do(context.Background(), addr, newAttempt("a-5")).Result; r.Outcome != pipeline.NotRun {
+	if r := NewClient(0).Do(context.Background(), addr, newAttempt("a-5")).Result; r.Outcome != pipeline.NotRun {
 		t.Errorf("withdrawn attempt: %+v", r)
 	}
 	addr = listenFirstSilent(t, startExitProxy(t, never, false))
 	once := newAttempt("a-6")
 	once.Deadline = time.Now().Add(1500 * time.Millisecond)
-	if r := NewClient().Do(context.Background(), addr, once).Result; r.Outcome != pipeline.Unknown {
+	if r := NewClient(0).Do(context.Background(), addr, once).Result; r.Outcome != pipeline.Unknown {
 		t.Errorf("attempt that may have run: %+v", r)
 	}
 }
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -20,6 +20,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/semaphore"
 )
 
 // Exchange is one request with the options for reading its response.
@@ -70,11 +72,13 @@
 
 // Limits of an exchange.
 const (
-	// maxHeaderBytes and maxResponseBytes limit the memory for a peer that sends bytes
-	// without end; longer responses are an InvalidResponse. A few dozen responses of this
-	// size fit into the memory of a process.
-	maxHeaderBytes   = 64 << 10
-	maxResponseBytes = 4 << 20
+	// maxHeaderBytes and maxBodyBytes limit the memory for a peer that sends bytes without
+	// end; longer responses are an InvalidResponse.
+	maxHeaderBytes = 64 << 10
+	maxBodyBytes   = 4 << 20
+	// smallBodyBytes is the part of each body that is read without a share of
+	// Options.MaxLargeBodyBytes. Most bodies are shorter.
+	smallBodyBytes   = 64 << 10
 	maxResponsesRead = 4       // per exchange, including interim responses and late ones to earlier requests
 	bufferBytes      = 4 << 10 // read buffer; the header of a typical response fits in it
 	// earlyResponseTimeout is how long to wait for a response after sending failed: a
@@ -99,11 +103,20 @@
 	}
 }
 
+// Options configure a Client.
+type Options struct {
+	Dial           func(ctx context.Context, addr string) (net.Conn, error)
+	MaxIdle        time.Duration // connections idle for longer are not reused
+	MaxIdlePerAddr int           // idle connections kept for each address
+	// MaxLargeBodyBytes limits the memory for large bodies that are being read at the same
+	// time; further ones wait. It is at least the size of one body of the maximum size.
+	MaxLargeBodyBytes int64
+}
+
 // Client keeps idle connections by address. It is safe for concurrent use.
 type Client struct {
-	dial           func(ctx context.Context, addr string) (net.Conn, error)
-	maxIdle        time.Duration // connections idle for longer are not reused
-	maxIdlePerAddr int
+	options     Options
+	largeBodies *semaphore.Weighted // bytes of large bodies that are being read
 
 	mu   sync.Mutex
 	idle map[string][]*conn // most recently used last
@@ -113,15 +126,15 @@
 	net.Conn
 	reader        *bufio.Reader
 	headerLimit   *limitedReader
+	largeBodies   *semaphore.Weighted
 	reused        bool      // the connection carried an earlier request
 	reusableUntil time.Time // not reused from then on
 	idleSince     time.Time
 }
 
-// NewClient returns a client that opens connections with dial, keeps up to
-// maxIdlePerAddr idle ones for each address and reuses them for up to maxIdle.
-func NewClient(dial func(ctx context.Context, addr string) (net.Conn, error), maxIdle time.Duration, maxIdlePerAddr int) *Client {
-	return &Client{dial: dial, maxIdle: maxIdle, maxIdlePerAddr: maxIdlePerAddr, idle: make(map[string][]*conn)}
+// NewClient returns a client without open connections.
+func NewClient(o Options) *Client {
+	return &Client{options: o, largeBodies: semaphore.NewWeighted(max(o.MaxLargeBodyBytes, maxBodyBytes)), idle: make(map[string][]*conn)}
 }
 
 // Do sends the request once and reads the whole response. Errors are of type *Error.
@@ -131,7 +144,7 @@
 		return nil, &Error{NotConnected, err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
-	resp, reusable, err := cn.exchange(x)
+	resp, reusable, err := cn.exchange(ctx, x)
 	if !stop() || err != nil || !reusable {
 		_ = cn.Close()
 	} else {
@@ -166,7 +179,7 @@
 			break
 		}
 		now := time.Now()
-		limit := c.maxIdle
+		limit := c.options.MaxIdle
 		if x.MaxIdle > 0 {
 			limit = min(limit, x.MaxIdle)
 		}
@@ -175,12 +188,12 @@
 		}
 		_ = idle.Close()
 	}
-	raw, err := c.dial(ctx, x.Addr)
+	raw, err := c.options.Dial(ctx, x.Addr)
 	if err != nil {
 		return nil, err
 	}
 	limited := &limitedReader{reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, bufferBytes), headerLimit: limited}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limited, bufferBytes), headerLimit: limited, largeBodies: c.largeBodies}, nil
 }
 
 // errHeaderTooLong is returned while a header exceeds maxHeaderBytes.
@@ -226,11 +239,11 @@
 // the address if they are too old or too many.
 func (c *Client) release(addr string, cn *conn, resp http.Header) {
 	cn.idleSince, cn.reused = time.Now(), true
-	cn.reusableUntil = cn.idleSince.Add(keepAliveTime(resp, c.maxIdle))
+	cn.reusableUntil = cn.idleSince.Add(keepAliveTime(resp, c.options.MaxIdle))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := append(c.idle[addr], cn)
-	for len(list) > 0 && (len(list) > c.maxIdlePerAddr || cn.idleSince.Sub(list[0].idleSince) > c.maxIdle) {
+	for len(list) > 0 && (len(list) > c.options.MaxIdlePerAddr || cn.idleSince.Sub(list[0].idleSince) > c.options.MaxIdle) {
 		_ = list[0].Close()
 		list = list[1:]
 	}
@@ -239,12 +252,12 @@
 
 // exchange sends the request and reads its response. It reports whether the
 // connection may be reused.
-func (c *conn) exchange(x *Exchange) (*Response, bool, error) {
+func (c *conn) exchange(ctx context.Context, x *Exchange) (*Response, bool, error) {
 	sendErr := c.send(x)
 	if sendErr != nil {
 		_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
 	}
-	resp, reusable, err := c.receive(x)
+	resp, reusable, err := c.receive(ctx, x)
 	if err != nil && sendErr != nil {
 		return nil, false, &Error{ConnectionLost, sendErr}
 	}
@@ -264,7 +277,7 @@
 	return out.Flush()
 }
 
-func (c *conn) receive(x *Exchange) (*Response, bool, error) {
+func (c *conn) receive(ctx context.Context, x *Exchange) (*Response, bool, error) {
 	for range maxResponsesRead {
 		c.headerLimit.limit(maxHeaderBytes)
 		resp, err := http.ReadResponse(c.reader, x.Request)
@@ -278,7 +291,7 @@
 			}
 			continue
 		}
-		body, err := readBody(resp)
+		body, err := c.readBody(ctx, resp)
 		if err != nil {
 			return nil, false, &Error{InvalidResponse, err}
 		}
@@ -293,15 +306,54 @@
 	return nil, false, &Error{InvalidResponse, errors.New("the peer sent no response that matches the request")}
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err != nil {
+// errBodyTooLong is returned for a body that exceeds maxBodyBytes.
+var errBodyTooLong = errors.New("the response body exceeds the size limit")
+
+// readBody reads the whole body. A body beyond smallBodyBytes waits until enough other
+// large bodies have been read.
+func (c *conn) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > maxBodyBytes {
+		return nil, errBodyTooLong
+	}
+	start, err := io.ReadAll(io.LimitReader(resp.Body, smallBodyBytes))
+	if err != nil || len(start) < smallBodyBytes {
+		return start, err
+	}
+	size := int64(maxBodyBytes) // of a body without a declared length
+	if resp.ContentLength >= 0 {
+		size = resp.ContentLength
+	}
+	if err := c.largeBodies.Acquire(ctx, size); err != nil {
 		return nil, err
 	}
-	if len(body) > maxResponseBytes {
-		return nil, errors.New("the response body exceeds the size limit")
+	defer c.largeBodies.Release(size)
+	return readRest(start, resp)
+}
+
+// readRest reads the body after its start. It reads a body without a declared length in
+// chunks, because a growing buffer would take a multiple of the body's size.
+func readRest(start []byte, resp *http.Response) ([]byte, error) {
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body[copy(body, start):])
+		return body, err
+	}
+	chunks, total := [][]byte{start}, len(start)
+	chunk := make([]byte, 0, smallBodyBytes)
+	for {
+		n, err := resp.Body.Read(chunk[len(chunk):cap(chunk)])
+		chunk, total = chunk[:len(chunk)+n], total+n
+		switch {
+		case total > maxBodyBytes:
+			return nil, errBodyTooLong
+		case err == io.EOF:
+			return bytes.Join(append(chunks, chunk), nil), nil
+		case err != nil:
+			return nil, err
+		case len(chunk) == cap(chunk):
+			chunks, chunk = append(chunks, chunk), make([]byte, 0, smallBodyBytes)
+		}
 	}
-	return body, nil
 }
 
 // classifyReadError separates a lost connection from bytes that are no valid response.
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,9 +72,9 @@
 
 func client(maxIdlePerAddr int) *Client {
 	dialer := &net.Dialer{}
-	return NewClient(func(ctx context.Context, addr string) (net.Conn, error) {
+	return NewClient(Options{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", addr)
-	}, 5*time.Second, maxIdlePerAddr)
+	}, MaxIdle: 5 * time.Second, MaxIdlePerAddr: maxIdlePerAddr})
 }
 
 func do(c *Client, s *scriptedServer, id string) (*Response, error) {
@@ -251,8 +253,8 @@
 		"no response":         {"", "x", maxHeaderBytes},
 		"one header line":     {"HTTP/1.1 200 OK\r\nLong: ", "x", maxHeaderBytes},
 		"header lines":        {"HTTP/1.1 200 OK\r\n", "A: b\r\n", maxHeaderBytes},
-		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x", maxResponseBytes},
-		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n", 4 * maxResponseBytes},
+		"body without length": {"HTTP/1.1 200 OK\r\n\r\n", "x", maxBodyBytes},
+		"chunks":              {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nxx\r\n", 4 * maxBodyBytes},
 	} {
 		s, sent := serveEndless(t, c.start, c.repeated)
 		_, err := do(client(2), s, "1")
@@ -265,3 +267,73 @@
 		}
 	}
 }
+
+// endlessServer answers on connections without buffers, so that a byte counts as soon as
+// the client has read it.
+type endlessServer struct {
+	head    string       // of each answer; an endless body follows
+	pending atomic.Int64 // bytes read by the client on connections that are open
+	peak    atomic.Int64
+}
+
+// dial implements Options.Dial.
+func (s *endlessServer) dial(context.Context, string) (net.Conn, error) {
+	client, server := net.Pipe()
+	go func() {
+		defer server.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err != nil {
+			return
+		}
+		_, err := io.WriteString(server, s.head)
+		var sent int64
+		for chunk := make([]byte, 4096); err == nil; {
+			var n int
+			n, err = server.Write(chunk)
+			sent += int64(n)
+			s.peak.Store(max(s.peak.Load(), s.pending.Add(int64(n))))
+		}
+		s.pending.Add(-sent)
+	}()
+	return client, nil
+}
+
+// Guards against a process that runs out of memory because a server answers many requests
+// at once with bodies without end, and against small responses that wait for these.
+func TestEndlessBodiesAreBoundedTogether(t *testing.T) {
+	const exchanges = 50
+	const limit = 2 * maxBodyBytes
+	s := &endlessServer{head: "HTTP/1.1 200 OK\r\n\r\n"}
+	c := NewClient(Options{Dial: s.dial, MaxLargeBodyBytes: limit})
+	var wg sync.WaitGroup
+	for range exchanges {
+		wg.Go(func() {
+			_, err := c.Do(t.Context(), &Exchange{Addr: "a", Request: NewRequest("GET", "a", "a", "/", "", http.Header{})})
+			var failed *Error
+			if !errors.As(err, &failed) || failed.Kind != InvalidResponse {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	if permitted := int64(limit + exchanges*(smallBodyBytes+2*bufferBytes)); s.peak.Load() > permitted {
+		t.Errorf("%d bytes were held at once, %d are permitted", s.peak.Load(), permitted)
+	}
+}
+
+// Guards against a large body that is changed, cut or taken for a complete one although it
+// ended early.
+func TestLargeBodies(t *testing.T) {
+	body := strings.Repeat("0123456789abcde\n", (smallBodyBytes+smallBodyBytes/2)/16)
+	chunked := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+	plain := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for name, text := range map[string]string{"length": plain, "chunks": chunked + "0\r\n\r\n"} {
+		if got, err := doOnce(client(0), serve(t, text, "")); err != nil || string(got.Body) != body {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+	for name, text := range map[string]string{"length": plain[:len(plain)-1], "chunks": chunked, "declared length": "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n"} {
+		if _, err := doOnce(client(0), serve(t, text, "")); err == nil {
+			t.Errorf("%s: a body that ended early or is too long is complete", name)
+		}
+	}
+}
--- a/internal/soak/load_generator.go
+++ b/internal/soak/load_generator.go
@@ -47,7 +47,7 @@
 	}
 	return &loadGenerator{
 		testbed: tb, host: host, random: rand.New(rand.NewPCG(seed, uint64(host)+1)),
-		client: httpconn.NewClient(dial, idleConnTimeout, 16),
+		client: httpconn.NewClient(httpconn.Options{Dial: dial, MaxIdle: idleConnTimeout, MaxIdlePerAddr: 16}),
 	}
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -56,6 +56,10 @@
 	// backend server, which closes them itself after some seconds.
 	backendIdleTimeout  = 8 * time.Second
 	maxIdleBackendConns = 16
+	// largeBodyMemoryDivisor is the share of the memory, as a divisor, for large answers
+	// that are being read from the backend server, and the same again for those from
+	// peers. The garbage collector lets the heap grow to twice of what is in use.
+	largeBodyMemoryDivisor = 8
 	// defaultSlots is the number of slots until the platform lists the backend server.
 	defaultSlots = 4
 	// localRetryFraction is the fraction of Settings.RetryBudgetRatio that entry proxies
@@ -101,7 +105,7 @@
 		settings: settings,
 		log:      log.With(zap.String("node", settings.NodeName)),
 		metrics:  metrics.NewSet(),
-		peers:    hop.NewClient(),
+		peers:    hop.NewClient(settings.MemoryBytes / largeBodyMemoryDivisor),
 		stop:     plannedStop{began: make(chan struct{})},
 	}
 	s.store = platform.NewStore(settings.StoreAddr, s.metrics)
@@ -174,9 +178,12 @@
 		&slots.Filter{Queue: s.queue, OriginalID: platform.BackendCodec{}.AttemptID, Log: s.log},
 		admission{s},
 		&deliver.Filter{
-			Addr:             s.settings.BackendAddr,
-			Codec:            platform.BackendCodec{},
-			Conns:            httpconn.NewClient(httpsend.Dial, backendIdleTimeout, maxIdleBackendConns),
+			Addr:  s.settings.BackendAddr,
+			Codec: platform.BackendCodec{},
+			Conns: httpconn.NewClient(httpconn.Options{
+				Dial: httpsend.Dial, MaxIdle: backendIdleTimeout, MaxIdlePerAddr: maxIdleBackendConns,
+				MaxLargeBodyBytes: s.settings.MemoryBytes / largeBodyMemoryDivisor,
+			}),
 			Observe:          s.observe,
 			ObserveLimit:     s.queue.ObserveLimit,
 			ObserveLeaving:   s.observeLeaving,
