--- a/internal/httpsend/transport.go
+++ b/internal/httpsend/transport.go
@@ -36,6 +36,10 @@
 // health probes.
 const maxIdleConnsPerHost = 64
 
+// MaxBackendHeaderBytes limits the memory for a backend server that sends a header without
+// end. The limit of net/http, 10 MB for each request, would add up to gigabytes.
+const MaxBackendHeaderBytes = 64 << 10
+
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: ConnectTimeout,
@@ -65,6 +69,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     backendIdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxBackendHeaderBytes,
 	}
 }
 
--- a/source/client.go
+++ b/source/client.go
@@ -47,6 +47,9 @@
 	return fmt.Sprintf("GET %s: status %d", e.Path, e.Status)
 }
 
+// maxHeaderBytes limits the memory for a server that sends a header without end.
+const maxHeaderBytes = 64 << 10
+
 // NewClient returns an HTTP/1.1 client for the readers of this package. It uses no proxy
 // and follows no redirects, so that it only connects to the addresses in the settings.
 func NewClient() *http.Client {
@@ -57,6 +60,8 @@
 			DisableCompression:  true,
 			IdleConnTimeout:     idleTimeout,
 			MaxIdleConnsPerHost: 4, // allows a few concurrent reads
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
