soak: planned work beside an overload, and requests that are cut while they wait

Cause: the soak had not found that planned stops cut waiting requests. Its check skipped requests that had not run, it applies only while no host has a fault, which the runs hardly had, and no request waited. Change: seeds that are multiples of four have planned work only, beside an overload of all backend servers. A request that had not run counts when its connection ends later than connecting and 200 ms take. A request that could not connect no longer counts as one whose connection failed; it could not run. With two signals, what the first one's grace time permits is permitted: the process is killed by it.

--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -37,6 +37,9 @@
 	// shutdownSendWindow is the time after SIGTERM in which a request may still be
 	// sent and be aborted at the end of the grace time.
 	shutdownSendWindow = 3 * time.Second
+	// unreadTimeout is how long a request may take from its start until the process closes
+	// the connection without having read it: the time to connect, and 200 ms.
+	unreadTimeout = connectTimeout + 200*time.Millisecond
 )
 
 // request is what the checker knows about one request of a caller.
@@ -178,7 +181,7 @@
 }
 
 // recordFailure records a request that got no response. connFailed is false if the
-// caller timed out.
+// caller timed out or could not connect.
 func (c *invariantChecker) recordFailure(r *request, connFailed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -218,19 +221,28 @@
 // checkShutdown checks a request whose connection failed during a graceful shutdown
 // of the host it was sent to, provided that no host had a fault.
 func (c *invariantChecker) checkShutdown(r *request) {
+	aborted := false
+	var after time.Duration
 	for _, s := range c.shutdownIntervals {
 		if s.host != r.host || r.ended.Before(s.from) || r.ended.After(s.to) || !c.faultFree(r.sent.Add(-faultRecoveryTime), r.ended) {
 			continue
 		}
-		// The end of the grace time may abort requests that were sent in time.
-		if r.sent.Sub(s.from) <= shutdownSendWindow && r.ended.Sub(s.from) >= graceTime*5/6 {
+		if len(r.executions) == 0 {
+			// A request that arrives while the process closes the connection is never read.
+			aborted = aborted || r.ended.Sub(r.sent) > unreadTimeout
+			after = r.ended.Sub(s.from)
 			continue
 		}
-		// A request that arrives while the process closes the connection is never
-		// read, so only requests that were executed count.
-		if len(r.executions) > 0 {
-			c.report(AbortedByShutdown, "%s, sent %v after SIGTERM of host %d, ended after %v", r.id, r.sent.Sub(s.from), r.host, r.ended.Sub(s.from))
+		// The end of the grace time may abort requests that were sent in time. A further
+		// signal doesn't postpone it.
+		if r.sent.Sub(s.from) <= shutdownSendWindow && r.ended.Sub(s.from) >= graceTime*5/6 {
+			return
 		}
+		aborted, after = true, r.ended.Sub(s.from)
+	}
+	if aborted {
+		c.report(AbortedByShutdown, "%s, sent %v before its connection ended, %v after SIGTERM of host %d, executions: %d",
+			r.id, r.ended.Sub(r.sent), after, r.host, len(r.executions))
 	}
 }
 
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -75,6 +75,24 @@
 			<-time.After(time.Second)
 			checker.recordFailure(r, true)
 		}},
+		"aborted by a shutdown while it waited": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
+			checker.recordShutdown(r.host, time.Now())
+			<-time.After(graceTime - 200*time.Millisecond)
+			checker.recordFailure(r, true)
+		}},
+		"not read before a shutdown": {"", func(checker *invariantChecker, r *request) {
+			checker.recordShutdown(r.host, time.Now())
+			<-time.After(100 * time.Millisecond)
+			checker.recordFailure(r, true)
+		}},
+		"aborted at the end of the grace time of the first of two signals": {"", func(checker *invariantChecker, r *request) {
+			checker.recordShutdown(r.host, time.Now())
+			checker.recordExecution(execution(r.id))
+			<-time.After(2 * time.Second)
+			checker.recordShutdown(r.host, time.Now())
+			<-time.After(graceTime - 2200*time.Millisecond)
+			checker.recordFailure(r, true)
+		}},
 		"aborted by a kill": {"", func(checker *invariantChecker, r *request) {
 			checker.recordFault(r.host, time.Now(), time.Now().Add(time.Second))
 			checker.recordShutdown(r.host, time.Now())
--- a/internal/soak/load_generator.go
+++ b/internal/soak/load_generator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -24,6 +25,8 @@
 	oldKeyOneIn = 8
 	// requestTimeout is how long a caller waits for a response.
 	requestTimeout = 4 * time.Second
+	// connectTimeout is how long a caller waits for a connection.
+	connectTimeout = time.Second
 	// idleConnTimeout is how long callers keep an idle connection.
 	idleConnTimeout = 5 * time.Second
 )
@@ -40,7 +43,7 @@
 
 func newLoadGenerator(tb *testbed, host int, seed uint64) *loadGenerator {
 	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
@@ -96,7 +99,9 @@
 		Request: httpconn.NewRequest(method, addr, routeHost, path+r.id, "", header),
 	})
 	if err != nil {
-		g.testbed.checker.recordFailure(r, ctx.Err() == nil)
+		var failure *httpconn.Error
+		connected := errors.As(err, &failure) && failure.Kind != httpconn.NotConnected
+		g.testbed.checker.recordFailure(r, connected && ctx.Err() == nil)
 		return
 	}
 	g.testbed.checker.recordResponse(r, resp.Status, string(resp.Body), resp.Header.Get(platform.HeaderResponseSignature))
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -44,6 +44,7 @@
 	RouteChanged  FaultKind = "route-changed"  // the configuration moves a route to another service
 	TerminateMany FaultKind = "terminate-many" // terminates a third of the hosts, one after the other
 	KillAll       FaultKind = "kill-all"       // kills all processes at once
+	Overload      FaultKind = "overload"       // service times are so long that requests queue everywhere
 )
 
 // faultKinds lists the kinds with the weights with which they are drawn: faults of
@@ -52,35 +53,36 @@
 	kind      FaultKind
 	weight    int
 	fleetWide bool // concerns no single host
+	planned   bool // planned work, during which no request may be lost
 
 	duration time.Duration // replaces the drawn one; 0 for none
 }{
-	{Kill, 3, false, 0},
-	{Pause, 3, false, 0},
-	{Terminate, 4, false, 0},
-	{Reload, 2, false, 0},
-	{StoreDown, 2, true, 0},
-	{StoreCompact, 2, true, 0},
-	{StoreCut, 2, false, 0},
-	{StoreReset, 1, false, 0},
-	{LinkDelay, 2, false, 0},
-	{LinkSilent, 2, false, 0},
-	{LinkCutIn, 2, false, 0},
-	{LinkCutOut, 2, false, 0},
-	{LinkReset, 2, false, 0},
-	{DatagramsLost, 2, false, 0},
-	{Isolated, 2, false, isolationTime},
-	{ServerFails, 3, false, 0},
-	{ServerHangs, 1, false, 0},
-	{ServerResets, 1, false, 0},
-	{ServerSlow, 2, false, 0},
-	{ServerLimited, 3, false, limitedTime},
-	{ServerCrash, 2, false, 0},
-	{ServerDrain, 3, false, 0},
-	{KeyWithdrawn, 3, true, 0},
-	{RouteChanged, 2, true, 0},
-	{TerminateMany, 1, true, 0},
-	{KillAll, 1, true, 0},
+	{Kill, 3, false, false, 0},
+	{Pause, 3, false, false, 0},
+	{Terminate, 4, false, true, 0},
+	{Reload, 2, false, true, 0},
+	{StoreDown, 2, true, false, 0},
+	{StoreCompact, 2, true, false, 0},
+	{StoreCut, 2, false, false, 0},
+	{StoreReset, 1, false, false, 0},
+	{LinkDelay, 2, false, false, 0},
+	{LinkSilent, 2, false, false, 0},
+	{LinkCutIn, 2, false, false, 0},
+	{LinkCutOut, 2, false, false, 0},
+	{LinkReset, 2, false, false, 0},
+	{DatagramsLost, 2, false, false, 0},
+	{Isolated, 2, false, false, isolationTime},
+	{ServerFails, 3, false, false, 0},
+	{ServerHangs, 1, false, false, 0},
+	{ServerResets, 1, false, false, 0},
+	{ServerSlow, 2, false, false, 0},
+	{ServerLimited, 3, false, false, limitedTime},
+	{ServerCrash, 2, false, false, 0},
+	{ServerDrain, 3, false, true, 0},
+	{KeyWithdrawn, 3, true, true, 0},
+	{RouteChanged, 2, true, true, 0},
+	{TerminateMany, 1, true, true, 0},
+	{KillAll, 1, true, false, 0},
 }
 
 // Fault is one scheduled fault.
@@ -115,22 +117,35 @@
 	faultsPerSecond = 1.2
 )
 
+// plannedWorkOneIn is the share of seeds, as one in plannedWorkOneIn, whose runs have only
+// planned work beside an overload.
+const plannedWorkOneIn = 4
+
 // NewSchedule returns the faults of a run in order of time. All of them end before
 // the settle time.
 func NewSchedule(seed uint64, hosts int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
+	plannedOnly := seed%plannedWorkOneIn == 0
 	total := 0
 	for _, k := range faultKinds {
-		total += k.weight
+		if k.planned || !plannedOnly {
+			total += k.weight
+		}
 	}
 	faultWindow := length - warmUp - settleTime
 	var faults []Fault
+	if plannedOnly {
+		faults = append(faults, Fault{At: warmUp, Duration: faultWindow, Kind: Overload, Host: -1})
+	}
 	for range int(faultsPerSecond * faultWindow.Seconds()) {
 		at := warmUp + time.Duration(random.Int64N(int64(faultWindow)))
 		duration := minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime)))
 		fault := Fault{At: at, Duration: min(duration, length-settleTime-at), Host: random.IntN(hosts)}
 		pick := random.IntN(total)
 		for _, k := range faultKinds {
+			if plannedOnly && !k.planned {
+				continue
+			}
 			if pick -= k.weight; pick < 0 {
 				fault.Kind = k.kind
 				if k.duration > 0 {
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -31,7 +31,7 @@
 // Guards against a recorded regression that can no longer be parsed, for example
 // because a fault kind was renamed.
 func TestRecordedRegressionsParse(t *testing.T) {
-	known := map[FaultKind]bool{}
+	known := map[FaultKind]bool{Overload: true}
 	for _, k := range faultKinds {
 		known[k.kind] = true
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -182,6 +182,10 @@
 	sleepContext(ctx, f.Duration)
 }
 
+// overloadFactor makes service times 1.2 s, so that callers send more than twice of what
+// the backend servers can execute.
+const overloadFactor = 20
+
 var serverFaults = map[FaultKind]fakebackend.Faults{
 	ServerFails:  {Fail: true},
 	ServerHangs:  {Hang: true},
@@ -218,6 +222,12 @@
 			sleepContext(ctx, restartDelay)
 		}
 		pending.Wait()
+	case Overload:
+		for _, h := range tb.hosts {
+			h.backend.SetFaults(fakebackend.Faults{SlowFactor: overloadFactor})
+			defer h.backend.SetFaults(fakebackend.Faults{})
+		}
+		sleepContext(ctx, f.Duration)
 	case KillAll:
 		tb.checker.recordFault(-1, now, now.Add(restartDelay+2*faultRecoveryTime))
 		var pending sync.WaitGroup
