sidecar, dispatch: a stopping process serves requests that end before the stop

Callers saw: requests that a backend server had begun to run failed, and may not run again, because the stopping process beside it refused the calls that they made. Cause: from 2.8 s after SIGTERM every request was refused, since it could be cut by the kill. Calls have deadlines of two seconds or less and end before it. Change: what a stop refuses, holds back or withdraws doesn't concern requests whose deadline lies before its end. Why it works: such a request is answered or its deadline passes before connections are closed, so it can't be cut. Test before the fix: TestShortRequestsAreServedUntilTheStopEnds fails (2 withdrawals; 4002 after the last start), and TestLateRequestsAreRefusedDuringAStop fails with "refused a request that ends before the stop".

--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -38,11 +38,19 @@
 	return Schedule{Began: began, Deadline: began.Add(timeout - killMargin)}
 }
 
-// LastStart is the latest time at which an attempt may start to run at a backend server.
-// One that starts later would probably be cut at the deadline.
+// LastStart is the latest time at which an attempt may start to run at a backend server,
+// unless its request ends in time. One that starts later would probably be cut.
 func (s Schedule) LastStart() time.Time { return s.Deadline.Add(-maxRunTime) }
 
-// RefusesCallers reports whether new requests from callers are refused.
+// EndsInTime reports whether a request with a deadline ends before connections are closed.
+// Most calls of backend servers do, which run for a short time and fail the request that
+// makes them if they are refused.
+func (s Schedule) EndsInTime(deadline time.Time) bool {
+	return !deadline.IsZero() && !deadline.After(s.Deadline)
+}
+
+// RefusesCallers reports whether new requests from callers are refused, unless they end in
+// time.
 func (s Schedule) RefusesCallers(now time.Time) bool {
 	return !now.Before(s.Began.Add(callerAcceptTime)) || now.After(s.LastStart())
 }
--- a/decide/shutdown/shutdown_test.go
+++ b/decide/shutdown/shutdown_test.go
@@ -31,6 +31,20 @@
 	}
 }
 
+// Guards against calls of backend servers that are refused during a stop although they end
+// before it, and against requests without a deadline that are taken for such.
+func TestShortRequestsEndInTime(t *testing.T) {
+	s := NewSchedule(time.Now(), 6*time.Second)
+	for after, want := range map[time.Duration]bool{-time.Second: true, 0: true, time.Millisecond: false} {
+		if got := s.EndsInTime(s.Deadline.Add(after)); got != want {
+			t.Errorf("deadline %v after the end: %v", after, got)
+		}
+	}
+	if s.EndsInTime(time.Time{}) {
+		t.Error("a request without a deadline ends in time")
+	}
+}
+
 // Guards against callers that come back while the process still stops.
 func TestRetryAfterCoversTheRestart(t *testing.T) {
 	began := time.Now()
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -136,9 +136,11 @@
 		select {
 		case <-stopBegan:
 			stopBegan = nil
-			timer := time.NewTimer(time.Until(r.filter.StopSchedule().LastStart()))
-			defer timer.Stop()
-			lastStart = timer.C
+			if schedule, limited := r.stopSchedule(); limited {
+				timer := time.NewTimer(time.Until(schedule.LastStart()))
+				defer timer.Stop()
+				lastStart = timer.C
+			}
 		case <-lastStart:
 			r.withdrawOpenAttempts(ctx)
 		case e := <-r.results:
--- a/filters/dispatch/stop.go
+++ b/filters/dispatch/stop.go
@@ -12,11 +12,12 @@
 )
 
 // stopSchedule returns the schedule of the planned stop of this process. It reports false
-// if none has begun.
+// if none has begun, or if the request ends before it whatever happens.
 func (r *requestState) stopSchedule() (shutdown.Schedule, bool) {
 	select {
 	case <-r.filter.StopBegan:
-		return r.filter.StopSchedule(), true
+		schedule := r.filter.StopSchedule()
+		return schedule, !schedule.EndsInTime(r.req.Deadline)
 	default:
 		return shutdown.Schedule{}, false
 	}
--- a/filters/dispatch/stop_test.go
+++ b/filters/dispatch/stop_test.go
@@ -70,11 +70,18 @@
 // after a delay.
 func handleBesideStop(t *testing.T, req *pipeline.Request, sender Sender, delay time.Duration) (*pipeline.Result, shutdown.Schedule) {
 	t.Helper()
-	snap := snapshot()
-	var ids atomic.Int64
 	schedule := shutdown.NewSchedule(time.Now().Add(delay), 6*time.Second)
 	began := make(chan struct{})
 	time.AfterFunc(delay, func() { close(began) })
+	return handleDuringStop(t, req, sender, began, schedule), schedule
+}
+
+// handleDuringStop sends one request through the filter of a process whose planned stop
+// begins when began is closed.
+func handleDuringStop(t *testing.T, req *pipeline.Request, sender Sender, began <-chan struct{}, schedule shutdown.Schedule) *pipeline.Result {
+	t.Helper()
+	snap := snapshot()
+	var ids atomic.Int64
 	f := &Filter{
 		Snapshot:         func() *mesh.Snapshot { return snap },
 		Sender:           sender,
@@ -85,7 +92,7 @@
 		StopSchedule:     func() shutdown.Schedule { return schedule },
 		Log:              zap.NewNop(),
 	}
-	return f.Handle(t.Context(), req), schedule
+	return f.Handle(t.Context(), req)
 }
 
 // Guards against requests that wait for a slot at another process until a planned stop
@@ -153,3 +160,26 @@
 	<-time.After(time.Until(f.at))
 	return refused(pipeline.CodeConnectionLost)
 }
+
+// Guards against calls of backend servers that are refused or withdrawn in a planned stop
+// although they end before it: the requests that make them would fail.
+func TestShortRequestsAreServedUntilTheStopEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		<-time.After(time.Second)
+		req := request(true)
+		req.Deadline = time.Now().Add(4500 * time.Millisecond)
+		sender := &busyExitProxies{runsFor: 3500 * time.Millisecond}
+		if result, _ := handleBesideStop(t, req, sender, 0); result.Status != 200 || sender.withdrawals != 0 {
+			t.Errorf("running: %+v, %d withdrawals", result, sender.withdrawals)
+		}
+		late := request(true)
+		late.Deadline = time.Now().Add(time.Second)
+		began := make(chan struct{})
+		close(began)
+		schedule := shutdown.NewSchedule(time.Now().Add(-4*time.Second), 6*time.Second)
+		result := handleDuringStop(t, late, &busyExitProxies{runsFor: 100 * time.Millisecond}, began, schedule)
+		if result.Status != 200 {
+			t.Errorf("after the last start: %+v", result)
+		}
+	})
+}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -36,8 +36,8 @@
 	close(p.began)
 }
 
-// intake is a filter that refuses callers' requests in the last part of a planned stop,
-// because they would be cut when the process is killed.
+// intake is a filter that refuses callers' requests in the last part of a planned stop
+// that could be cut when the process is killed.
 type intake struct{ sidecar *Sidecar }
 
 // Name returns "intake".
@@ -45,8 +45,8 @@
 
 // Handle refuses the request as not run. RetryAfter is the time until the process is
 // expected to be running again.
-func (i intake) Handle(context.Context, *pipeline.Request) *pipeline.Result {
-	if !i.sidecar.refusingCallers.Load() {
+func (i intake) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
+	if !i.sidecar.refusingCallers.Load() || i.sidecar.stop.schedule.EndsInTime(req.Deadline) {
 		return nil
 	}
 	result := pipeline.Refuse(pipeline.CodeStopping, "")
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -40,7 +40,7 @@
 		filter := intake{s}
 		for time.Now().Before(shutdown.NewSchedule(began, s.settings.StopTimeout).Deadline) {
 			after := time.Since(began)
-			result := filter.Handle(t.Context(), &pipeline.Request{})
+			result := filter.Handle(t.Context(), &pipeline.Request{Deadline: time.Now().Add(10 * time.Second)})
 			switch {
 			case after < callerDrainTime && result != nil:
 				t.Fatalf("refused %v after the stop began", after)
@@ -49,6 +49,10 @@
 			case result != nil && (result.Outcome != pipeline.NotRun || result.RetryAfter <= 0):
 				t.Fatalf("refused with %+v", result)
 			}
+			short := &pipeline.Request{Deadline: began.Add(s.settings.StopTimeout - time.Second)}
+			if result := filter.Handle(t.Context(), short); result != nil {
+				t.Fatalf("refused a request that ends before the stop, %v after it began", after)
+			}
 			<-time.After(100 * time.Millisecond)
 		}
 		<-done
