node, httpfront: a stop timeout that passes ends requests with an answer

Callers of the own interface saw: connections that end without an answer, where a request waits or runs longer than a planned stop takes (drain time and stop timeout). Cause: at the stop timeout the servers' Shutdown gives up, and the process ends with its connections. Change: one second before, the contexts of callers' requests are canceled with a cause that becomes the new code 6006 (outcome unknown, 502), and the dispatchers refuse attempts that wait, so that other entries send them elsewhere. Running attempts of other entries still end with the connection (6001 there). Why it works: Shutdown then finds no open request of a caller and ends in time. Test before the fix: TestStopTimeoutEndsRequestsWithAnAnswer fails, "EOF:24, want each of 24 requests unknown or not run". It passes now. The sidecar doesn't use this code.

--- a/cmd/ragwortyard/process_faults_test.go
+++ b/cmd/ragwortyard/process_faults_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/config"
+	"github.com/ragwortyard/ragwortyard/httpfront"
 	"github.com/ragwortyard/ragwortyard/internal/fakes"
 )
 
@@ -199,3 +202,43 @@
 		}
 	}
 }
+
+// Guards against requests that wait or run longer than a planned stop takes, whose
+// connections end without an answer.
+func TestStopTimeoutEndsRequestsWithAnAnswer(t *testing.T) {
+	const requests = 24 // more than the two backend servers run at once
+	f := startProcessesWith(t, 2, time.Minute, "RAGWORTYARD_STOP_TIMEOUT=3s")
+	p := f.processes[0]
+	results := make(chan string, requests)
+	for range requests {
+		go func() { results <- sendLongBooking(p) }()
+	}
+	<-time.After(time.Second)
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	outcomes := make(map[string]int)
+	for range requests {
+		outcomes[<-results]++
+	}
+	if outcomes["unknown"]+outcomes["not-run"] != requests {
+		t.Errorf("outcomes %v, want each of %d requests unknown or not run", outcomes, requests)
+	}
+}
+
+// sendLongBooking sends a booking with a timeout of a minute. It returns the outcome that
+// the caller is told, or the error.
+func sendLongBooking(p *process) string {
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.callersAddr+"/bookings", strings.NewReader("{}"))
+	if err != nil {
+		return err.Error()
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(httpfront.HeaderTimeout, "60000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	return resp.Header.Get(httpfront.HeaderOutcome)
+}
--- a/cmd/ragwortyard/process_test.go
+++ b/cmd/ragwortyard/process_test.go
@@ -35,6 +35,8 @@
 // platform.
 type processFleet struct {
 	t             *testing.T
+	serviceTime   time.Duration // of the backend servers
+	env           []string      // settings of all processes
 	binary        string
 	configService *fakes.ConfigService
 	hostList      *fakes.HostList
@@ -42,11 +44,18 @@
 }
 
 func startProcesses(t *testing.T, n int) *processFleet {
+	t.Helper()
+	return startProcessesWith(t, n, 5*time.Millisecond)
+}
+
+// startProcessesWith starts processes whose backend servers take serviceTime for each
+// request. env holds settings of the processes, as NAME=VALUE.
+func startProcessesWith(t *testing.T, n int, serviceTime time.Duration, env ...string) *processFleet {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	f := &processFleet{t: t, binary: filepath.Join(t.TempDir(), "ragwortyard")}
+	f := &processFleet{t: t, serviceTime: serviceTime, env: env, binary: filepath.Join(t.TempDir(), "ragwortyard")}
 	if out, err := exec.Command("go", "build", "-o", f.binary, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
@@ -105,7 +114,7 @@
 
 func (f *processFleet) newProcess(i int) *process {
 	f.t.Helper()
-	backend, err := fakes.NewBackend(fakes.BackendOptions{ID: fmt.Sprintf("bookings-%d", i), ServiceTime: fakes.FixedTime(5 * time.Millisecond)})
+	backend, err := fakes.NewBackend(fakes.BackendOptions{ID: fmt.Sprintf("bookings-%d", i), ServiceTime: fakes.FixedTime(f.serviceTime)})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -142,6 +151,7 @@
 		"RAGWORTYARD_CONFIG_URL="+f.configService.URL(), "RAGWORTYARD_HOSTS_URL="+f.hostList.URL(),
 		"RAGWORTYARD_HOSTS_INTERVAL=200ms", "RAGWORTYARD_DRAIN_TIME=1s", "RAGWORTYARD_FLEET_PLAIN=true",
 	)
+	p.cmd.Env = append(p.cmd.Env, f.env...)
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/httpfront/server.go
+++ b/httpfront/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -47,12 +48,19 @@
 		}
 	}()
 	result := h.Chain.Run(r.Context(), req)
+	if result.Code == pipeline.CodeCanceled && errors.Is(context.Cause(r.Context()), ErrStopping) {
+		result = pipeline.Refuse(pipeline.CodeStopped, "")
+	}
 	Respond(w, result, done)
 }
 
+// ErrStopping is the cause with which the context of a server is canceled to end the
+// requests that a planned stop can't await.
+var ErrStopping = errors.New("the process is stopping")
+
 // NewServer returns an HTTP/1.1 and HTTP/2 server for the handler. Without TLS it accepts
-// HTTP/2 with prior knowledge.
-func NewServer(handler http.Handler) *http.Server {
+// HTTP/2 with prior knowledge. The contexts of its requests are derived from ctx.
+func NewServer(ctx context.Context, handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
@@ -64,7 +72,7 @@
 		IdleTimeout:       idleTimeout,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
-		BaseContext:       func(net.Listener) context.Context { return context.Background() },
+		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 }
 
--- a/node/exits.go
+++ b/node/exits.go
@@ -98,6 +98,13 @@
 	return proxy
 }
 
+// stop ends the exit proxies: they refuse the requests that wait for a slot.
+func (e *exitTable) stop() {
+	for _, proxy := range *e.byBackend.Load() {
+		proxy.stop()
+	}
+}
+
 // chain returns the exit chain of a local backend server.
 func (e *exitTable) chain(backend string) (pipeline.Chain, bool) {
 	proxy, ok := (*e.byBackend.Load())[backend]
--- a/node/node.go
+++ b/node/node.go
@@ -65,6 +65,7 @@
 	refusingWork   atomic.Bool // exit chains refuse new requests; set after the drain time of a planned stop
 	leaving        atomic.Bool // answers to callers close the connection; set at the start of a planned stop
 	servers        servers
+	endRequests    func() // ends the running requests of callers, with an answer
 	directFailures directFailures
 }
 
@@ -153,7 +154,9 @@
 }
 
 func (n *Node) newServers(registry *fleet.Registry, fleetTLS, callersTLS *tls.Config) servers {
-	callers := httpfront.NewServer(n.closeWhenLeaving(&httpfront.Handler{Chain: n.entryChain}))
+	requests, cancel := context.WithCancelCause(context.Background())
+	n.endRequests = func() { cancel(httpfront.ErrStopping) }
+	callers := httpfront.NewServer(requests, n.closeWhenLeaving(&httpfront.Handler{Chain: n.entryChain}))
 	callers.TLSConfig = callersTLS
 	callers.ErrorLog = zap.NewStdLog(n.log.Named("callers"))
 	traffic := fleet.NewHopServer(&fleet.HopHandler{Chain: n.exitChain, Load: n.exitProxies.load})
@@ -323,10 +326,17 @@
 	n.loop.Post(list)
 }
 
+// maxAnswerTime is the time before the stop timeout that is reserved for answering the
+// requests that are still under way.
+const maxAnswerTime = time.Second
+
 // shutdown performs a planned stop. The process first announces to its peers that it is
 // leaving and keeps serving for the drain time, while peers and callers move to other
 // processes. Then its exit chains refuse new requests as not run, so that entry proxies
 // send them elsewhere. Finally it waits for running requests, at most the stop timeout.
+// Shortly before the timeout it ends what is still under way, so that callers get an
+// answer: the attempts that wait for a slot here are refused, and requests of callers end
+// with an unknown outcome.
 func (n *Node) shutdown() error {
 	n.log.Info("stopping; announcing it to peers", zap.Duration("drain", n.settings.DrainTime))
 	n.leaving.Store(true)
@@ -337,6 +347,12 @@
 	n.refusingWork.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.StopTimeout)
 	defer cancel()
+	end := time.AfterFunc(n.settings.StopTimeout-min(maxAnswerTime, n.settings.StopTimeout/2), func() {
+		n.log.Warn("ending the requests that are still under way", zap.Duration("stop_timeout", n.settings.StopTimeout))
+		n.endRequests()
+		n.exitProxies.stop()
+	})
+	defer end.Stop()
 	// The callers' server is shut down first: its running requests may still need exit
 	// proxies of other processes. Entry proxies of other processes still wait for answers
 	// of this process's exit proxies.
--- a/pipeline/code.go
+++ b/pipeline/code.go
@@ -72,6 +72,7 @@
 	CodeAnswerCut      Code = 6003
 	CodeCanceled       Code = 6004
 	CodeSilent         Code = 6005
+	CodeStopped        Code = 6006
 )
 
 // Codes for the protocol between the processes.
@@ -154,6 +155,7 @@
 	{CodeAnswerCut, "answer-cut", Unknown, 502, "The answer was cut before its end."},
 	{CodeCanceled, "canceled", Unknown, 499, "The caller went away while the backend server was working."},
 	{CodeSilent, "silent", Unknown, 504, "The connection went silent after the request was sent."},
+	{CodeStopped, "stopped", Unknown, 502, "The process stopped before the answer arrived."},
 	{CodeBadHop, "bad-hop", NotRun, 400, "A request between processes lacks required fields."},
 	{CodeVersionMismatch, "version-mismatch", NotRun, 0, "The peer speaks an unsupported protocol version."},
 	{CodeMessageTooLarge, "message-too-large", NotRun, 0, "A message between processes exceeds its limit."},
