sidecar, httpdrain: log the connections that a stop closes before a request on them is handled

The end of a planned stop logged only how many requests were open.

Change: the servers for callers and peers track their connections and count those that are closed after a request, or a part of it, was read that no handler got; the stop logs the number.

--- a/internal/asynclog/asynclog.go
+++ b/internal/asynclog/asynclog.go
@@ -15,23 +15,48 @@
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	closing chan struct{}
 	done    chan struct{}
 }
 
 // New returns a Writer that writes to out.
 func New(out io.Writer) *Writer {
-	w := &Writer{lines: make(chan []byte, queueCapacity), done: make(chan struct{})}
-	go func() {
-		defer close(w.done)
-		for line := range w.lines {
-			if _, err := out.Write(line); err != nil {
-				w.dropped.Add(1)
-			}
-		}
-	}()
+	w := &Writer{lines: make(chan []byte, queueCapacity), closing: make(chan struct{}), done: make(chan struct{})}
+	go w.run(out)
 	return w
 }
 
+func (w *Writer) run(out io.Writer) {
+	defer close(w.done)
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(out, line)
+		case <-w.closing:
+			w.writeQueued(out)
+			return
+		}
+	}
+}
+
+// writeQueued writes the lines that are in the queue.
+func (w *Writer) writeQueued(out io.Writer) {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(out, line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *Writer) write(out io.Writer, line []byte) {
+	if _, err := out.Write(line); err != nil {
+		w.dropped.Add(1)
+	}
+}
+
 // Write queues a copy of a line. It never blocks and never returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
 	lineCopy := append([]byte(nil), line...)
@@ -49,8 +74,9 @@
 // Dropped returns the number of lines that were not written.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close writes the queued lines and stops the writer. Write must not be called after it.
+// Close writes the queued lines and stops the writer. Later lines are not written. It must
+// be called once.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.closing)
 	<-w.done
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -42,6 +42,7 @@
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/internal/bootclock"
 	"github.com/ragwortyard/ragwortyard/internal/httpconn"
+	"github.com/ragwortyard/ragwortyard/internal/httpdrain"
 	"github.com/ragwortyard/ragwortyard/internal/httpsend"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 	"github.com/ragwortyard/ragwortyard/platform"
@@ -337,7 +338,7 @@
 	ready := s.newServer(platform.ReadinessHandler(s.ready))
 	operator := s.newServer(s.metricsHandler())
 	group, groupCtx := errgroup.WithContext(ctx)
-	for addr, server := range map[string]*http.Server{
+	for addr, server := range map[string]*httpdrain.Server{
 		s.settings.CallersAddr:   callers,
 		s.settings.PeersAddr:     peers,
 		s.settings.ReadinessAddr: ready,
@@ -361,7 +362,7 @@
 }
 
 // serve runs an HTTP server. It returns nil if the server was closed.
-func serve(server *http.Server, listener net.Listener) error {
+func serve(server *httpdrain.Server, listener net.Listener) error {
 	err := server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -401,14 +402,14 @@
 	}
 }
 
-func (s *Sidecar) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func (s *Sidecar) newServer(handler http.Handler) *httpdrain.Server {
+	return httpdrain.NewServer(&http.Server{
 		Handler:           handler,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          zap.NewStdLog(s.log.Named("http")),
-	}
+	})
 }
 
 // countOpenRequests wraps a handler and counts the requests that it has not answered
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,6 +9,7 @@
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/shutdown"
+	"github.com/ragwortyard/ragwortyard/internal/httpdrain"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -22,6 +22,9 @@
 	closeAnnouncementTime = 250 * time.Millisecond
 	// closeTimeout is how long connections may take to close at the end of a stop.
 	closeTimeout = 150 * time.Millisecond
+	// handlerEndTimeout is how long the process waits for the handlers of closed
+	// connections, which log the ends of their requests.
+	handlerEndTimeout = 50 * time.Millisecond
 )
 
 // plannedStop is the planned stop of the process, as its filters see it.
@@ -70,7 +73,7 @@
 // tasks for other processes. It continues to serve until callers have drained and every
 // request is answered, but at most until the deadline of the schedule. Requests that
 // cannot start before the last start of the schedule are refused.
-func (s *Sidecar) shutdown(servers ...*http.Server) {
+func (s *Sidecar) shutdown(servers ...*httpdrain.Server) {
 	c := stopProgress{Schedule: shutdown.NewSchedule(time.Now(), s.settings.StopTimeout)}
 	s.log.Info("stopping", zap.Int64("open", s.openRequests.Load()))
 	s.submitStopEvent(mesh.Stop{})
@@ -97,6 +100,16 @@
 			s.log.Warn("connections still open at the end of the stop", zap.Error(err), zap.NamedError("close_error", server.Close()))
 		}
 	}
+	ctx, cancel = context.WithTimeout(context.Background(), handlerEndTimeout)
+	defer cancel()
+	for _, server := range servers {
+		if err := server.Wait(ctx); err != nil {
+			s.log.Warn("handlers still run at the end of the stop", zap.Int64("open", s.openRequests.Load()), zap.Error(err))
+		}
+		if n := server.Dropped(); n > 0 {
+			s.log.Warn("connections closed before requests on them were handled", zap.Int64("connections", n))
+		}
+	}
 }
 
 // submitStopEvent passes an event of the stop to the control loop and logs a failure.
