sidecar, soak: planned stops drop requests that they have read (test fails)

Callers saw connections closed without an answer around SIGTERM.

The soak could not find it: it took a request that no backend server ran and whose connection ended within 1.2 s for unread, its callers had few connections, and a shutdown beside a fault of the store was not checked. Now it tells unread requests from dropped ones by the reset of the connection (internal/tcpclose), opens 40 connections before each SIGTERM that are used at any time of the stop, lets backend servers make calls, draws short deadlines, waits up to 8 s, and plays faults of the store and stops of idle processes in the runs of planned work only.

--- a/cmd/ragwortyard/soak.go
+++ b/cmd/ragwortyard/soak.go
@@ -23,6 +23,7 @@
 	Hosts       int           `default:"9" help:"Number of hosts, each with one process."`
 	Length      time.Duration `default:"24s" help:"Duration of a run."`
 	Parallel    int           `default:"1" help:"Number of concurrent runs."`
+	Program     string        `default:"" help:"Path of the program to run, for example of an earlier version; this one if empty."`
 	Logs        string        `default:"" help:"Directory for logs; a temporary one if empty."`
 	Verbose     bool          `help:"Print the injected faults of every run."`
 }
@@ -33,9 +34,11 @@
 
 // Run runs the seeds and returns an error if a run failed or violated an invariant.
 func (c *soakCommand) Run() error {
-	binary, err := os.Executable()
-	if err != nil {
-		return eris.Wrap(err, "find the path of the executable")
+	binary, err := c.Program, error(nil)
+	if binary == "" {
+		if binary, err = os.Executable(); err != nil {
+			return eris.Wrap(err, "find the path of the executable")
+		}
 	}
 	if c.Logs == "" {
 		if c.Logs, err = os.MkdirTemp("", "ragwortyard-soak-"); err != nil {
--- a/internal/fakebackend/backend.go
+++ b/internal/fakebackend/backend.go
@@ -46,6 +46,9 @@
 	Slots           int
 	MeanServiceTime time.Duration
 	OnExecution     func(Execution)
+	// Call makes the calls of the server to other services that a request needs, and
+	// reports whether they succeeded; nil for none.
+	Call func(ctx context.Context, attempt string) bool
 
 	mu         sync.Mutex
 	id         string
@@ -155,6 +158,10 @@
 	}
 	timer := time.NewTimer(serviceTime)
 	defer timer.Stop()
+	if b.Call != nil && !b.Call(ctx, attempt) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,7 @@
 	host       int
 	idempotent bool
 	team, key  string
+	timeout    time.Duration
 	sent       time.Time
 	ended      time.Time // zero while in flight
 	status     int       // HTTP status; 0 if there was no response
@@ -64,15 +66,18 @@
 // invariantChecker records what callers and backend servers observe and checks the
 // invariants.
 type invariantChecker struct {
-	mu                sync.Mutex
-	started           time.Time
-	requests          map[string]*request
-	withdrawn         map[string]time.Time // by key: when the store acknowledged the withdrawal
-	draining          map[string]time.Time // by backend server: when the store acknowledged its drain
-	faultIntervals    []hostInterval       // injected faults, without graceful shutdowns
-	shutdownIntervals []hostInterval       // graceful shutdowns
-	violations        []Violation
-	succeeded         int
+	mu             sync.Mutex
+	started        time.Time
+	requests       map[string]*request
+	withdrawn      map[string]time.Time // by key: when the store acknowledged the withdrawal
+	draining       map[string]time.Time // by backend server: when the store acknowledged its drain
+	faultIntervals []hostInterval       // injected faults, without graceful shutdowns and faults of the store
+	// storeFaultIntervals are the faults of the store. They permit no shutdown to abort a
+	// request.
+	storeFaultIntervals []hostInterval
+	shutdownIntervals   []hostInterval // graceful shutdowns
+	violations          []Violation
+	succeeded           int
 }
 
 // hostInterval is an interval that concerns one host, or all hosts if host is -1.
@@ -92,6 +97,13 @@
 	c.violations = append(c.violations, Violation{time.Since(c.started), invariant, fmt.Sprintf(format, args...)})
 }
 
+// recordStoreFault records the interval of a fault of the store, or of the path to it.
+func (c *invariantChecker) recordStoreFault(host int, from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeFaultIntervals = append(c.storeFaultIntervals, hostInterval{host, from, to})
+}
+
 // recordFault records the interval of a fault at a host.
 func (c *invariantChecker) recordFault(host int, from, to time.Time) {
 	c.mu.Lock()
@@ -148,20 +160,24 @@
 func (c *invariantChecker) checkDrain(r *request, execution fakebackend.Execution) {
 	at, draining := c.draining[execution.Backend]
 	late := execution.Began.Sub(at)
-	if draining && late > drainTime && c.faultFree(at.Add(-faultRecoveryTime), execution.Began) {
+	if draining && late > drainTime && !c.faulty(at.Add(-faultRecoveryTime), execution.Began, true) {
 		c.report(RequestAfterDrain, "%s reached %s %v after the drain was announced, through host %d", r.id, execution.Backend, late, r.host)
 	}
 }
 
-// faultFree reports whether no host had a fault between from and to. The caller
-// holds the lock.
-func (c *invariantChecker) faultFree(from, to time.Time) bool {
-	for _, s := range c.faultIntervals {
+// faulty reports whether any host had a fault between from and to. Faults of the store
+// count if storeFaults is true. The caller holds the lock.
+func (c *invariantChecker) faulty(from, to time.Time, storeFaults bool) bool {
+	intervals := c.faultIntervals
+	if storeFaults {
+		intervals = append(slices.Clone(intervals), c.storeFaultIntervals...)
+	}
+	for _, s := range intervals {
 		if !s.from.After(to) && !s.to.Before(from) {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // isRejection reports whether a status guarantees that the request was not executed.
@@ -180,15 +196,20 @@
 	c.draining[id] = time.Now()
 }
 
-// recordFailure records a request that got no response. connFailed is false if the
-// caller timed out or could not connect.
-func (c *invariantChecker) recordFailure(r *request, connFailed bool) {
+// recordFailure records a request whose caller timed out or could not connect.
+func (c *invariantChecker) recordFailure(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.ended = time.Now()
-	if connFailed {
-		c.checkShutdown(r)
-	}
+}
+
+// recordConnEnd records a request whose connection ended without a complete response. read
+// reports whether the process had read the request before.
+func (c *invariantChecker) recordConnEnd(r *request, at time.Time, read bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.ended = at
+	c.checkShutdown(r, read)
 }
 
 // recordResponse records the response to a request and checks it.
@@ -219,17 +240,17 @@
 }
 
 // checkShutdown checks a request whose connection failed during a graceful shutdown
-// of the host it was sent to, provided that no host had a fault.
-func (c *invariantChecker) checkShutdown(r *request) {
+// of the host it was sent to, provided that nothing but the store had a fault.
+func (c *invariantChecker) checkShutdown(r *request, read bool) {
 	aborted := false
 	var after time.Duration
 	for _, s := range c.shutdownIntervals {
-		if s.host != r.host || r.ended.Before(s.from) || r.ended.After(s.to) || !c.faultFree(r.sent.Add(-faultRecoveryTime), r.ended) {
+		if s.host != r.host || r.ended.Before(s.from) || r.ended.After(s.to) || c.faulty(r.sent.Add(-faultRecoveryTime), r.ended, false) {
 			continue
 		}
 		if len(r.executions) == 0 {
 			// A request that arrives while the process closes the connection is never read.
-			aborted = aborted || r.ended.Sub(r.sent) > unreadTimeout
+			aborted = aborted || read || r.ended.Sub(r.sent) > unreadTimeout
 			after = r.ended.Sub(s.from)
 			continue
 		}
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -73,17 +73,28 @@
 			checker.recordShutdown(r.host, time.Now())
 			checker.recordExecution(execution(r.id))
 			<-time.After(time.Second)
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
 		}},
 		"aborted by a shutdown while it waited": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
 			checker.recordShutdown(r.host, time.Now())
 			<-time.After(graceTime - 200*time.Millisecond)
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
 		}},
 		"not read before a shutdown": {"", func(checker *invariantChecker, r *request) {
 			checker.recordShutdown(r.host, time.Now())
 			<-time.After(100 * time.Millisecond)
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
+		}},
+		"read and dropped by a shutdown": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
+			checker.recordShutdown(r.host, time.Now())
+			<-time.After(100 * time.Millisecond)
+			checker.recordConnEnd(r, time.Now(), true)
+		}},
+		"aborted by a shutdown while the store is down": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
+			checker.recordStoreFault(-1, time.Now(), time.Now().Add(time.Minute))
+			checker.recordShutdown(r.host, time.Now())
+			checker.recordExecution(execution(r.id))
+			checker.recordConnEnd(r, time.Now(), false)
 		}},
 		"aborted at the end of the grace time of the first of two signals": {"", func(checker *invariantChecker, r *request) {
 			checker.recordShutdown(r.host, time.Now())
@@ -91,17 +102,17 @@
 			<-time.After(2 * time.Second)
 			checker.recordShutdown(r.host, time.Now())
 			<-time.After(graceTime - 2200*time.Millisecond)
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
 		}},
 		"aborted by a kill": {"", func(checker *invariantChecker, r *request) {
 			checker.recordFault(r.host, time.Now(), time.Now().Add(time.Second))
 			checker.recordShutdown(r.host, time.Now())
 			checker.recordExecution(execution(r.id))
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
 		}},
 		"never sent": {UnknownRequest, func(checker *invariantChecker, _ *request) { checker.recordExecution(execution("other")) }},
 		"not recovered": {NotRecovered, func(checker *invariantChecker, r *request) {
-			checker.recordFailure(r, true)
+			checker.recordConnEnd(r, time.Now(), false)
 			checker.checkRecovery(r.sent)
 		}},
 	}
--- a/internal/soak/load_generator.go
+++ b/internal/soak/load_generator.go
@@ -5,13 +5,13 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/ragwortyard/ragwortyard/internal/httpconn"
 	"github.com/ragwortyard/ragwortyard/platform"
 )
 
@@ -24,33 +24,29 @@
 	// keyRevocationTime receives a request whose key was withdrawn in the meantime.
 	oldKeyOneIn = 8
 	// requestTimeout is how long a caller waits for a response.
-	requestTimeout = 4 * time.Second
-	// connectTimeout is how long a caller waits for a connection.
-	connectTimeout = time.Second
-	// idleConnTimeout is how long callers keep an idle connection.
-	idleConnTimeout = 5 * time.Second
+	requestTimeout = 8 * time.Second
+	// shortTimeout is how long the callers of one in shortTimeoutOneIn requests wait, like
+	// those that return late after a refusal, and backend servers that make a call.
+	shortTimeout      = 2 * time.Second
+	shortTimeoutOneIn = 3
+	// callOneIn is the share of requests during which a backend server makes a call, as one
+	// in callOneIn.
+	callOneIn = 2
 )
 
-// loadGenerator sends the requests of all callers to one host. It keeps using its
-// open connections until the process closes them, also during a shutdown.
+// loadGenerator sends the requests of all callers to one host.
 type loadGenerator struct {
 	testbed  *testbed
 	host     int
 	random   *rand.Rand
-	client   *httpconn.Client
+	pool     *callerPool
 	inFlight sync.WaitGroup
 }
 
 func newLoadGenerator(tb *testbed, host int, seed uint64) *loadGenerator {
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-		defer cancel()
-		var d net.Dialer
-		return d.DialContext(ctx, "tcp", addr)
-	}
 	return &loadGenerator{
 		testbed: tb, host: host, random: rand.New(rand.NewPCG(seed, uint64(host)+1)),
-		client: httpconn.NewClient(httpconn.Options{Dial: dial, MaxIdle: idleConnTimeout, MaxIdlePerAddr: 16}),
+		pool: &callerPool{addr: tb.hosts[host].callerAddr},
 	}
 }
 
@@ -61,48 +57,85 @@
 		select {
 		case <-ctx.Done():
 			g.inFlight.Wait()
-			g.client.Close()
+			g.pool.close()
 			return
 		case <-time.After(pause):
 		}
 		team := g.random.IntN(teamCount)
 		r := &request{
-			id: fmt.Sprintf("%x.%x", g.host, n), host: g.host, idempotent: g.random.IntN(2) == 0,
-			team: teamName(team), key: g.testbed.key(team),
+			id: fmt.Sprintf("%x-%x", g.host, n), host: g.host, idempotent: g.random.IntN(2) == 0,
+			team: teamName(team), key: g.testbed.key(team), timeout: requestTimeout,
 		}
 		if g.random.IntN(oldKeyOneIn) == 0 {
 			r.key = g.testbed.oldKey(team) // withdrawn already, or by the next withdrawal
 		}
-		g.inFlight.Go(func() { g.send(r) })
+		if g.random.IntN(shortTimeoutOneIn) == 0 {
+			r.timeout = shortTimeout
+		}
+		path := pathOnce
+		if r.idempotent {
+			path = pathRepeatable
+		}
+		g.inFlight.Go(func() { g.testbed.checker.send(context.Background(), g.pool, r, path) })
 	}
 }
 
-// send sends one request and reports its result to the invariant checker.
-func (g *loadGenerator) send(r *request) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+// send sends one request and records its result. It reports whether the request succeeded.
+func (c *invariantChecker) send(ctx context.Context, pool *callerPool, r *request, path string) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
-	header := http.Header{}
-	header.Set(platform.HeaderAttemptID, r.id)
-	header.Set(platform.HeaderAPIKey, r.key)
-	header.Set(platform.HeaderDeadline, strconv.FormatInt(requestTimeout.Milliseconds(), 10))
-	method, path := http.MethodPost, pathOnce
-	var payload []byte
+	method, payload := http.MethodPost, "body of "+r.id
 	if r.idempotent {
-		method, path = http.MethodGet, pathRepeatable
-	} else {
-		payload = []byte("body of " + r.id)
+		method, payload = http.MethodGet, ""
+	}
+	req, err := http.NewRequest(method, "http://"+pool.addr+path+r.id, strings.NewReader(payload))
+	if err != nil {
+		panic(err) // the address and the path are constant
+	}
+	req.Host = routeHost
+	req.Header.Set(platform.HeaderAttemptID, r.id)
+	if r.key != "" {
+		req.Header.Set(platform.HeaderAPIKey, r.key)
 	}
-	addr := g.testbed.hosts[g.host].callerAddr
-	g.testbed.checker.recordSent(r)
-	resp, err := g.client.Do(ctx, &httpconn.Exchange{
-		Addr: addr, Body: payload,
-		Request: httpconn.NewRequest(method, addr, routeHost, path+r.id, "", header),
-	})
+	req.Header.Set(platform.HeaderDeadline, strconv.FormatInt(r.timeout.Milliseconds(), 10))
+	c.recordSent(r)
+	resp, err := pool.exchange(ctx, req)
 	if err != nil {
-		var failure *httpconn.Error
-		connected := errors.As(err, &failure) && failure.Kind != httpconn.NotConnected
-		g.testbed.checker.recordFailure(r, connected && ctx.Err() == nil)
-		return
+		var ended *connEndedError
+		if errors.As(err, &ended) {
+			c.recordConnEnd(r, ended.at, ended.read)
+		} else {
+			c.recordFailure(r)
+		}
+		return false
+	}
+	c.recordResponse(r, resp.status, resp.body, resp.signature)
+	return resp.status == http.StatusOK
+}
+
+func signatureOf(resp *http.Response) string {
+	return resp.Header.Get(platform.HeaderResponseSignature)
+}
+
+// backendCaller makes the calls of the backend server of one host, through the process of
+// that host.
+type backendCaller struct {
+	checker *invariantChecker
+	host    int
+	pool    *callerPool
+	count   atomic.Int64
+}
+
+// call makes a call for one in callOneIn requests of callers. It reports false if the call
+// failed.
+func (b *backendCaller) call(ctx context.Context, attempt string) bool {
+	n := b.count.Add(1)
+	if strings.Contains(attempt, ".") || n%callOneIn != 0 {
+		return true
+	}
+	r := &request{id: fmt.Sprintf("%s.%x-%x", attempt, b.host, n), host: b.host, idempotent: true, timeout: shortTimeout}
+	if deadline, ok := ctx.Deadline(); ok {
+		r.timeout = min(r.timeout, time.Until(deadline))
 	}
-	g.testbed.checker.recordResponse(r, resp.Status, string(resp.Body), resp.Header.Get(platform.HeaderResponseSignature))
+	return b.checker.send(ctx, b.pool, r, pathCall)
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +17,7 @@
 	binary       string
 	settingsPath string // path of the settings file
 	log          *os.File
+	cores        int // that the process may use at the same time
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -33,7 +35,7 @@
 		return nil
 	}
 	cmd := exec.Command(p.binary, "sidecar")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settingsPath, "GOMAXPROCS="+strconv.Itoa(p.cores))
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -53,7 +53,7 @@
 	kind      FaultKind
 	weight    int
 	fleetWide bool // concerns no single host
-	planned   bool // planned work, during which no request may be lost
+	planned   bool // planned work, or a fault of the store: shutdowns beside it may abort no request
 
 	duration time.Duration // replaces the drawn one; 0 for none
 }{
@@ -61,10 +61,10 @@
 	{Pause, 3, false, false, 0},
 	{Terminate, 4, false, true, 0},
 	{Reload, 2, false, true, 0},
-	{StoreDown, 2, true, false, 0},
-	{StoreCompact, 2, true, false, 0},
-	{StoreCut, 2, false, false, 0},
-	{StoreReset, 1, false, false, 0},
+	{StoreDown, 2, true, true, 0},
+	{StoreCompact, 2, true, true, 0},
+	{StoreCut, 2, false, true, 0},
+	{StoreReset, 1, false, true, 0},
 	{LinkDelay, 2, false, false, 0},
 	{LinkSilent, 2, false, false, 0},
 	{LinkCutIn, 2, false, false, 0},
@@ -117,15 +117,16 @@
 	faultsPerSecond = 1.2
 )
 
-// plannedWorkOneIn is the share of seeds, as one in plannedWorkOneIn, whose runs have only
-// planned work beside an overload.
+// Of plannedWorkOneIn seeds, one has runs with only planned work and faults of the store
+// beside an overload, and one without the overload, so that processes stop early.
 const plannedWorkOneIn = 4
 
 // NewSchedule returns the faults of a run in order of time. All of them end before
 // the settle time.
 func NewSchedule(seed uint64, hosts int, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
-	plannedOnly := seed%plannedWorkOneIn == 0
+	overloaded := seed%plannedWorkOneIn == 0
+	plannedOnly := overloaded || seed%plannedWorkOneIn == plannedWorkOneIn/2
 	total := 0
 	for _, k := range faultKinds {
 		if k.planned || !plannedOnly {
@@ -134,7 +135,7 @@
 	}
 	faultWindow := length - warmUp - settleTime
 	var faults []Fault
-	if plannedOnly {
+	if overloaded {
 		faults = append(faults, Fault{At: warmUp, Duration: faultWindow, Kind: Overload, Host: -1})
 	}
 	for range int(faultsPerSecond * faultWindow.Seconds()) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -118,8 +118,7 @@
 	h := tb.hosts[f.Host]
 	switch f.Kind {
 	case Terminate:
-		tb.checker.recordShutdown(f.Host, now)
-		tb.recordInjectionError(h.process.restart(syscall.SIGTERM, graceTime))
+		tb.terminate(ctx, h)
 		return
 	case Reload:
 		h.process.signal(syscall.SIGHUP)
@@ -127,6 +126,10 @@
 	case ServerDrain:
 		tb.drain(ctx, h)
 		return
+	case StoreCut, StoreReset:
+		tb.checker.recordStoreFault(f.Host, now, now.Add(f.Duration+faultRecoveryTime))
+		tb.applyForDuration(ctx, h, f)
+		return
 	case ServerCrash:
 		tb.checker.recordFault(f.Host, now, now.Add(f.Duration+faultRecoveryTime))
 		tb.crash(ctx, h, f.Duration)
@@ -140,6 +143,17 @@
 	tb.applyForDuration(ctx, h, f)
 }
 
+// terminate stops the process of a host gracefully and starts it again. Meanwhile callers
+// send requests on connections that were idle before.
+func (tb *testbed) terminate(ctx context.Context, h *host) {
+	callers := newIdleCallers(ctx, tb, h)
+	tb.checker.recordShutdown(h.index, time.Now())
+	var pending sync.WaitGroup
+	pending.Go(func() { callers.sendDuring(ctx, graceTime) })
+	tb.recordInjectionError(h.process.restart(syscall.SIGTERM, graceTime))
+	pending.Wait()
+}
+
 // applyForDuration injects a fault, waits for its duration and removes it.
 func (tb *testbed) applyForDuration(ctx context.Context, h *host, f Fault) {
 	switch f.Kind {
@@ -211,7 +225,7 @@
 	case StoreCompact:
 		tb.store.Compact()
 	case StoreDown:
-		tb.checker.recordFault(-1, now, now.Add(f.Duration+faultRecoveryTime))
+		tb.checker.recordStoreFault(-1, now, now.Add(f.Duration+faultRecoveryTime))
 		tb.store.SetDown(true)
 		sleepContext(ctx, f.Duration)
 		tb.store.SetDown(false)
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -37,6 +37,7 @@
 	routeHost         = "soak.example"
 	pathOnce          = "/book/"
 	pathRepeatable    = "/read/"
+	pathCall          = "/check/" // calls by backend servers, which carry no key
 	serviceA          = "roster"
 	serviceB          = "bookings"
 )
@@ -152,6 +153,7 @@
 		return h, err
 	}
 	h.backend = fakebackend.NewBackend(seed+uint64(i), serverSlots, meanServiceTime, tb.checker.recordExecution)
+	h.backend.Call = (&backendCaller{checker: tb.checker, host: i, pool: &callerPool{addr: h.callerAddr}}).call
 	h.entry = mesh.Server{Service: service, Zone: zone, Addr: net.JoinHostPort(public, portServer), Slots: serverSlots}
 	h.serverAddr = net.JoinHostPort(private, portServer)
 	if err := h.startServer(); err != nil {
@@ -177,7 +179,7 @@
 	if err != nil {
 		return h, err
 	}
-	h.process = &process{binary: o.Binary, settingsPath: path, log: log}
+	h.process = &process{binary: o.Binary, settingsPath: path, log: log, cores: 1 + i%2}
 	return h, h.process.start()
 }
 
@@ -256,11 +258,13 @@
 			Timeout: requestTimeout, TargetLatency: time.Second, MaxAttempts: 3,
 		}
 	}
+	call := route("call", pathCall, serviceA, true)
+	call.AllowAnonymous = true
 	return routing.Config{
 		Version:  1,
 		Services: []routing.Service{{Name: serviceA, HealthPath: "/health", MaxConnections: 300}, {Name: serviceB, HealthPath: "/health", MaxConnections: 300}},
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Routes:   []routing.Route{route("once", pathOnce, serviceB, false), route("repeatable", pathRepeatable, serviceA, true)},
+		Routes:   []routing.Route{route("once", pathOnce, serviceB, false), route("repeatable", pathRepeatable, serviceA, true), call},
 	}
 }
 
