dispatch, shutdown: a stop answers requests whose outcome is unknown before it closes connections

Callers saw a closed connection, without an answer, 5.85 s after SIGTERM, where a backend server or the path to it took longer than the stop: a run that lasts, or an attempt whose exit proxy did not answer its withdrawal until then.

Cause: the stop only closed the connections; nothing ended the requests before. Change: 50 ms before connections are closed, open requests end with the code 6006 (502, outcome unknown), as on the own interface. Requests that end in time are not concerned. The soak counts this answer like a closed connection, so its bound for runs that a stop cuts stays as it was.

--- a/decide/shutdown/shutdown.go
+++ b/decide/shutdown/shutdown.go
@@ -20,6 +20,12 @@
 	// killMargin is the time before the process is killed that is reserved for closing
 	// connections.
 	killMargin = 300 * time.Millisecond
+	// closeTimeout is how long open requests may still end after the deadline, before their
+	// connections are closed.
+	closeTimeout = 150 * time.Millisecond
+	// finalAnswerTime is how long the final answers to open requests may take to be written
+	// before connections are closed.
+	finalAnswerTime = 50 * time.Millisecond
 	// restartTime is the expected time from the end of the stop until the process is ready
 	// again.
 	restartTime = time.Second
@@ -28,7 +34,7 @@
 // Schedule is the schedule of one planned stop.
 type Schedule struct {
 	Began time.Time
-	// Deadline is when connections are closed, whatever is still open.
+	// Deadline is when the process stops accepting connections, whatever is still open.
 	Deadline time.Time
 }
 
@@ -42,6 +48,13 @@
 // unless its request ends in time. One that starts later would probably be cut.
 func (s Schedule) LastStart() time.Time { return s.Deadline.Add(-maxRunTime) }
 
+// CloseAt is when connections are closed, whatever is still open.
+func (s Schedule) CloseAt() time.Time { return s.Deadline.Add(closeTimeout) }
+
+// FinalAnswer is when requests that are still open are answered, although their outcome is
+// unknown.
+func (s Schedule) FinalAnswer() time.Time { return s.CloseAt().Add(-finalAnswerTime) }
+
 // EndsInTime reports whether a request with a deadline ends before connections are closed.
 // Most calls of backend servers do, which run for a short time and fail the request that
 // makes them if they are refused.
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -131,18 +131,21 @@
 	hedge := r.hedgeTimer()
 	defer hedge.Stop()
 	stopBegan := r.filter.StopBegan
-	var lastStart <-chan time.Time
+	var lastStart, finalAnswer <-chan time.Time
 	for {
 		select {
 		case <-stopBegan:
 			stopBegan = nil
 			if schedule, limited := r.stopSchedule(); limited {
-				timer := time.NewTimer(time.Until(schedule.LastStart()))
-				defer timer.Stop()
-				lastStart = timer.C
+				start, answer := time.NewTimer(time.Until(schedule.LastStart())), time.NewTimer(time.Until(schedule.FinalAnswer()))
+				defer start.Stop()
+				defer answer.Stop()
+				lastStart, finalAnswer = start.C, answer.C
 			}
 		case <-lastStart:
 			r.withdrawOpenAttempts(ctx)
+		case <-finalAnswer:
+			return r.finalResult(pipeline.CodeStopped)
 		case e := <-r.results:
 			if _, open := r.open[e.attemptID]; !open {
 				continue
@@ -156,7 +159,7 @@
 				r.send(ctx)
 			}
 		case <-end.C:
-			return r.deadlineResult()
+			return r.finalResult(pipeline.CodeDeadlineInRun)
 		case <-ctx.Done():
 			return pipeline.Refuse(pipeline.CodeCanceled, "")
 		}
@@ -312,14 +315,14 @@
 	return result
 }
 
-// deadlineResult returns the result at the deadline. The outcome is unknown if an
-// attempt is still open.
-func (r *requestState) deadlineResult() *pipeline.Result {
+// finalResult returns the result of a request that can't be awaited any longer. If an
+// attempt is still open, the outcome is unknown and has the given code.
+func (r *requestState) finalResult(unknown pipeline.Code) *pipeline.Result {
 	switch {
 	case r.bestResult != nil:
 		return r.bestResult
 	case len(r.open) > 0:
-		return pipeline.Refuse(pipeline.CodeDeadlineInRun, "")
+		return pipeline.Refuse(unknown, "")
 	}
 	return r.unservedResult()
 }
--- a/filters/dispatch/stop_test.go
+++ b/filters/dispatch/stop_test.go
@@ -132,6 +132,29 @@
 	})
 }
 
+// Guards against connections that a planned stop closes without an answer because a backend server, or the path to it, takes longer.
+func TestOpenRequestsAreAnsweredAtTheEndOfAStop(t *testing.T) {
+	for name, sender := range map[string]*busyExitProxies{
+		"running":                    {runsFor: 12 * time.Second},
+		"withdrawal is not answered": {unanswered: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sender.withdrawn = make(chan struct{})
+				req := request(false)
+				req.Deadline = time.Now().Add(15 * time.Second)
+				result, schedule := handleBesideStop(t, req, sender, 0)
+				if result.Code != pipeline.CodeStopped || result.Outcome != pipeline.Unknown {
+					t.Errorf("%+v", result)
+				}
+				if left := time.Until(schedule.CloseAt()); left <= 0 || time.Now().Before(schedule.Deadline) {
+					t.Errorf("answered %v before connections are closed", left)
+				}
+			})
+		})
+	}
+}
+
 // Guards against requests that are sent to a backend server so late in a planned stop that
 // they would be cut.
 func TestNoAttemptStartsAtTheEndOfAStop(t *testing.T) {
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/internal/fakebackend"
+	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
 // Invariants that the soak checks, as violations report them.
@@ -227,6 +229,15 @@
 	if isRejection(status) && len(r.executions) > 0 {
 		c.report(ExecutedAfterRejection, "%s was rejected with %d at host %d after %+v", r.id, status, r.host, r.executions)
 	}
+	if isStoppedAnswer(body) {
+		c.checkShutdown(r, true)
+	}
+}
+
+// isStoppedAnswer reports whether a process answered that it stopped before the response
+// arrived. That counts like a connection that it closed.
+func isStoppedAnswer(body string) bool {
+	return strings.HasPrefix(body, fmt.Sprintf(`{"code":%d,`, pipeline.CodeStopped))
 }
 
 // isCompleteResponse reports whether body is the complete response of a backend
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -90,6 +90,12 @@
 			<-time.After(100 * time.Millisecond)
 			checker.recordConnEnd(r, time.Now(), true)
 		}},
+		"given up by a shutdown": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
+			checker.recordShutdown(r.host, time.Now())
+			checker.recordExecution(execution(r.id))
+			<-time.After(time.Second)
+			checker.recordResponse(r, http.StatusBadGateway, `{"code":6006,"reason":"stopped"}`, "")
+		}},
 		"aborted by a shutdown while the store is down": {AbortedByShutdown, func(checker *invariantChecker, r *request) {
 			checker.recordStoreFault(-1, time.Now(), time.Now().Add(time.Minute))
 			checker.recordShutdown(r.host, time.Now())
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -20,8 +20,6 @@
 	// are refused and the end of the process: a status arrives within a few
 	// milliseconds, and a lost one is repeated.
 	closeAnnouncementTime = 250 * time.Millisecond
-	// closeTimeout is how long connections may take to close after the deadline of a stop.
-	closeTimeout = 150 * time.Millisecond
 	// handlerEndTimeout is how long the process waits for the handlers of closed
 	// connections, which log the ends of their requests.
 	handlerEndTimeout = 50 * time.Millisecond
@@ -93,7 +91,7 @@
 		}
 	}
 	s.log.Info("stopped", zap.Int64("open", s.openRequests.Load()), zap.Duration("took", time.Since(c.Began)))
-	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline.Add(closeTimeout))
+	ctx, cancel := context.WithDeadline(context.Background(), c.CloseAt())
 	defer cancel()
 	for _, server := range servers {
 		if err := server.Shutdown(ctx); err != nil {
