sidecar: the time limit for callers' requests doesn't depend on the loop of the stop

A stopping process accepts callers' requests until 2.8 s after SIGTERM, because one that is sent after 3 s may not be cut at the end. A loop with a period of 50 ms switched that over: where the process gets no processor time, the loop runs late and the handlers accept requests meanwhile. Now each request is compared with the schedule itself, which also begins before the control loop has taken the event of the stop. Test: TestLateRequestsAreRefusedWithoutTheStopLoop accepts the request before.

--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -95,7 +95,6 @@
 	callFailures     callFailures
 	ids              idGenerator
 	openRequests     atomic.Int64 // requests from callers and peers that are not answered yet
-	refusingCallers  atomic.Bool  // callers' requests are refused because the process is stopping
 	refusingAttempts atomic.Bool  // attempts are refused because the process is stopping
 	stop             plannedStop
 }
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -37,6 +37,17 @@
 	close(p.began)
 }
 
+// refuses reports whether a caller's request is refused at a time because it could be cut
+// when the process is killed.
+func (p *plannedStop) refuses(now, deadline time.Time) bool {
+	select {
+	case <-p.began:
+		return p.schedule.RefusesCallers(now) && !p.schedule.EndsInTime(deadline)
+	default:
+		return false
+	}
+}
+
 // intake is a filter that refuses callers' requests in the last part of a planned stop
 // that could be cut when the process is killed.
 type intake struct{ sidecar *Sidecar }
@@ -47,11 +58,12 @@
 // Handle refuses the request as not run. RetryAfter is the time until the process is
 // expected to be running again.
 func (i intake) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
-	if !i.sidecar.refusingCallers.Load() || i.sidecar.stop.schedule.EndsInTime(req.Deadline) {
+	now := time.Now()
+	if !i.sidecar.stop.refuses(now, req.Deadline) {
 		return nil
 	}
 	result := pipeline.Refuse(pipeline.CodeStopping, "")
-	result.RetryAfter = i.sidecar.stop.schedule.RetryAfter(time.Now())
+	result.RetryAfter = i.sidecar.stop.schedule.RetryAfter(now)
 	return result
 }
 
@@ -74,12 +86,11 @@
 func (s *Sidecar) shutdown(servers ...*httpdrain.Server) {
 	c := stopProgress{Schedule: shutdown.NewSchedule(time.Now(), s.settings.StopTimeout)}
 	s.log.Info("stopping", zap.Int64("open", s.openRequests.Load()))
-	s.submitStopEvent(mesh.Stop{})
 	s.stop.begin(c.Schedule)
+	s.submitStopEvent(mesh.Stop{})
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for now := range ticker.C {
-		s.refusingCallers.Store(c.RefusesCallers(now))
 		if c.refusedAttemptsAt.IsZero() && c.RefusesAttempts(now) {
 			c.refusedAttemptsAt = now
 			s.refusingAttempts.Store(true)
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -62,6 +62,16 @@
 	})
 }
 
+// Guards against requests that are accepted late because the process of a stop gets no processor time.
+func TestLateRequestsAreRefusedWithoutTheStopLoop(t *testing.T) {
+	s := New(settings(), zap.NewNop())
+	s.stop.begin(shutdown.NewSchedule(time.Now().Add(-3*time.Second), s.settings.StopTimeout))
+	result := intake{s}.Handle(t.Context(), &pipeline.Request{Deadline: time.Now().Add(10 * time.Second)})
+	if result == nil || result.Code != pipeline.CodeStopping {
+		t.Errorf("%+v", result)
+	}
+}
+
 // Guards against attempts that are cut because the process ends before its peers know
 // that it refuses attempts.
 func TestStopEndsAfterRefusalIsAnnounced(t *testing.T) {
