node, httpdrain: a stop of the own interface answers the requests that it has read

Shutdown of net/http read requests from new connections and dropped them; HTTP/2 connections that it took for idle were closed while a request arrived.

Change: the servers of node are httpdrain servers too. These know HTTP/2 (by the preface or by what TLS negotiated): HTTP/1 ends first, then Shutdown of net/http tells HTTP/2 clients to go away, and its close of idle HTTP/2 connections is put off until they end by themselves.

--- a/cmd/ragwortyard/process_faults_test.go
+++ b/cmd/ragwortyard/process_faults_test.go
@@ -15,6 +15,7 @@
 	"github.com/ragwortyard/ragwortyard/config"
 	"github.com/ragwortyard/ragwortyard/httpfront"
 	"github.com/ragwortyard/ragwortyard/internal/fakes"
+	"github.com/ragwortyard/ragwortyard/internal/tcpclose"
 )
 
 // loadGenerator sends bookings through the processes in service until it is
@@ -242,3 +243,24 @@
 	defer resp.Body.Close()
 	return resp.Header.Get(httpfront.HeaderOutcome)
 }
+
+// Guards against requests that are read and dropped because their connections were new when a planned stop closed them.
+func TestStopDropsNoRequestOnNewConnections(t *testing.T) {
+	f := startProcessesWith(t, 2, time.Second)
+	p := f.processes[0]
+	running := make(chan string, 1)
+	go func() { running <- sendLongBooking(p) }() // connections stay open while the stop awaits it
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = p.cmd.Wait()
+	}()
+	request := fmt.Sprintf("POST /bookings HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\nContent-Length: 2\r\n\r\n{}", testKey)
+	if counts := tcpclose.SendOnNewConnections(p.callersAddr, request, stopped); counts.Answered == 0 || counts.Dropped > 0 {
+		t.Errorf("%+v", counts)
+	}
+	<-running
+}
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -1,6 +1,7 @@
 package httpdrain
 
 import (
+	"bytes"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,8 @@
 	server *Server
 
 	mu           sync.Mutex
+	protocol     protocol
+	started      bool      // bytes have been read
 	handled      bool      // a handler got the last request
 	arrived      bool      // a part of the next request has been read
 	failed       bool      // the last read failed
@@ -21,24 +24,37 @@
 	readDeadline time.Time // of http.Server
 }
 
+// prefaceStart begins a connection on which a client speaks HTTP/2 without TLS. No request
+// of HTTP/1 has this method.
+const prefaceStart = "PRI * HTTP/2.0"
+
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
 // setState follows the state that http.Server reports.
-func (c *conn) setState(state http.ConnState) {
-	switch state {
-	case http.StateIdle:
-		c.mu.Lock()
+func (c *conn) setState(state http.ConnState, negotiatedHTTP2 bool) {
+	c.mu.Lock()
+	if negotiatedHTTP2 && c.protocol != http2 {
+		c.setHTTP2()
+	}
+	if state == http.StateIdle {
 		c.handled = false
-		c.mu.Unlock()
-		if c.server.isDraining() {
-			c.stopWaiting()
-		}
-	case http.StateClosed:
-		c.server.remove(c)
+	}
+	c.mu.Unlock()
+	switch {
+	case state == http.StateClosed:
+		c.server.update(c, 0, true)
+	case state == http.StateIdle && c.server.reached(draining):
+		c.stopWaiting()
 	}
 }
 
+// setHTTP2 records that the connection carries HTTP/2. The caller holds the lock.
+func (c *conn) setHTTP2() {
+	c.protocol = http2
+	c.server.update(c, http2, false)
+}
+
 // beginRequest records that a handler got the request.
 func (c *conn) beginRequest() {
 	c.mu.Lock()
@@ -46,13 +62,13 @@
 	c.handled, c.arrived = true, false
 }
 
-// stopWaiting makes http.Server close the connection if it waits for a request. It expires
-// the read rather than closing the connection, because a read that has just received a
-// request still returns it.
+// stopWaiting makes http.Server close the connection if it waits for a request of HTTP/1.
+// It expires the read rather than closing the connection, because a read that has just
+// received a request still returns it.
 func (c *conn) stopWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.handled || c.arrived {
+	if c.handled || c.arrived || c.protocol == http2 {
 		return
 	}
 	c.expired = true
@@ -64,6 +80,12 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if n > 0 && !c.started {
+		c.started = true
+		if bytes.HasPrefix(p[:n], []byte(prefaceStart)) {
+			c.setHTTP2()
+		}
+	}
 	c.arrived = c.arrived || (n > 0 && !c.handled)
 	c.failed = err != nil
 	if n > 0 && c.expired {
@@ -86,11 +108,26 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	if c.beginClose() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// beginClose counts a dropped request. It reports whether the connection stays open:
+// Shutdown of http.Server closes idle connections of HTTP/2, which end by themselves after
+// their clients were told to go away. Then they are closed a second time.
+func (c *conn) beginClose() (staysOpen bool) {
+	goingAway := c.server.reached(goingAway)
 	c.mu.Lock()
-	if c.arrived && !c.failed && !c.closed {
+	defer c.mu.Unlock()
+	first := !c.closed
+	c.closed = true
+	if c.protocol == http2 {
+		return first && goingAway
+	}
+	if first && c.arrived && !c.failed {
 		c.server.dropped.Add(1)
 	}
-	c.closed = true
-	c.mu.Unlock()
-	return c.Conn.Close()
+	return false
 }
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -3,10 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -99,7 +104,13 @@
 		done := make(chan error)
 		go func() {
 			<-l.arrived
-			go func() { <-l.closed; close(l.gate) }()
+			go func() {
+				<-l.closed
+				for !server.reached(draining) {
+					runtime.Gosched()
+				}
+				close(l.gate)
+			}()
 			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 			defer cancel()
 			done <- server.Shutdown(ctx)
@@ -174,3 +185,67 @@
 		t.Error(err)
 	}
 }
+
+// protocols returns HTTP/1, or HTTP/2 with and without TLS.
+func protocols(http2 bool) *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(!http2)
+	p.SetHTTP2(http2)
+	p.SetUnencryptedHTTP2(http2)
+	return p
+}
+
+// Guards against a shutdown that fails requests, or does not end, because of HTTP/2 or TLS.
+func TestShutdownServesEveryProtocol(t *testing.T) {
+	certificates := httptest.NewTLSServer(nil)
+	defer certificates.Close()
+	for name, c := range map[string]struct{ http2, secure bool }{
+		"HTTP/1": {}, "HTTP/1 with TLS": {secure: true}, "HTTP/2": {http2: true}, "HTTP/2 with TLS": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := NewServer(&http.Server{Handler: http.HandlerFunc(answerOK), ReadHeaderTimeout: time.Minute, Protocols: protocols(c.http2)})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			transport := &http.Transport{Protocols: protocols(c.http2)}
+			defer transport.CloseIdleConnections()
+			url, serve := "http://"+listener.Addr().String(), server.Serve
+			if c.secure {
+				server.TLSConfig = &tls.Config{Certificates: certificates.TLS.Certificates}
+				transport.TLSClientConfig = &tls.Config{InsecureSkipVerify: true}
+				url, serve = "https://"+listener.Addr().String(), server.ServeTLS
+			}
+			served := make(chan error)
+			go func() { served <- serve(listener) }()
+			stopped := make(chan error)
+			for n := 0; ; n++ {
+				if n == 50 {
+					go func() {
+						ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+						defer cancel()
+						stopped <- server.Shutdown(ctx)
+					}()
+				}
+				req, err := http.NewRequest(http.MethodGet, url, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp, err := transport.RoundTrip(req)
+				if errors.Is(err, syscall.ECONNREFUSED) && n >= 50 {
+					break
+				}
+				if err != nil {
+					t.Fatalf("request %d: %v", n, err)
+				}
+				resp.Body.Close()
+			}
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+			if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+				t.Error(err)
+			}
+		})
+	}
+}
--- a/internal/tcpclose/tcpclose.go
+++ b/internal/tcpclose/tcpclose.go
@@ -3,9 +3,12 @@
 package tcpclose
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -33,3 +36,67 @@
 	})
 	return controlErr == nil && err == nil && pending == 0
 }
+
+// Counts are the outcomes of requests on new connections.
+type Counts struct {
+	Answered int
+	Dropped  int // read and not answered
+	Unread   int // not read, or not sent since the connection failed
+}
+
+// Timing of the clients of SendOnNewConnections.
+const (
+	connectInterval   = 5 * time.Millisecond
+	pauseAfterConnect = 60 * time.Millisecond
+)
+
+// SendOnNewConnections opens a connection every few milliseconds until done is closed, and
+// sends a request on each a little later, as clients on busy hosts do.
+func SendOnNewConnections(addr, request string, done <-chan struct{}) Counts {
+	var counts Counts
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	ticker := time.NewTicker(connectInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			clients.Wait()
+			return counts
+		case <-ticker.C:
+		}
+		clients.Go(func() {
+			answered, dropped := sendOnNewConnection(addr, request)
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case answered:
+				counts.Answered++
+			case dropped:
+				counts.Dropped++
+			default:
+				counts.Unread++
+			}
+		})
+	}
+}
+
+func sendOnNewConnection(addr, request string) (answered, dropped bool) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return false, false
+	}
+	defer conn.Close()
+	timer := time.NewTimer(pauseAfterConnect)
+	defer timer.Stop()
+	<-timer.C
+	if _, err := io.WriteString(conn, request); err != nil {
+		return false, false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false, PeerHadRead(conn.(*net.TCPConn), err)
+	}
+	_ = resp.Body.Close() // the answer has no body of interest
+	return true, false
+}
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/ragwortyard/ragwortyard/filters/route"
 	"github.com/ragwortyard/ragwortyard/fleet"
 	"github.com/ragwortyard/ragwortyard/httpfront"
+	"github.com/ragwortyard/ragwortyard/internal/httpdrain"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 	"github.com/ragwortyard/ragwortyard/source"
 )
@@ -71,7 +72,7 @@
 
 // servers are the servers of a process, one for each listener.
 type servers struct {
-	callers, traffic, operator *http.Server
+	callers, traffic, operator *httpdrain.Server
 	control                    *fleet.Server
 }
 
@@ -163,9 +164,9 @@
 	traffic.TLSConfig = fleetTLS
 	traffic.ErrorLog = zap.NewStdLog(n.log.Named("traffic"))
 	return servers{
-		callers:  callers,
-		traffic:  traffic,
-		operator: &http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second},
+		callers:  httpdrain.NewServer(callers),
+		traffic:  httpdrain.NewServer(traffic),
+		operator: httpdrain.NewServer(&http.Server{Handler: n.operatorHandler(), ReadHeaderTimeout: 5 * time.Second}),
 		control: fleet.NewServer(fleet.ServerOptions{
 			Registry: registry,
 			Handler:  &peerHandler{loop: n.loop},
@@ -282,10 +283,10 @@
 	return group.Wait()
 }
 
-func serve(server *http.Server, listener net.Listener) error {
+func serve(server *httpdrain.Server, listener net.Listener) error {
 	var err error
 	if server.TLSConfig != nil {
-		err = server.ServeTLS(listener, "", "")
+		err = server.ServeTLS(listener)
 	} else {
 		err = server.Serve(listener)
 	}
