soak: count answers that a stop gives in place of a run, and leave out refusals of stopping processes

A 502 of a stopping process counts like a closed connection if a backend server had run the request and was not itself stopped.

The check of the recovery leaves out requests that a process refuses while it stops. This replaces the exception for callers with idle connections.

--- a/internal/soak/idle_callers.go
+++ b/internal/soak/idle_callers.go
@@ -57,7 +57,7 @@
 // send sends one request that may be repeated.
 func (c *idleCallers) send(ctx context.Context, pool *callerPool, timeout time.Duration) {
 	r := &request{
-		id: fmt.Sprintf("idle-%x-%x", c.host.index, idleCallerRequests.Add(1)), host: c.host.index, idempotent: true, idleCaller: true,
+		id: fmt.Sprintf("idle-%x-%x", c.host.index, idleCallerRequests.Add(1)), host: c.host.index, idempotent: true,
 		team: teamName(0), key: c.testbed.key(0), timeout: timeout,
 	}
 	c.testbed.checker.send(ctx, pool, r, pathRepeatable)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -292,6 +292,7 @@
 		return
 	}
 	h.serverDown = true
+	tb.checker.recordStopped(id)
 	h.backend.Close()
 	if announced {
 		tb.removeEntry(id)
