--- a/cmd/ragwortyard/sidecar.go
+++ b/cmd/ragwortyard/sidecar.go
@@ -37,13 +37,28 @@
 	}
 	lines := asynclog.New(os.Stdout)
 	defer lines.Close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	process := sidecar.New(settings, sidecarLogger(lines, level))
+	log := sidecarLogger(lines, level)
+	ctx := untilTerminated(log.With(zap.String("node", settings.NodeName)))
+	process := sidecar.New(settings, log)
 	process.RegisterDroppedLogLines(lines.Dropped)
 	return process.Run(ctx, reloadRequests(ctx))
 }
 
+// untilTerminated returns a context that ends at the first SIGTERM or SIGINT. Each of these
+// signals is logged, also while the process stops.
+func untilTerminated(log *zap.Logger) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for received := range signals {
+			log.Info("signal received", zap.Stringer("signal", received), zap.Bool("first", ctx.Err() == nil))
+			cancel()
+		}
+	}()
+	return ctx
+}
+
 // reloadRequests returns a channel that receives a value on SIGHUP. Signals that
 // arrive during a reload are merged into one value.
 func reloadRequests(ctx context.Context) <-chan struct{} {
