httpdrain: tracked connections can be half closed

Found by reading: net/http half-closes a connection after an answer that comes before the end of a body, and waits 500 ms so that the client reads the answer before the reset. The wrapper of the connection hid CloseWrite, so a client that reads to the end of the stream waited 500 ms longer. Test: TestEarlyAnswerEndsItsStream, 501 ms before.

--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -131,3 +131,13 @@
 	}
 	return false
 }
+
+// CloseWrite shuts down the writing side, which http.Server does after it has answered
+// before the end of a body. It lets the client read the answer before the connection is
+// reset.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &gatedConn{nc, l}, nil
+	return &gatedConn{nc.(*net.TCPConn), l}, nil
 }
 
 func (l *gatedListener) Close() error {
@@ -39,12 +39,12 @@
 }
 
 type gatedConn struct {
-	net.Conn
+	*net.TCPConn
 	listener *gatedListener
 }
 
 func (c *gatedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.TCPConn.Read(p)
 	if n > 1 { // net/http reads single bytes to detect that a client has left
 		c.listener.arrived <- struct{}{}
 		<-c.listener.gate
@@ -249,3 +249,21 @@
 		})
 	}
 }
+
+// Guards against a client that waits for the end of an early answer because the tracked connection can't be half closed.
+func TestEarlyAnswerEndsItsStream(t *testing.T) {
+	server := NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})})
+	l, conn := serve(t, server)
+	close(l.gate)
+	if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\npart"); err != nil {
+		t.Fatal(err)
+	}
+	const resetAvoidanceTime = 500 * time.Millisecond // of net/http, before it closes the connection
+	began := time.Now()
+	if _, err := io.Copy(io.Discard, conn); err != nil || time.Since(began) > resetAvoidanceTime/2 {
+		t.Errorf("the stream ended after %v: %v", time.Since(began), err)
+	}
+}
