--- a/internal/soak/regressions.go
+++ b/internal/soak/regressions.go
@@ -74,6 +74,45 @@
 		 15.86 reload 5 0.14
 		 15.92 key-withdrawn -1 0.08`,
 	},
+	{
+		28, "the end of a planned stop dropped requests that had been read, beside an overload; shown beside busy processes",
+		`2.00 overload -1 14.00
+		 2.59 key-withdrawn -1 2.48
+		 2.89 reload 0 4.91
+		 4.26 terminate-many -1 4.71
+		 4.63 store-down -1 5.31
+		 5.01 store-cut 1 0.85
+		 6.15 server-drain 2 2.95
+		 7.11 terminate 2 2.12
+		 7.52 store-down -1 2.13
+		 9.78 key-withdrawn -1 4.28
+		 10.43 store-compact -1 1.57
+		 10.72 store-down -1 3.36
+		 13.88 server-drain 2 2.12
+		 14.23 store-compact -1 1.77
+		 14.86 reload 6 0.81
+		 14.96 terminate 1 1.04
+		 15.58 reload 2 0.42`,
+	},
+	{
+		34, "the same, at the end of stops of idle processes",
+		`4.77 terminate 3 5.62
+		 5.17 server-drain 7 2.45
+		 5.40 terminate 8 2.57
+		 7.59 terminate 1 0.38
+		 8.29 store-compact -1 3.91
+		 8.31 terminate 5 1.60
+		 9.42 server-drain 3 3.02
+		 9.60 terminate 2 5.23
+		 10.77 store-reset 1 0.34
+		 10.85 server-drain 0 5.15
+		 10.89 terminate 0 5.11
+		 12.60 reload 0 3.40
+		 13.09 terminate 6 2.91
+		 13.39 store-cut 8 2.61
+		 13.44 store-cut 3 2.56
+		 14.50 terminate 8 1.50`,
+	},
 }
 
 // recordedSchedule returns the faults of a regression, or nil for other seeds.
