--- a/cmd/ragwortyard/soak.go
+++ b/cmd/ragwortyard/soak.go
@@ -34,11 +34,9 @@
 
 // Run runs the seeds and returns an error if a run failed or violated an invariant.
 func (c *soakCommand) Run() error {
-	binary, err := c.Program, error(nil)
-	if binary == "" {
-		if binary, err = os.Executable(); err != nil {
-			return eris.Wrap(err, "find the path of the executable")
-		}
+	binary, err := c.programPath()
+	if err != nil {
+		return err
 	}
 	if c.Logs == "" {
 		if c.Logs, err = os.MkdirTemp("", "ragwortyard-soak-"); err != nil {
@@ -62,6 +60,15 @@
 	return nil
 }
 
+// programPath returns the path of the program to run.
+func (c *soakCommand) programPath() (string, error) {
+	if c.Program != "" {
+		return c.Program, nil
+	}
+	path, err := os.Executable()
+	return path, eris.Wrap(err, "find the path of the executable")
+}
+
 // runAll runs all seeds, up to c.Parallel at a time, and returns how many failed.
 func (c *soakCommand) runAll(ctx context.Context, options soak.Options) int {
 	seeds := make(chan uint64)
