--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -43,7 +43,7 @@
 	c.mu.Unlock()
 	switch {
 	case state == http.StateClosed:
-		c.server.update(c, 0, true)
+		c.server.remove(c)
 	case state == http.StateIdle && c.server.reached(draining):
 		c.stopWaiting()
 	}
@@ -52,7 +52,7 @@
 // setHTTP2 records that the connection carries HTTP/2. The caller holds the lock.
 func (c *conn) setHTTP2() {
 	c.protocol = http2
-	c.server.update(c, http2, false)
+	c.server.setProtocol(c, http2)
 }
 
 // beginRequest records that a handler got the request.
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -128,6 +128,7 @@
 // error when ctx is done. A connection from which no part of a request has been read is
 // closed at once, so that its client knows that a request sent meanwhile was not read. A
 // request that has been read is handled, and its connection is closed after the answer.
+// Clients of HTTP/2 are told to go away once no connection of HTTP/1 is left.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.enter(closing)
 	closeErr := s.closeListeners()
@@ -211,15 +212,24 @@
 	s.conns[c] = http1
 }
 
-// update changes the protocol of a connection, or removes the connection.
-func (s *Server) update(c *conn, p protocol, ended bool) {
+// setProtocol records the protocol of a connection once it is known.
+func (s *Server) setProtocol(c *conn, p protocol) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ended {
-		delete(s.conns, c)
-	} else {
-		s.conns[c] = p
-	}
+	s.conns[c] = p
+	s.notifyWaiters()
+}
+
+// remove ends the tracking of a connection.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.notifyWaiters()
+}
+
+// notifyWaiters wakes the callers of wait. The caller holds the lock.
+func (s *Server) notifyWaiters() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
