--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -127,6 +127,14 @@
 	WaitMS    uint32   // time until another request may start
 }
 
+// Evacuations is the set of availability zones whose backend servers get no new requests,
+// at the revision of the store at which it was read.
+type Evacuations struct {
+	_        struct{} `cbor:",toarray"`
+	Revision uint64   `cbor:"At"`
+	Zones    []string
+}
+
 // Heartbeat shows that the direct path from the sender works. It is needed because
 // statuses may be forwarded by other processes.
 type Heartbeat struct {
@@ -134,7 +142,7 @@
 }
 
 // Message is the content of one datagram. Exactly one of the pointers is set, except that
-// BackendLimit accompanies Status.
+// BackendLimit accompanies Status, and that Evacuations may accompany any other.
 type Message struct {
 	Status       *Status       `cbor:"1,keyasint,omitempty"`
 	TokenRequest *TokenRequest `cbor:"2,keyasint,omitempty"`
@@ -150,6 +158,13 @@
 	// BackendLimit accompanies Status if the backend server has named a limit.
 	BackendLimit *BackendLimit `cbor:"12,keyasint,omitempty"`
 
+	// Evacuations is sent on its own when the set changes, and with answers to processes
+	// that may not know it.
+	Evacuations *Evacuations `cbor:"14,keyasint,omitempty"`
+
+	// Era is the era of the platform's store to which all revisions of the message belong.
+	Era uint64 `cbor:"13,keyasint,omitempty"`
+
 	// ForwardToZone asks the receiver to forward the message to the other processes in
 	// its availability zone.
 	ForwardToZone bool `cbor:"10,keyasint,omitempty"`
