httpconn: refuse responses of backend servers that HTTP/1.1 does not permit

Cause: http.ReadResponse accepts 000, 099, +99 and 600 to 999 as a status, other versions of the protocol, spaces in field names, chunks together with a length or in HTTP/1.0, a body of 204 and 1xx, and 101 unasked. Nothing after it looked at the status: 000 counted as a success of the backend server and as an answer, and made WriteHeader panic at the caller.

Change: internal/httpconn reads heads itself (net/textproto; chunks still by net/http) and fails the exchange with InvalidResponse. filters/send checks heads by the same function, fleet refuses a status outside 200 to 599, and httpsend drops trailer fields with reserved names. The stub of TestAllocationsPerRequest names the protocol, as http.Transport does.

--- a/filters/send/send.go
+++ b/filters/send/send.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ragwortyard/ragwortyard/internal/httpconn"
 	"github.com/ragwortyard/ragwortyard/internal/httpsend"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -93,21 +94,22 @@
 		ContentLength: resp.ContentLength,
 	}
 	httpsend.SetResultBody(result, resp)
-	hasLength := !lacksLength(resp)
+	invalid := checkResponse(resp)
 	req.OnComplete(func(c pipeline.Completion) {
-		if hasLength && ctx.Err() == nil {
+		if invalid == nil && ctx.Err() == nil {
 			f.recordCompletion(req, c)
 		}
 		cancel()
 		f.Observe(Observation{Call: call, Request: req, Outcome: classifyCompletion(c), Latency: latency})
 	})
-	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) != "" {
+	shed := resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get(HeaderShed) != ""
+	switch {
+	case invalid != nil && !(shed && errors.Is(invalid, errNoLength)):
 		_ = resp.Body.Close()
-		return pipeline.Refuse(pipeline.CodeShed, "")
-	}
-	if !hasLength {
+		return pipeline.Refuse(pipeline.CodeAnswerCut, "the backend server sent an invalid response: "+invalid.Error())
+	case shed:
 		_ = resp.Body.Close()
-		return pipeline.Refuse(pipeline.CodeAnswerCut, "the answer has no length, so its end cannot be verified")
+		return pipeline.Refuse(pipeline.CodeShed, "")
 	}
 	return result
 }
@@ -140,10 +142,18 @@
 	}
 }
 
-// lacksLength reports whether the end of the response is marked only by the end of
-// the connection, so that a truncated response would look complete.
-func lacksLength(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody && !resp.Uncompressed
+// errNoLength is returned by checkResponse if the end of the response is marked only by the
+// end of the connection, so that a truncated response would look complete.
+var errNoLength = errors.New("no length, so its end cannot be verified")
+
+// checkResponse returns an error for a response that must not be passed on.
+func checkResponse(resp *http.Response) error {
+	chunked := len(resp.TransferEncoding) > 0
+	err := httpconn.Head{Version: resp.Proto, Status: resp.StatusCode, Header: resp.Header, Chunked: chunked}.Check()
+	if err == nil && resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody && !resp.Uncompressed {
+		return errNoLength
+	}
+	return err
 }
 
 // responseHeader returns the response header without hop-by-hop fields and fields
--- a/fleet/headers.go
+++ b/fleet/headers.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/ragwortyard/ragwortyard/internal/httpconn"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -160,9 +161,9 @@
 }
 
 // decodeResult converts the answer of an exit proxy. It returns false if the answer is
-// for another attempt or has no valid result code.
+// for another attempt or has no valid status or result code.
 func decodeResult(resp *http.Response, attemptID string) (*pipeline.Result, bool) {
-	if resp.Header.Get(headerAttemptID) != attemptID {
+	if resp.Header.Get(headerAttemptID) != attemptID || !httpconn.IsFinal(resp.StatusCode) {
 		return nil, false
 	}
 	code, err := strconv.ParseUint(resp.Header.Get(headerCode), 10, 16)
--- a/fleet/headers_test.go
+++ b/fleet/headers_test.go
@@ -37,3 +37,14 @@
 		}
 	}
 }
+
+// Guards against an answer of a peer whose status makes net/http panic at the entry proxy.
+func TestAnswerWithInvalidStatusIsUnreadable(t *testing.T) {
+	for status, want := range map[int]bool{0: false, 99: false, 101: false, 200: true, 599: true, 600: false} {
+		resp := &http.Response{StatusCode: status, Header: http.Header{}}
+		encodeResult(resp.Header, &pipeline.Result{Status: status}, "a-1", Load{})
+		if _, ok := decodeResult(resp, "a-1"); ok != want {
+			t.Errorf("status %d: accepted %t", status, ok)
+		}
+	}
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -280,28 +280,28 @@
 func (c *conn) receive(ctx context.Context, x *Exchange) (*Response, bool, error) {
 	for range maxResponsesRead {
 		c.headerLimit.limit(maxHeaderBytes)
-		resp, err := http.ReadResponse(c.reader, x.Request)
+		h, err := readHead(c.reader, x.Request.Method)
 		c.headerLimit.unlimit()
 		if err != nil {
 			return nil, false, classifyReadError(err)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if h.Status < 200 {
 			if x.OnInterim != nil {
 				x.OnInterim()
 			}
 			continue
 		}
-		body, err := c.readBody(ctx, resp)
+		body, err := c.readBody(ctx, &h)
 		if err != nil {
 			return nil, false, &Error{InvalidResponse, err}
 		}
-		if x.MatchResponse != nil && !x.MatchResponse(resp.Header, c.reused) {
-			if resp.Close {
+		if x.MatchResponse != nil && !x.MatchResponse(h.Header, c.reused) {
+			if h.closes {
 				break
 			}
 			continue
 		}
-		return &Response{resp.StatusCode, resp.Header, body}, !resp.Close && c.reader.Buffered() == 0, nil
+		return &Response{h.Status, h.Header, body}, !h.closes && c.reader.Buffered() == 0, nil
 	}
 	return nil, false, &Error{InvalidResponse, errors.New("the peer sent no response that matches the request")}
 }
@@ -309,39 +309,54 @@
 // errBodyTooLong is returned for a body that exceeds maxBodyBytes.
 var errBodyTooLong = errors.New("the response body exceeds the size limit")
 
-// readBody reads the whole body. A body beyond smallBodyBytes waits until enough other
-// large bodies have been read.
-func (c *conn) readBody(ctx context.Context, resp *http.Response) ([]byte, error) {
-	if resp.ContentLength > maxBodyBytes {
+// readBody reads the whole body and its trailer.
+func (c *conn) readBody(ctx context.Context, h *head) ([]byte, error) {
+	read := func(body io.Reader) ([]byte, error) { return c.readBounded(ctx, h.length, body) }
+	switch {
+	case h.Chunked:
+		return c.readChunked(read)
+	case h.length < 0:
+		return read(c.reader)
+	case h.length > maxBodyBytes:
 		return nil, errBodyTooLong
 	}
-	start, err := io.ReadAll(io.LimitReader(resp.Body, smallBodyBytes))
+	body, err := read(io.LimitReader(c.reader, h.length))
+	if err == nil && int64(len(body)) < h.length {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// readBounded reads a body to its end. length is its declared length, or -1. A body beyond
+// smallBodyBytes waits until enough other large bodies have been read.
+func (c *conn) readBounded(ctx context.Context, length int64, body io.Reader) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(body, smallBodyBytes))
 	if err != nil || len(start) < smallBodyBytes {
 		return start, err
 	}
 	size := int64(maxBodyBytes) // of a body without a declared length
-	if resp.ContentLength >= 0 {
-		size = resp.ContentLength
+	if length >= 0 {
+		size = length
 	}
 	if err := c.largeBodies.Acquire(ctx, size); err != nil {
 		return nil, err
 	}
 	defer c.largeBodies.Release(size)
-	return readRest(start, resp)
+	if length >= 0 {
+		whole := make([]byte, length)
+		_, err := io.ReadFull(body, whole[copy(whole, start):])
+		return whole, err
+	}
+	return readUndeclared(start, body)
 }
 
-// readRest reads the body after its start. It reads a body without a declared length in
-// chunks, because a growing buffer would take a multiple of the body's size.
-func readRest(start []byte, resp *http.Response) ([]byte, error) {
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body[copy(body, start):])
-		return body, err
-	}
+// readUndeclared reads the rest of a body without a declared length in chunks, because a
+// growing buffer would take a multiple of the body's size.
+func readUndeclared(start []byte, body io.Reader) ([]byte, error) {
 	chunks, total := [][]byte{start}, len(start)
 	chunk := make([]byte, 0, smallBodyBytes)
 	for {
-		n, err := resp.Body.Read(chunk[len(chunk):cap(chunk)])
+		n, err := body.Read(chunk[len(chunk):cap(chunk)])
 		chunk, total = chunk[:len(chunk)+n], total+n
 		switch {
 		case total > maxBodyBytes:
--- a/internal/httpsend/response.go
+++ b/internal/httpsend/response.go
@@ -17,10 +17,21 @@
 	}
 	result.Body = resp.Body
 	result.ContentLength = resp.ContentLength
-	for name := range resp.Trailer {
+	for name := range forwardedTrailer(resp) {
 		result.TrailerNames = append(result.TrailerNames, name)
 	}
-	result.Trailer = func() pipeline.Header { return pipeline.Header(resp.Trailer) }
+	result.Trailer = func() pipeline.Header { return forwardedTrailer(resp) }
+}
+
+// forwardedTrailer returns the trailer fields without reserved ones.
+func forwardedTrailer(resp *http.Response) pipeline.Header {
+	trailer := make(pipeline.Header, len(resp.Trailer))
+	for name, values := range resp.Trailer {
+		if !IsReservedHeader(name) {
+			trailer[name] = values
+		}
+	}
+	return trailer
 }
 
 // hopByHopHeaders lists the response headers that apply to one connection only.
@@ -33,8 +44,8 @@
 	"Upgrade":           true,
 }
 
-// IsReservedHeader reports whether a header of a backend server's response must not be
-// forwarded: hop-by-hop headers and those that the fleet sets itself.
+// IsReservedHeader reports whether a header or trailer of a backend server's response must not
+// be forwarded: hop-by-hop headers and those that the fleet sets itself.
 func IsReservedHeader(name string) bool {
 	return hopByHopHeaders[name] || strings.HasPrefix(name, "Ragwort-")
 }
--- a/node/allocs_test.go
+++ b/node/allocs_test.go
@@ -36,6 +36,7 @@
 
 func newInstantBackend() instantBackend {
 	return instantBackend{&http.Response{
+		Proto:      "HTTP/1.1",
 		StatusCode: http.StatusOK,
 		Header:     http.Header{"Content-Type": {"text/plain"}},
 		Body:       http.NoBody,
