--- a/internal/httpahead/conn.go
+++ b/internal/httpahead/conn.go
@@ -51,6 +51,7 @@
 	buf      []byte     // read from the connection but not passed on
 	bufBytes int64      // charged for buf
 	first    [1]byte    // receives the first byte of buf
+	ending   bool       // the handler of the server's current request has returned
 	since    time.Time  // when the first byte of buf had arrived at the latest
 	readAt   time.Time  // when bytes were last added to buf
 	blocked  bool       // the next request in buf does not run ahead
@@ -109,6 +110,7 @@
 	}
 	if c.frame.state == complete {
 		c.answered.Store(false)
+		c.ending = false
 		c.sealed = c.sealed || c.frame.head.last
 		c.startRequests()
 	}
@@ -138,8 +140,15 @@
 // addBuffered adds bytes that were read to the buffer.
 func (c *conn) addBuffered(p []byte) {
 	c.readAt = time.Now()
-	if len(c.buf) == 0 {
-		c.since = c.readAt
+	if len(c.buf) > 0 {
+		c.buf = append(c.buf, p...)
+		return
+	}
+	c.since = c.readAt
+	if len(p) == 1 {
+		c.first[0] = p[0]
+		c.buf = c.first[:1:1]
+		return
 	}
 	c.buf = append(c.buf, p...)
 }
@@ -197,7 +206,7 @@
 		case !background && len(c.queue) == 0:
 			return nil
 		}
-		if !c.atBound && c.readErr == nil && len(c.buf) < c.layer.opts.MaxRequestBytes {
+		if !(background && c.ending && len(c.buf) > 0) && !c.atBound && c.readErr == nil && len(c.buf) < c.layer.opts.MaxRequestBytes {
 			c.readMore()
 			continue
 		}
@@ -452,6 +461,14 @@
 	return len(c.queue) == 0
 }
 
+// HandlerEnded records that the handler of the current request has returned. What arrives
+// from then on was most likely sent after the answer, and is left to the server.
+func (c *conn) HandlerEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+}
+
 // Arrived returns when the current request was read, or the zero time if it was passed on at
 // once.
 func (c *conn) Arrived() time.Time {
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -85,7 +85,8 @@
 }
 
 // trackRequests wraps a handler. It records that a request is being handled, and asks the
-// client not to reuse the connection during a shutdown.
+// client not to reuse the connection during a shutdown. The connection below learns when the
+// handler has returned, if it has the method HandlerEnded.
 func (s *Server) trackRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
@@ -95,6 +96,9 @@
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
+		if below, ok := connBelow(r).(interface{ HandlerEnded() }); ok {
+			below.HandlerEnded()
+		}
 	})
 }
 
