--- a/internal/httpahead/conn.go
+++ b/internal/httpahead/conn.go
@@ -180,7 +180,6 @@
 	}
 	deadline, idle := c.deadline, time.Until(c.deadline)
 	c.waiting = true
-	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	c.changed.Broadcast()
 	err := c.readAhead(false)
 	c.waiting = false
@@ -237,7 +236,7 @@
 	case err != nil && !isTimeout(err):
 		c.readErr = err
 		c.changed.Broadcast()
-	case err != nil && c.waiting && !c.ended: // woken by writeAnswers
+	case err != nil && c.waiting && !c.ended: // woken by writeAnswers, or by a deadline that starts anew
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed
 	}
 }
@@ -316,6 +315,10 @@
 	c.layer.started.Add(1)
 }
 
+// isAnswering reports whether the server answers its current request, whose answer is
+// written before those of the requests that run ahead.
+func (c *conn) isAnswering() bool { return c.frame.state == complete && !c.waiting }
+
 // writeAnswers writes the answers of the requests that run ahead, in their order, until none
 // is left.
 func (c *conn) writeAnswers() {
@@ -324,8 +327,8 @@
 	for !c.ended && len(c.queue) > 0 {
 		r := c.queue[0]
 		switch {
-		case c.frame.state == complete && !c.waiting:
-			c.changed.Wait() // the server's current request is answered first
+		case c.isAnswering():
+			c.changed.Wait()
 		case len(r.answer) > 0:
 			c.writeAnswer(r)
 		case r.done:
--- a/internal/httpahead/request.go
+++ b/internal/httpahead/request.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// directBytes limits what the request whose turn it is holds of its answer.
-const directBytes = 32 << 10
+// directBytes is what the request whose turn it is may hold of its answer at a bound. It is
+// the size of net/http's own buffer for an answer.
+const directBytes = 4 << 10
 
 // request is a request that runs ahead, as a connection of the server.
 type request struct {
@@ -82,7 +83,7 @@
 	if c.charge(int64(n)) {
 		return n
 	}
-	if c.queue[0] != r {
+	if c.isAnswering() || c.queue[0] != r {
 		return 0
 	}
 	n = max(min(n, directBytes-len(r.answer)), 0)
