mesh, platform, slots, dispatch: evacuation of a zone, spaced starts of cold backend servers

Cause: nothing read the operator's evacuations, and nothing limited the requests to a cold backend server. Change: where the settings name a time for evacuations, the follower reads and watches the operator's items together with the configuration; an evacuation stage keeps the set with the newest position, which readers announce and which accompanies their answers, their lists and the first statuses. Entries leave out the servers of evacuated zones, exits refuse attempts for theirs (4009). Where the configuration names a rate for cold servers, the exit spaces the starts while its server is cold.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -21,6 +21,9 @@
 	// DrainTime is how long a server that was removed from the list may still
 	// receive requests.
 	DrainTime time.Duration
+	// FollowEvacuations means that availability zones may be evacuated. No server is
+	// offered to requests until the set of evacuated zones is known.
+	FollowEvacuations bool
 	// Tolerance is the amount by which teams may exceed their rates.
 	Tolerance teamrate.Tolerance
 	// SharedRetries limits the retries that the fleet shares for each service.
@@ -52,12 +55,16 @@
 		servers:  make(map[string]*serverRecord),
 		peers:    make(map[string]*Peer),
 		keyTrust: NewKeyTrust(0),
+
+		evacuationsFollowed: o.FollowEvacuations,
+		returnedAt:          make(map[string]time.Time),
 	}
 	config := &configStage{state: st, keyTrustDuration: o.KeyTrustDuration}
 	stages := []control.Stage{
 		&stopStage{state: st},
 		&relayStage{state: st},
 		config,
+		&evacuationStage{state: st, since: make(map[string]time.Time)},
 		&serversStage{state: st, drainTime: o.DrainTime},
 		&storeStage{
 			state: st, config: config, bootClock: o.BootClock, firstStart: o.FirstStart,
@@ -103,7 +110,7 @@
 
 // snapshot returns an immutable copy of the state. Only the newest server at each
 // address is included.
-func (s *state) snapshot(time.Time) *Snapshot {
+func (s *state) snapshot(now time.Time) *Snapshot {
 	snap := &Snapshot{
 		Table:       s.table,
 		Document:    s.document,
@@ -116,12 +123,15 @@
 		StoreReader: s.storeReader,
 		Stopping:    s.stopping,
 		PeerTimeout: s.scaledPeerTimeout(),
+		Evacuated:   s.evacuated,
 	}
 	if s.storeReader {
-		snap.ListRevision = s.listRevision
+		snap.ListRevision, snap.ListedAt, snap.Evacuations = s.listRevision, now, s.evacuations
 		for _, server := range s.servers {
 			if server.missingSince.IsZero() {
-				snap.Listed = append(snap.Listed, server.Server)
+				listed := server.Server
+				listed.WarmUpLeft = max(s.warmUpUntil(server).Sub(now), 0)
+				snap.Listed = append(snap.Listed, listed)
 			}
 		}
 	}
@@ -137,10 +147,13 @@
 			Server:      server.Server,
 			Local:       server.Host == s.identity.Host,
 			SameZone:    server.Zone == s.identity.Zone,
-			WarmUpUntil: server.warmUpUntil,
+			WarmUpUntil: s.warmUpUntil(server),
+			Evacuated:   s.evacuated[server.Zone],
 			Live:        server.live,
 		}
-		snap.Services[server.Service] = append(snap.Services[server.Service], target)
+		if s.evacuations != nil || !s.evacuationsFollowed {
+			snap.Services[server.Service] = append(snap.Services[server.Service], target)
+		}
 		if target.Local {
 			snap.Local[id] = target
 		}
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -188,7 +188,7 @@
 // own tokens.
 func (s *healthStage) replyToNewPeer(now time.Time, host string, out *control.Output) {
 	load := s.load()
-	sendTo(out, []string{host}, s.newStatus(now, &load))
+	sendTo(out, []string{host}, withEvacuations(s.newStatus(now, &load), s.state.evacuations))
 }
 
 // newStatus returns the health and load of this host's backend server, and records them
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -28,6 +28,8 @@
 	Put      []Server
 	Removed  []string
 	Source   ListSource
+	// Evacuations is the set of evacuated zones of the reader; nil if it sent none.
+	Evacuations *EvacuationsRead
 }
 
 // ControlEvent marks ServerListRead as an event.
@@ -217,17 +219,18 @@
 	}
 }
 
-// EncodeServerList encodes the list of backend servers of a store reader for
-// FetchServers. It returns nil if the process is no reader.
-func EncodeServerList(snap *Snapshot) ([]byte, error) {
+// EncodeServerList encodes the list of backend servers of a store reader, and its set of
+// evacuated zones, for FetchServers. It returns nil if the process is no reader.
+func EncodeServerList(now time.Time, snap *Snapshot) ([]byte, error) {
 	if !snap.StoreReader {
 		return nil, nil
 	}
 	list := notice.ServerListChange{Revision: snap.ListRevision}
 	for _, server := range snap.Listed {
+		server.WarmUpLeft = max(server.WarmUpLeft-now.Sub(snap.ListedAt), 0)
 		list.Put = append(list.Put, encodeServer(server))
 	}
-	return notice.Encode(notice.Message{ServerListChange: &list})
+	return notice.Encode(withEvacuations(notice.Message{ServerListChange: &list}, snap.Evacuations))
 }
 
 // DecodeServerList decodes the list of a store reader.
@@ -243,6 +246,10 @@
 	for _, entry := range message.ServerListChange.Put {
 		read.Put = append(read.Put, decodeServer(entry))
 	}
+	if message.Evacuations != nil {
+		evacuations := decodeEvacuations(&message)
+		read.Evacuations = &evacuations
+	}
 	return read, nil
 }
 
@@ -270,7 +277,7 @@
 		return false
 	}
 	fresh := old == nil || old.StartUnixMS != server.StartUnixMS || old.Host != server.Host
-	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) {
+	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) && !s.coldAgain(now, old, &server) {
 		return false
 	}
 	next := &serverRecord{Server: server, warmUpUntil: now.Add(server.WarmUpLeft)}
@@ -290,6 +297,20 @@
 	return true
 }
 
+// minWarmUpExtension is more than the differences in the age of two entries: a server
+// writes its entry at intervals, and it is read with some delay.
+const minWarmUpExtension = time.Second
+
+// coldAgain reports whether an entry says that a running server has become cold again.
+// It matters where the configuration limits the rate of cold servers.
+func (s *serversStage) coldAgain(now time.Time, old *serverRecord, server *Server) bool {
+	if s.state.table == nil {
+		return false
+	}
+	_, rate := s.state.table.WarmUp(server.Service)
+	return rate > 0 && server.WarmUpLeft-max(old.warmUpUntil.Sub(now), 0) >= minWarmUpExtension
+}
+
 // equalForTraffic reports whether two entries are equal for routing. It ignores the
 // remaining warm-up time and the revision, which change with each update.
 func equalForTraffic(a, b Server) bool {
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -150,6 +150,7 @@
 	Local       bool
 	SameZone    bool
 	WarmUpUntil time.Time
+	Evacuated   bool // its availability zone is evacuated
 	Live        *LiveState
 }
 
@@ -168,6 +169,9 @@
 	// store that it reflects, for peers whose lists differ.
 	Listed       []Server
 	ListRevision uint64
+	ListedAt     time.Time        // when the warm-up times in Listed were right
+	Evacuations  *EvacuationsRead // of a store reader, for its peers; nil if unknown
+	Evacuated    map[string]bool  // evacuated availability zones
 	Stopping     bool
 	PeerTimeout  time.Duration // silence after which a peer counts as lost
 }
@@ -223,6 +227,12 @@
 	document []byte // of table, as peers get it
 	keyTrust *KeyTrust
 
+	// Written by the evacuation stage; evacuationsFollowed never changes.
+	evacuationsFollowed bool
+	evacuations         *EvacuationsRead     // newest set; nil until it is known
+	evacuated           map[string]bool      // zones whose servers get no new requests; never modified
+	returnedAt          map[string]time.Time // when the last evacuation of each zone ended
+
 	// Written by the servers stage.
 	servers          map[string]*serverRecord
 	peers            map[string]*Peer        // by IP address, excluding this process
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -319,6 +319,10 @@
 			now.Sub(s.ownConfigReadAt) >= minOwnReadInterval,
 		Servers: now.Sub(latest(s.lastAnswerAt, s.listKnownAt)) > maxAge && now.Sub(s.ownListReadAt) >= minOwnReadInterval,
 	}
+	if s.state.evacuationsFollowed && now.Sub(s.ownConfigReadAt) >= minOwnReadInterval {
+		unknown := s.state.evacuations == nil && now.Sub(s.readersKnownAt) > firstAnswerTimeout
+		read.Config = read.Config || read.Servers || unknown // evacuations are read with the configuration
+	}
 	if read.Config {
 		s.ownConfigReadAt = now
 	}
@@ -354,7 +358,8 @@
 		}
 		answer.Version, answer.AgeMS = s.version(), uint32(age.Milliseconds())
 	}
-	out.Emit(SendMessage{Hosts: []string{host}, Message: notice.Message{StoreState: &answer}})
+	message := withEvacuations(notice.Message{StoreState: &answer}, s.state.evacuations)
+	out.Emit(SendMessage{Hosts: []string{host}, Message: message})
 }
 
 // handleAnswer compares the state of a reader with that of this process. The
--- a/decide/routing/routing.go
+++ b/decide/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,10 @@
 	Name           string
 	HealthPath     string
 	MaxConnections int // accepted by one backend server from all callers together
+	// WarmUpTime is how long a backend server is cold after its start, and WarmUpRate the
+	// requests per second that it accepts meanwhile; 0 means no limit.
+	WarmUpTime time.Duration
+	WarmUpRate float64
 }
 
 // Route maps a path prefix of one host to services.
@@ -85,7 +90,9 @@
 		servicesByName: make(map[string]*Service),
 	}
 	for i := range config.Services {
-		t.servicesByName[config.Services[i].Name] = &config.Services[i]
+		if err := t.addService(&config.Services[i]); err != nil {
+			return nil, err
+		}
 	}
 	for i := range config.Routes {
 		if err := t.addRoute(&config.Routes[i]); err != nil {
@@ -103,6 +110,14 @@
 	return t, nil
 }
 
+func (t *Table) addService(s *Service) error {
+	if s.WarmUpTime < 0 || !(s.WarmUpRate >= 0) || math.IsInf(s.WarmUpRate, 1) { // also not a number
+		return fmt.Errorf("service %q has an impossible warm-up time or rate", s.Name)
+	}
+	t.servicesByName[s.Name] = s
+	return nil
+}
+
 func (t *Table) addRoute(r *Route) error {
 	switch {
 	case r.Host == "":
@@ -155,6 +170,16 @@
 // Limits returns the limits on requests and callers.
 func (t *Table) Limits() Limits { return t.config.Limits }
 
+// WarmUp returns the warm-up time of a service's backend servers and the rate that they
+// accept meanwhile, in requests per second. The rate is 0 if there is no limit.
+func (t *Table) WarmUp(service string) (time.Duration, float64) {
+	s := t.servicesByName[service]
+	if s == nil || s.WarmUpRate <= 0 {
+		return 0, 0
+	}
+	return s.WarmUpTime, s.WarmUpRate
+}
+
 // Teams returns all teams. The caller must not modify the slice.
 func (t *Table) Teams() []Team { return t.config.Teams }
 
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -41,7 +41,8 @@
 	running         int
 	items           []Item // sorted by sortTime
 	meanServiceTime time.Duration
-	startRate       startRate
+	startRate       startRate // that the server accepts
+	coldRate        startRate // while the server is cold
 }
 
 // New returns a queue for a server that runs slots requests at once. At most
@@ -59,6 +60,30 @@
 // AllowAllStarts removes the limit of LimitStarts.
 func (q *Queue) AllowAllStarts() { q.startRate.clear() }
 
+// SpaceStarts limits how many requests start per second, without a burst, until
+// StopSpacingStarts. It holds beside the limit of LimitStarts.
+func (q *Queue) SpaceStarts(now time.Time, perSecond float64) { q.coldRate.setSpaced(now, perSecond) }
+
+// StopSpacingStarts removes the limit of SpaceStarts.
+func (q *Queue) StopSpacingStarts() { q.coldRate.clear() }
+
+// waitToStart returns the time until the n-th of the next requests may start within the
+// limits of the rate.
+func (q *Queue) waitToStart(now time.Time, n int) time.Duration {
+	return max(q.startRate.wait(now, n), q.coldRate.wait(now, n))
+}
+
+// takeStart reports whether a request may start within the limits of the rate, and counts
+// it if so.
+func (q *Queue) takeStart(now time.Time) bool {
+	if q.waitToStart(now, 1) > 0 {
+		return false
+	}
+	q.startRate.take(now)
+	q.coldRate.take(now)
+	return true
+}
+
 // PushResult is the result of Push.
 type PushResult uint8
 
@@ -73,7 +98,7 @@
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
 // that is expected to wait for longer than maxWait.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) PushResult {
-	if q.running < q.slots && len(q.items) == 0 && q.startRate.take(now) {
+	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.running++
 		return Granted
 	}
@@ -106,7 +131,7 @@
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
 func (q *Queue) estimatedWaitAt(now time.Time, position int) time.Duration {
-	wait := q.startRate.wait(now, position+1)
+	wait := q.waitToStart(now, position+1)
 	if q.running < q.slots {
 		return wait
 	}
@@ -116,7 +141,7 @@
 // Pop removes the first waiting request and gives it a slot. It reports false if no
 // request waits, no slot is free or none may start yet.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	if q.running >= q.slots || len(q.items) == 0 || !q.startRate.take(now) {
+	if q.running >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
 		return Item{}, false
 	}
 	item := q.items[0]
@@ -163,7 +188,7 @@
 			next = expiry
 		}
 	}
-	if start := now.Add(q.startRate.wait(now, 1)); q.running < q.slots && start.Before(next) {
+	if start := now.Add(q.waitToStart(now, 1)); q.running < q.slots && start.Before(next) {
 		next = start
 	}
 	return next, len(q.items) > 0
@@ -188,6 +213,9 @@
 	return items
 }
 
+// HasFreeSlot reports whether a slot is free.
+func (q *Queue) HasFreeSlot() bool { return q.running < q.slots }
+
 // Running returns the number of slots in use.
 func (q *Queue) Running() int { return q.running }
 
@@ -212,4 +240,4 @@
 
 // StartWait returns how long a request that arrives now would wait because of the rate of
 // starts.
-func (q *Queue) StartWait(now time.Time) time.Duration { return q.startRate.wait(now, len(q.items)+1) }
+func (q *Queue) StartWait(now time.Time) time.Duration { return q.waitToStart(now, len(q.items)+1) }
--- a/decide/slotqueue/startrate.go
+++ b/decide/slotqueue/startrate.go
@@ -14,6 +14,7 @@
 // not limit them.
 type startRate struct {
 	perSecond  float64 // 0 if there is no limit
+	spaced     bool    // no two requests start at once
 	tokens     float64
 	refilledAt time.Time
 }
@@ -29,28 +30,36 @@
 	r.tokens, r.refilledAt = min(tokens, r.capacity()), now
 }
 
+// setSpaced limits the rate without a burst: any second has at most one start more than
+// the rate, also if requests started just before.
+func (r *startRate) setSpaced(now time.Time, perSecond float64) {
+	if r.spaced && r.perSecond == perSecond {
+		return
+	}
+	*r = startRate{perSecond: perSecond, spaced: true, tokens: min(r.tokens, 1), refilledAt: now}
+}
+
 // clear removes the limit.
 func (r *startRate) clear() { *r = startRate{} }
 
 // capacity is the number of requests that may start at once after a pause: those of a
-// second.
-func (r *startRate) capacity() float64 { return max(r.perSecond, 1) }
+// second, or one if they are spaced.
+func (r *startRate) capacity() float64 {
+	if r.spaced {
+		return 1
+	}
+	return max(r.perSecond, 1)
+}
 
 func (r *startRate) tokensAt(now time.Time) float64 {
 	return min(r.tokens+r.perSecond*now.Sub(r.refilledAt).Seconds(), r.capacity())
 }
 
-// take reports whether a request may start, and counts it if so.
-func (r *startRate) take(now time.Time) bool {
-	if r.perSecond <= 0 {
-		return true
-	}
-	r.tokens, r.refilledAt = r.tokensAt(now), now
-	if r.tokens < 1 {
-		return false
+// take counts a request that starts. wait has returned 0 for it.
+func (r *startRate) take(now time.Time) {
+	if r.perSecond > 0 {
+		r.tokens, r.refilledAt = r.tokensAt(now)-1, now
 	}
-	r.tokens--
-	return true
 }
 
 // wait returns the time until the n-th of the next requests may start.
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -101,7 +101,7 @@
 		SameZone:               target.SameZone,
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Evacuated || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
@@ -37,7 +39,10 @@
 	// StopSchedule returns the schedule of the planned stop. It is called only after
 	// StopBegan has been closed.
 	StopSchedule func() shutdown.Schedule
-	Log          *zap.Logger
+	// EvacuationRefusals counts requests that were refused because all backend servers of
+	// their service are in evacuated availability zones.
+	EvacuationRefusals *metrics.Counter
+	Log                *zap.Logger
 }
 
 // Name returns "dispatch".
@@ -67,6 +72,9 @@
 	// defaultRetryAfter is the Retry-After if no backend server accepts the request.
 	// Slots become free after about one service time.
 	defaultRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After if all servers of the service are evacuated.
+	// The end of an evacuation is known everywhere within a second.
+	evacuatedRetryAfter = time.Second
 	// typicalResponseBytes is the average size of a response including its header.
 	typicalResponseBytes = 2000
 )
@@ -302,6 +310,12 @@
 func (r *requestState) unservedResult() *pipeline.Result {
 	result := r.lastRefusal
 	switch {
+	case r.allEvacuated():
+		r.filter.EvacuationRefusals.Inc()
+		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+		result.RetryAfter = evacuatedRetryAfter
+	case result != nil && result.Code == pipeline.CodeZoneEvacuated:
+		result = pipeline.Refuse(pipeline.CodeNoBackend, "") // this process does not know of the evacuation yet
 	case result != nil:
 	case r.isLastStartPast():
 		result = pipeline.Refuse(pipeline.CodeStopping, "")
@@ -315,6 +329,14 @@
 	return result
 }
 
+// allEvacuated reports whether the service has servers and all are in evacuated
+// availability zones.
+func (r *requestState) allEvacuated() bool {
+	targets := r.filter.Snapshot().Services[r.req.Service]
+	inUse := func(target *mesh.Target) bool { return !target.Evacuated }
+	return len(targets) > 0 && !slices.ContainsFunc(targets, inUse)
+}
+
 // finalResult returns the result of a request that can't be awaited any longer. If an
 // attempt is still open, the outcome is unknown and has the given code.
 func (r *requestState) finalResult(unknown pipeline.Code) *pipeline.Result {
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -38,26 +38,41 @@
 // Queue owns the slots of one backend server. One goroutine runs it; the
 // goroutines of requests communicate with it over channels.
 type Queue struct {
-	queue         *slotqueue.Queue
-	arrivals      chan *ticket
-	departures    chan departure
-	cancellations chan uint64
-	withdrawals   chan withdrawal
-	limits        chan observedLimit
-	tickets       map[uint64]*ticket // tickets that wait or hold a slot, by ID
-	withdrawn     expiringSet
-	executed      expiringSet // attempts that held a slot
-	started       time.Time
-	load          atomic.Pointer[pipeline.Load]
-	retries       atomic.Pointer[retrySnapshot]
-	lastID        atomic.Uint64
-	limit         observedLimit // last observed limit of the server's rate
-	postEvent     func(control.Event) bool
-	lastCrashAt   time.Time
-	closed        bool          // no slot is granted any more
-	closing       chan struct{} // closed when no slot shall be granted any more
-	closeOnce     sync.Once
-	stopped       chan struct{}
+	queue              *slotqueue.Queue
+	arrivals           chan *ticket
+	departures         chan departure
+	cancellations      chan uint64
+	withdrawals        chan withdrawal
+	limits             chan observedLimit
+	tickets            map[uint64]*ticket // tickets that wait or hold a slot, by ID
+	withdrawn          expiringSet
+	executed           expiringSet // attempts that held a slot
+	started            time.Time
+	load               atomic.Pointer[pipeline.Load]
+	retries            atomic.Pointer[retrySnapshot]
+	lastID             atomic.Uint64
+	limit              observedLimit                      // last observed limit of the server's rate
+	named              atomic.Pointer[pipeline.RateLimit] // of limit
+	refresh            chan struct{}                      // asks for a look at the state of the server
+	backend            func() Backend
+	evacuated          bool // of the last look
+	cold               coldStarts
+	evacuationRefusals atomic.Uint64
+	postEvent          func(control.Event) bool
+	lastCrashAt        time.Time
+	closed             bool          // no slot is granted any more
+	closing            chan struct{} // closed when no slot shall be granted any more
+	closeOnce          sync.Once
+	stopped            chan struct{}
+}
+
+// Backend is what the control loop knows about the backend server.
+type Backend struct {
+	Slots       int
+	Evacuated   bool // its availability zone is evacuated
+	WarmUpUntil time.Time
+	WarmUpTime  time.Duration // after a start
+	WarmUpRate  float64       // requests per second that it accepts while it is cold; 0 for no limit
 }
 
 // ticket is one request for a slot.
@@ -78,6 +93,9 @@
 	id      uint64
 	held    time.Duration // 0 if it is not representative of the service time
 	crashed bool          // the backend server crashed while the request ran
+	lost    bool          // the backend server crashed or no connection to it could be opened
+	reached bool          // the backend server answered
+	granted time.Time
 }
 
 // observedLimit is the rate limit that a backend server named in an answer.
@@ -105,34 +123,60 @@
 		limits:        make(chan observedLimit, channelCapacity),
 		tickets:       make(map[uint64]*ticket),
 		started:       time.Now(),
+		refresh:       make(chan struct{}, 1),
+		cold:          coldStarts{log: zap.NewNop()},
 		postEvent:     postEvent,
 		closing:       make(chan struct{}),
 		stopped:       make(chan struct{}),
 	}
+	q.backend = func() Backend { return Backend{Slots: slots} }
+	q.named.Store(&pipeline.RateLimit{})
 	q.publishLoad(time.Now(), slots)
 	return q
 }
 
+// SetLog sets the logger. It must be called before Run.
+func (q *Queue) SetLog(log *zap.Logger) { q.cold.log = log }
+
+// Refresh asks the queue to look at the state of the backend server now, without waiting.
+func (q *Queue) Refresh() {
+	select {
+	case q.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// ColdRefusals returns the number of attempts that were refused because the backend server
+// was cold.
+func (q *Queue) ColdRefusals() uint64 { return q.cold.refusals.Load() }
+
+// EvacuationRefusals returns the number of waiting attempts that were refused because of an
+// evacuation.
+func (q *Queue) EvacuationRefusals() uint64 { return q.evacuationRefusals.Load() }
+
 // Load returns the load after the last event.
 func (q *Queue) Load() pipeline.Load { return *q.load.Load() }
 
-// Run grants slots until ctx is done. Then it refuses all waiting requests. slots is
-// called before each decision and returns the number of slots.
-func (q *Queue) Run(ctx context.Context, slots func() int) {
+// Run grants slots until ctx is done. Then it refuses all waiting requests. backend is
+// called before each decision.
+func (q *Queue) Run(ctx context.Context, backend func() Backend) {
 	defer close(q.stopped)
+	q.backend = backend
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	closing := q.closing
 	for {
 		select {
 		case <-ctx.Done():
-			q.refuseAll()
+			q.refuseAll(pipeline.CodeStopping)
 			return
 		case <-closing:
 			closing = nil
 			q.closed = true
-			q.refuseAll()
+			q.refuseAll(pipeline.CodeStopping)
+		case <-q.refresh:
 		case t := <-q.arrivals:
+			q.updateBackend(time.Now())
 			q.handleArrival(time.Now(), t)
 		case dep := <-q.departures:
 			q.handleDeparture(time.Now(), dep)
@@ -144,17 +188,33 @@
 			q.applyLimit(time.Now(), l)
 		case <-timer.C:
 		}
-		n := slots()
-		q.queue.SetSlots(n)
 		now := time.Now()
+		n := q.updateBackend(now)
 		q.grantSlots(now)
 		q.publishLoad(now, n)
 		q.resetTimer(now, timer)
 	}
 }
 
+// updateBackend applies the state of the backend server and returns its number of slots.
+// An evacuation refuses all waiting requests; those that hold a slot keep it.
+func (q *Queue) updateBackend(now time.Time) int {
+	b := q.backend()
+	q.queue.SetSlots(b.Slots)
+	q.evacuated = b.Evacuated
+	if b.Evacuated {
+		q.evacuationRefusals.Add(uint64(q.queue.Waiting()))
+		q.refuseAll(pipeline.CodeZoneEvacuated)
+	}
+	q.cold.update(now, q.queue, &b)
+	return b.Slots
+}
+
 func (q *Queue) resetTimer(now time.Time, timer *time.Timer) {
 	next, ok := q.queue.NextEvent(now)
+	if end := q.cold.until; !end.IsZero() && (!ok || end.Before(next)) {
+		next, ok = end, true
+	}
 	if !ok {
 		timer.Stop()
 		return
@@ -169,7 +229,7 @@
 		Urgent:          q.queue.WaitingWithRankUpTo(pipeline.MaxUrgentRank),
 		Slots:           slots,
 		MeanServiceTime: q.queue.MeanServiceTime(),
-		Limit:           q.limit.limit,
+		Limit:           q.cold.limit(q.limit.limit),
 		StartWait:       q.queue.StartWait(now),
 	})
 	q.retries.Store(countRetries(q.tickets))
@@ -220,6 +280,11 @@
 		t.decision <- pipeline.CodeStopping
 		return
 	}
+	if q.evacuated {
+		q.evacuationRefusals.Add(1)
+		t.decision <- pipeline.CodeZoneEvacuated
+		return
+	}
 	if t.backend != q.limit.backend {
 		q.applyLimit(now, observedLimit{backend: t.backend}) // another server has the address
 	}
@@ -233,8 +298,10 @@
 	case slotqueue.Queued:
 		q.tickets[t.item.ID] = t
 	case slotqueue.Refused:
+		q.cold.countRefusal(q.queue)
 		t.decision <- pipeline.CodeQueueFull
 	case slotqueue.MissesDeadline:
+		q.cold.countRefusal(q.queue)
 		t.decision <- pipeline.CodeDeadlineTooShort
 	}
 }
@@ -247,6 +314,12 @@
 	if dep.crashed {
 		q.reportCrash(now)
 	}
+	switch {
+	case dep.lost:
+		q.cold.warmUp.Lost(now)
+	case dep.reached:
+		q.cold.warmUp.Reached(now, dep.granted, q.backend().WarmUpTime)
+	}
 	q.executed.add(now, t.attemptID, attemptRetention)
 	delete(q.tickets, dep.id)
 	q.queue.Release(dep.held)
@@ -255,7 +328,7 @@
 // ObserveLimit takes over the rate limit that a backend server named in an answer, or that
 // it named none. It reports whether a limit began, changed or ended.
 func (q *Queue) ObserveLimit(backend string, limit pipeline.RateLimit) bool {
-	previous := q.Load().Limit
+	previous := *q.named.Load()
 	if previous == limit {
 		return false
 	}
@@ -269,6 +342,7 @@
 // applyLimit limits the rate at which requests start.
 func (q *Queue) applyLimit(now time.Time, l observedLimit) {
 	q.limit = l
+	q.named.Store(&l.limit)
 	if l.limit.Limited {
 		q.queue.LimitStarts(now, l.limit.PerSecond)
 	} else {
@@ -326,6 +400,7 @@
 // grantSlots grants free slots and refuses requests that would miss their deadline.
 func (q *Queue) grantSlots(now time.Time) {
 	for _, item := range q.queue.RemoveExpired(now) {
+		q.cold.countRefusal(q.queue)
 		q.refuse(item, pipeline.CodeDeadlineTooShort)
 	}
 	for {
@@ -337,9 +412,9 @@
 	}
 }
 
-func (q *Queue) refuseAll() {
+func (q *Queue) refuseAll(code pipeline.Code) {
 	for _, item := range q.queue.Clear() {
-		q.refuse(item, pipeline.CodeStopping)
+		q.refuse(item, code)
 	}
 }
 
@@ -402,7 +477,9 @@
 	}
 	granted := time.Now()
 	req.OnComplete(func(c pipeline.Completion) {
-		dep := departure{id: t.item.ID, crashed: req.RunResult == pipeline.RunBackendCrashed}
+		dep := departure{id: t.item.ID, crashed: req.RunResult == pipeline.RunBackendCrashed, granted: granted}
+		dep.lost = dep.crashed || c.Code == pipeline.CodeConnectFailed
+		dep.reached = c.Outcome == pipeline.Answered || c.Code == pipeline.CodeShed || c.Code == pipeline.CodeWrongExit
 		if c.Outcome == pipeline.Answered {
 			dep.held = time.Since(granted)
 		}
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	q := NewQueue(slots, post)
 	ctx, cancel := context.WithCancel(context.Background())
-	go q.Run(ctx, func() int { return slots })
+	go q.Run(ctx, func() Backend { return Backend{Slots: slots} })
 	original := func(req *pipeline.Request) string { return "original-" + req.ID }
 	return &Filter{Queue: q, OriginalID: original, Log: zap.NewNop()}, func() { cancel(); <-q.stopped }
 }
--- a/pipeline/code.go
+++ b/pipeline/code.go
@@ -51,6 +51,7 @@
 	CodeBackendLeaving Code = 4006
 	CodeConnectFailed  Code = 4007
 	CodeNotReady       Code = 4008
+	CodeZoneEvacuated  Code = 4009
 )
 
 // Codes for idempotency keys and for quarantined requests.
@@ -142,6 +143,7 @@
 	{CodeBackendLeaving, "backend-leaving", NotRun, 503, "The backend server is leaving; used between processes."},
 	{CodeConnectFailed, "connect-failed", NotRun, 502, "No connection to the backend server could be opened."},
 	{CodeNotReady, "not-ready", NotRun, 503, "The process has no configuration yet."},
+	{CodeZoneEvacuated, "zone-evacuated", NotRun, 503, "The availability zone of the backend server is evacuated; used between processes."},
 	{CodeInProgress, "in-progress", NotRun, 409, "A request with this idempotency key is running; this copy was not run."},
 	{CodeAlreadyRan, "already-ran", NotRun, 409, "A request with this idempotency key has run; its status is in Ragwort-First-Status; this copy was not run."},
 	{CodeEarlierSendPossible, "cannot-vouch", NotRun, 503, "Too few processes can rule out an earlier send of this idempotency key."},
--- a/sidecar/limit_test.go
+++ b/sidecar/limit_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 	"github.com/ragwortyard/ragwortyard/platform"
 )
@@ -24,7 +25,7 @@
 	s := settings()
 	s.BackendAddr = strings.TrimPrefix(backend.URL, "http://")
 	exit := New(s, zap.NewNop())
-	go exit.queue.Run(t.Context(), func() int { return 50 })
+	go exit.queue.Run(t.Context(), func() slots.Backend { return slots.Backend{Slots: 50} })
 	return exit
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -36,7 +36,12 @@
 			}
 			return 0
 		},
-		"ragwortyard_hosts": func() float64 { return float64(s.loop.Snapshot().Hosts) },
+		"ragwortyard_zones_evacuated": func() float64 { return float64(len(s.loop.Snapshot().Evacuated)) },
+		"ragwortyard_evacuation_refused_attempts_total": func() float64 {
+			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
+		},
+		"ragwortyard_cold_refused_attempts_total": func() float64 { return float64(s.queue.ColdRefusals()) },
+		"ragwortyard_hosts":                       func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
 	for name, read := range gauges {
 		s.metrics.NewGauge(name, read)
--- a/sidecar/outbound.go
+++ b/sidecar/outbound.go
@@ -30,6 +30,7 @@
 	wakeFollower func(mesh.ReadStore)    // requests a read of the store
 	fetchConfig  func(mesh.FetchConfig)  // requests the configuration of a peer
 	fetchServers func(mesh.FetchServers) // requests the list of backend servers of a peer
+	refreshQueue func()                  // makes the queue look at the evacuated zones
 }
 
 func newCommandExecutor(log *zap.Logger, port string, set *metrics.Set) *commandExecutor {
@@ -88,6 +89,8 @@
 		e.fetchConfig(cmd)
 	case mesh.FetchServers:
 		e.fetchServers(cmd)
+	case mesh.EvacuationsChanged:
+		e.refreshQueue()
 	case mesh.LogEntry:
 		fields := make([]zap.Field, 0, len(cmd.Fields))
 		for name, value := range cmd.Fields {
--- a/sidecar/peerfetch.go
+++ b/sidecar/peerfetch.go
@@ -125,7 +125,7 @@
 	return map[string]func() []byte{
 		hop.ConfigurationPath: func() []byte { return s.loop.Snapshot().Document },
 		hop.ServersPath: func() []byte {
-			list, err := mesh.EncodeServerList(s.loop.Snapshot())
+			list, err := mesh.EncodeServerList(time.Now(), s.loop.Snapshot())
 			if err != nil {
 				s.log.Error("cannot encode the list of backend servers", zap.Error(err))
 			}
--- a/sidecar/refusal_test.go
+++ b/sidecar/refusal_test.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/platform"
 )
 
@@ -42,7 +43,7 @@
 	s := settings()
 	s.BackendAddr = listener.Addr().String()
 	exit := New(s, zap.NewNop())
-	go exit.queue.Run(t.Context(), func() int { return 1 })
+	go exit.queue.Run(t.Context(), func() slots.Backend { return slots.Backend{Slots: 1} })
 	first := exit.run(t.Context(), attempt("1"))
 	second := exit.run(t.Context(), attempt("2"))
 	if first.Status != http.StatusServiceUnavailable || second.Status != http.StatusOK {
--- a/sidecar/repeated_answer_test.go
+++ b/sidecar/repeated_answer_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/platform"
 )
 
@@ -59,7 +60,7 @@
 			s := settings()
 			s.BackendAddr = listenRepeating(t, delay)
 			exit := New(s, zap.NewNop())
-			go exit.queue.Run(t.Context(), func() int { return 1 })
+			go exit.queue.Run(t.Context(), func() slots.Backend { return slots.Backend{Slots: 1} })
 			for n := range 5 {
 				id := fmt.Sprint(n)
 				result := exit.run(t.Context(), attempt(id))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -97,6 +97,9 @@
 	openRequests     atomic.Int64 // requests from callers and peers that are not answered yet
 	refusingAttempts atomic.Bool  // attempts are refused because the process is stopping
 	stop             plannedStop
+	// evacuationRefusals counts attempts that were refused because their backend server is
+	// in an evacuated availability zone, besides those that the queue refused.
+	evacuationRefusals atomic.Uint64
 }
 
 // New returns a Sidecar that is ready to run.
@@ -112,18 +115,21 @@
 	s.ids.prefix = strconv.FormatUint(uint64(rand.Uint32()), 36) + "-"
 	s.commands = newCommandExecutor(s.log, portOf(settings.DatagramAddr), s.metrics)
 	s.queue = slots.NewQueue(defaultSlots, s.post)
+	s.queue.SetLog(s.log)
+	s.commands.refreshQueue = s.queue.Refresh
 	s.loop = mesh.New(mesh.Options{
 		Identity: mesh.Identity{
 			Host: settings.IP, Zone: settings.Zone, Service: settings.Service,
 			BootID: rand.Uint32(), StartedAt: time.Now(),
 		},
-		FirstStart:       settings.FirstStart,
-		KeyTrustDuration: settings.KeyRevocationTime - keyTrustMargin,
-		DrainTime:        settings.DrainTime,
-		Tolerance:        settings.RateTolerance,
-		SharedRetries:    mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra},
-		Load:             s.queue.Load,
-		BootClock:        bootclock.Now,
+		FirstStart:        settings.FirstStart,
+		KeyTrustDuration:  settings.KeyRevocationTime - keyTrustMargin,
+		DrainTime:         settings.DrainTime,
+		FollowEvacuations: settings.EvacuationTime > 0,
+		Tolerance:         settings.RateTolerance,
+		SharedRetries:     mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra},
+		Load:              s.queue.Load,
+		BootClock:         bootclock.Now,
 	}, s.commands)
 	s.entry = s.entryChain()
 	s.exit = s.exitChain()
@@ -162,11 +168,12 @@
 			Budgets: &dispatch.RetryBudgets{
 				Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
 			},
-			NewID:            s.ids.next,
-			RetryProbability: s.queue.RetryProbability,
-			StopBegan:        s.stop.began,
-			StopSchedule:     func() shutdown.Schedule { return s.stop.schedule },
-			Log:              s.log,
+			NewID:              s.ids.next,
+			RetryProbability:   s.queue.RetryProbability,
+			StopBegan:          s.stop.began,
+			StopSchedule:       func() shutdown.Schedule { return s.stop.schedule },
+			EvacuationRefusals: s.metrics.NewCounter("ragwortyard_evacuation_refused_requests_total"),
+			Log:                s.log,
 		},
 	}
 }
@@ -225,7 +232,7 @@
 func (admission) Name() string { return "admission" }
 
 // Handle refuses attempts while the process stops, and attempts for a backend server
-// that is leaving or has left.
+// that is leaving, has left or is in an evacuated availability zone.
 func (a admission) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
 	if a.sidecar.refusingAttempts.Load() {
 		return pipeline.Refuse(pipeline.CodeStopping, "")
@@ -235,6 +242,10 @@
 	if (target != nil && (target.Draining || target.Live.Leaving())) || snap.Delisted[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
 	}
+	if snap.Evacuated[a.sidecar.settings.Zone] || (target != nil && target.Evacuated) {
+		a.sidecar.evacuationRefusals.Add(1)
+		return pipeline.Refuse(pipeline.CodeZoneEvacuated, "")
+	}
 	return nil
 }
 
@@ -264,16 +275,26 @@
 	return hop.NotWithdrawn
 }
 
-// slotCount returns the number of slots of this host's backend server.
-func (s *Sidecar) slotCount() int {
-	n := 0
-	for _, target := range s.loop.Snapshot().Local {
-		n = max(n, target.Slots)
+// backend returns the state of this host's backend server.
+func (s *Sidecar) backend() slots.Backend {
+	snap := s.loop.Snapshot()
+	b := slots.Backend{Evacuated: snap.Evacuated[s.settings.Zone]}
+	service := s.settings.Service
+	for _, target := range snap.Local {
+		service = target.Service
+		b.Slots = max(b.Slots, target.Slots)
+		b.Evacuated = b.Evacuated || target.Evacuated
+		if target.WarmUpUntil.After(b.WarmUpUntil) {
+			b.WarmUpUntil = target.WarmUpUntil
+		}
+	}
+	if b.Slots == 0 {
+		b.Slots = defaultSlots
 	}
-	if n == 0 {
-		return defaultSlots
+	if snap.Table != nil {
+		b.WarmUpTime, b.WarmUpRate = snap.Table.WarmUp(service)
 	}
-	return n
+	return b
 }
 
 // requestEnded logs a completed request from a caller and records failed calls made by
@@ -371,12 +392,15 @@
 
 func (s *Sidecar) startBackground(ctx context.Context, datagrams *net.UDPConn, reload <-chan struct{}) {
 	follower := platform.NewFollower(s.store, func() bool { return s.loop.Snapshot().StoreReader }, s.loop.Submit, s.log)
+	if s.settings.EvacuationTime > 0 {
+		follower.FollowEvacuations(s.settings.Zones)
+	}
 	s.commands.wakeFollower = follower.Wake
 	fetcher := newPeerFetcher(s.fetchFromPeer, s.loop.Submit, s.log)
 	s.commands.fetchConfig, s.commands.fetchServers = fetcher.requestConfig, fetcher.requestServers
 	go fetcher.run(ctx)
 	go s.loop.Run(ctx)
-	go s.queue.Run(ctx, s.slotCount)
+	go s.queue.Run(ctx, s.backend)
 	go s.commands.run(ctx)
 	go receive(ctx, datagrams, s.loop, s.log)
 	go follower.FollowConfig(ctx)
