mesh, platform, slots, dispatch, sidecar: tests of evacuations and of cold backend servers

Cause: the parts had no tests of their own. Change: the test fleet follows evacuations at 100 hosts (a reader killed, the store away, hosts cut off or deaf, a process that starts, all zones but one, all zones); queue, dispatch, follower and exit are tested in virtual time or with small fakes, and the load of four zones on three is played without a network. Result: all pass.

--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -34,14 +34,19 @@
 	owners    map[string]bool // hosts that acquired the ownership of the team's tokens
 	refused   int
 
-	firstStart   bool           // the whole fleet starts for the first time
-	storeTable   *routing.Table // in the store, if processes read it; nil if reads get no answer
-	storeServers []Server       // in the store, if processes read it; nil if reads get no answer
-	storeRev     uint64         // revision of storeServers
-	tableReads   int            // reads of storeTable
-	listReads    int            // reads of storeServers without Stale
-	staleReads   int            // reads of storeServers with Stale
-	fetches      int            // fetches from peers
+	firstStart   bool            // the whole fleet starts for the first time
+	storeTable   *routing.Table  // in the store, if processes read it; nil if reads get no answer
+	storeServers []Server        // in the store, if processes read it; nil if reads get no answer
+	storeRev     uint64          // revision of the store
+	storeDown    bool            // the store answers nobody
+	evacuations  bool            // availability zones may be evacuated
+	storeZones   []string        // evacuated in the store
+	deaf         map[string]bool // hosts that receive no datagrams
+	lossShare    float64         // of the datagrams that are lost
+	tableReads   int             // reads of storeTable
+	listReads    int             // reads of storeServers without Stale
+	staleReads   int             // reads of storeServers with Stale
+	fetches      int             // fetches from peers
 }
 
 // fleetProcess is a running process of a testFleet.
@@ -84,6 +89,7 @@
 		processes: make(map[string]*fleetProcess),
 		cut:       make(map[string]bool),
 		owners:    make(map[string]bool),
+		deaf:      make(map[string]bool),
 	}
 	for i := range hosts {
 		host := fmt.Sprintf("10.%d.0.%d", i%3+1, i/3+1)
@@ -126,14 +132,15 @@
 	f.boots++
 	p := &fleetProcess{fleet: f, host: host, started: f.now}
 	p.loop = New(Options{
-		Identity:         Identity{Host: host, Zone: f.zones[host], Service: "roster", BootID: f.boots, StartedAt: f.now},
-		FirstStart:       f.firstStart,
-		KeyTrustDuration: 4 * time.Second,
-		DrainTime:        drainTime,
-		Tolerance:        fleetTolerance,
-		SharedRetries:    SharedRetries{Window: retryWindow, MaxPerWindow: 40},
-		Load:             func() pipeline.Load { return pipeline.Load{Slots: 7} },
-		BootClock:        p.bootClock,
+		Identity:          Identity{Host: host, Zone: f.zones[host], Service: "roster", BootID: f.boots, StartedAt: f.now},
+		FirstStart:        f.firstStart,
+		FollowEvacuations: f.evacuations,
+		KeyTrustDuration:  4 * time.Second,
+		DrainTime:         drainTime,
+		Tolerance:         fleetTolerance,
+		SharedRetries:     SharedRetries{Window: retryWindow, MaxPerWindow: 40},
+		Load:              func() pipeline.Load { return pipeline.Load{Slots: 7} },
+		BootClock:         p.bootClock,
 	}, p)
 	f.processes[host] = p
 	p.post(control.Tick{})
@@ -244,7 +251,7 @@
 		received.Host, received.Direct = send.Message.Origin, false
 	}
 	for _, host := range send.Hosts {
-		if f.cut[p.host] != f.cut[host] {
+		if f.cut[p.host] != f.cut[host] || f.deaf[host] || (f.lossShare > 0 && f.random.Float64() < f.lossShare) {
 			continue
 		}
 		f.after(f.between(500*time.Microsecond, 2*time.Millisecond), func() {
@@ -261,9 +268,10 @@
 	const interval = 400 * time.Millisecond
 	for _, host := range f.hosts {
 		p := f.processes[host]
-		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] {
+		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] || f.storeDown {
 			continue
 		}
+		f.postEvacuations(p)
 		p.post(ServerListRead{Complete: true, Revision: f.storeRev, Put: f.storeServers})
 		if f.storeTable != nil {
 			p.post(TableRead{Table: f.storeTable})
@@ -273,9 +281,42 @@
 	f.after(interval, f.followStore)
 }
 
+// postEvacuations posts the evacuated zones in the store to a process.
+func (f *testFleet) postEvacuations(p *fleetProcess) {
+	if f.evacuations {
+		p.post(EvacuationsRead{Position: StorePosition{Revision: f.storeRev}, Zones: f.storeZones})
+	}
+}
+
+// evacuate changes the evacuated zones in the store, which told readers learn by their
+// watch.
+func (f *testFleet) evacuate(told int, zones ...string) {
+	f.storeRev++
+	f.storeZones = zones
+	for _, host := range f.readers() {
+		if p := f.processes[host]; told > 0 && !f.cut[host] {
+			told--
+			f.after(f.between(time.Millisecond, 20*time.Millisecond), func() { f.postEvacuations(p) })
+		}
+	}
+}
+
+// readers returns the hosts that are store readers.
+func (f *testFleet) readers() []string {
+	return slices.DeleteFunc(slices.Clone(f.hosts), func(host string) bool {
+		return f.processes[host] == nil || !f.processes[host].loop.Snapshot().StoreReader
+	})
+}
+
 // answerRead answers a read of the store with what it holds at that time.
 func (f *testFleet) answerRead(p *fleetProcess, read ReadStore) {
 	delay := f.between(4*time.Millisecond, 60*time.Millisecond)
+	if f.storeDown {
+		return
+	}
+	if read.Config {
+		f.after(delay, func() { f.postEvacuations(p) })
+	}
 	if read.Config && f.storeTable != nil {
 		f.tableReads++
 		table := f.storeTable
@@ -320,7 +361,15 @@
 			p.post(ServersNotFetched{})
 			return
 		}
-		p.post(ServerListRead{Complete: true, Revision: reader.ListRevision, Put: reader.Listed, Source: FromReader})
+		data, err := EncodeServerList(f.now, reader)
+		if err != nil {
+			panic(err)
+		}
+		list, err := DecodeServerList(data)
+		if err != nil {
+			panic(err)
+		}
+		p.post(list)
 	})
 }
 
--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -47,10 +47,10 @@
 	return true
 }
 
-func startProcess(t *testing.T, host string) *testProcess {
+func startProcess(t *testing.T, host string, changes ...func(*Options)) *testProcess {
 	p := &testProcess{t: t, now: time.Now()}
 	p.started = p.now
-	p.loop = New(Options{
+	options := Options{
 		Identity:         Identity{Host: host, Zone: "a", Service: "roster", BootID: 1, StartedAt: p.now},
 		KeyTrustDuration: 4 * time.Second,
 		DrainTime:        drainTime,
@@ -63,7 +63,11 @@
 			return pipeline.Load{Slots: 7}
 		},
 		BootClock: func() time.Duration { return p.now.Sub(p.started) + time.Hour },
-	}, p)
+	}
+	for _, change := range changes {
+		change(&options)
+	}
+	p.loop = New(options, p)
 	return p
 }
 
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -168,3 +168,74 @@
 		t.Error("no start after the limit has ended")
 	}
 }
+
+// Guards against more than one request beyond the rate of a cold server in any second, also
+// beside a limit that the server names and after a pause.
+func TestSpacedStartsHaveNoBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.1, 20).Draw(t, "rate")
+		q := New(50, 50)
+		now, id := start, uint64(0)
+		q.Push(now, Item{ID: id, Deadline: now.Add(time.Minute)}, time.Minute) // not limited yet
+		var starts []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			q.SpaceStarts(now, rate)
+			switch rapid.IntRange(0, 9).Draw(t, "op") {
+			case 0:
+				q.LimitStarts(now, rapid.Float64Range(0, 30).Draw(t, "named"))
+			case 1:
+				q.AllowAllStarts()
+			}
+			id++
+			if q.Push(now, Item{ID: id, Deadline: now.Add(time.Minute)}, time.Minute) == Granted {
+				starts = append(starts, now)
+			}
+			for _, ok := q.Pop(now); ok; _, ok = q.Pop(now) {
+				starts = append(starts, now)
+			}
+			for q.Running() > 0 {
+				q.Release(0)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+		}
+		for i := range starts {
+			n := 0
+			for n < len(starts)-i && starts[i+n].Sub(starts[i]) < time.Second {
+				n++
+			}
+			if float64(n) > rate+1 {
+				t.Fatalf("%d starts within a second at %.2f per second", n, rate)
+			}
+		}
+	})
+}
+
+// Guards against the full rate at a server that has just started again and whose list entry
+// does not tell yet.
+func TestServerIsColdAfterItWasLost(t *testing.T) {
+	var w WarmUp
+	if _, cold := w.Cold(start); cold {
+		t.Error("cold without a reason")
+	}
+	w.Lost(start)
+	lostFor := start.Add(time.Minute)
+	if until, cold := w.Cold(lostFor); !cold || !until.IsZero() {
+		t.Errorf("lost: cold %v until %v", cold, until)
+	}
+	w.Reached(lostFor, start.Add(-time.Second), 3*time.Second)
+	if _, cold := w.Cold(lostFor); !cold {
+		t.Error("warm after an answer to a request from before the loss")
+	}
+	w.Reached(lostFor, start.Add(time.Second), 3*time.Second)
+	w.Reached(lostFor.Add(time.Second), lostFor, 3*time.Second)
+	if until, cold := w.Cold(lostFor); !cold || !until.Equal(lostFor.Add(3*time.Second)) {
+		t.Errorf("reached again: cold %v until %v", cold, until)
+	}
+	w.SetListed(lostFor.Add(5 * time.Second))
+	if _, cold := w.Cold(lostFor.Add(4 * time.Second)); !cold {
+		t.Error("warm although its entry says that it is cold")
+	}
+	if _, cold := w.Cold(lostFor.Add(5 * time.Second)); cold {
+		t.Error("cold for ever")
+	}
+}
--- a/fleet/notice/notice_test.go
+++ b/fleet/notice/notice_test.go
@@ -20,6 +20,7 @@
 	for _, m := range []Message{
 		{Status: &Status{BootID: 7, Seq: 9, Backend: "i-7f3a91c2", BadProbability: 0.25, AgeMS: 120, Running: 3, Waiting: 1, MeanServiceTimeMS: 700, Unheard: []string{"10.0.0.1"}}},
 		{Status: &Status{BootID: 7, Seq: 10, Backend: "i-7f3a91c2"}, BackendLimit: &BackendLimit{Limited: true, PerSecond: 4.2, WaitMS: 350}},
+		{Status: &Status{BootID: 7, Unheard: slices.Repeat([]string{"10.128.10.132"}, 32)}, Era: 2, Evacuations: &Evacuations{Revision: 1 << 40, Zones: []string{"stgo-a", "stgo-b", "stgo-c"}}},
 		{TokenRequest: &TokenRequest{ID: 4, Name: "bozi300", Count: 2}},
 		{TokenGrant: &TokenGrant{ID: 4, WaitMS: 30}},
 		{Crash: &Crash{ID: 5, InFlight: inFlight}},
