mesh: evacuations are announced three times; entries of cold servers are sent to their exits at each read

An exit that missed the announcement of its server's cold start had no repair, as digests do not show it. Change: a reader repeats the announcement of a set twice, 0.4 s apart, and sends the entry of a cold server to the process beside it at each read.

--- a/control/mesh/evacuation.go
+++ b/control/mesh/evacuation.go
@@ -28,6 +28,13 @@
 // from a copy stay evacuated: the operator writes the items again that the copy lacks.
 const formerEraDuration = 3 * time.Second
 
+// A change is announced more than once, since processes that missed it may find no store
+// reader to ask: without the store, readers soon stop answering.
+const (
+	announcements        = 3
+	announcementInterval = 400 * time.Millisecond
+)
+
 // evacuationStage maintains the set of evacuated availability zones. The set with the
 // newest position applies; store readers announce changes.
 type evacuationStage struct {
@@ -38,13 +45,21 @@
 	formerUntil time.Time
 	since       map[string]time.Time // when each zone was evacuated
 	announced   []string             // last set that this process announced
+	repeats     int                  // announcements that are left
+	repeatAt    time.Time            // when the next one is due
 }
 
 // Name returns "evacuation".
 func (s *evacuationStage) Name() string { return "evacuation" }
 
-// Deadline returns when the zones of the former era are no longer evacuated.
-func (s *evacuationStage) Deadline() time.Time { return s.formerUntil }
+// Deadline returns when the zones of the former era are no longer evacuated, or when an
+// announcement is due.
+func (s *evacuationStage) Deadline() time.Time {
+	if s.repeats > 0 && (s.formerUntil.IsZero() || s.repeatAt.Before(s.formerUntil)) {
+		return s.repeatAt
+	}
+	return s.formerUntil
+}
 
 // Handle processes sets from the store and from peers.
 func (s *evacuationStage) Handle(now time.Time, ev control.Event, out *control.Output) {
@@ -68,6 +83,9 @@
 			s.former, s.formerUntil = nil, time.Time{}
 			s.update(now, "the end of the former era", out)
 		}
+		if s.repeats > 0 && !now.Before(s.repeatAt) {
+			s.broadcast(now, out)
+		}
 	}
 }
 
@@ -89,8 +107,15 @@
 	if !s.state.storeReader || slices.Equal(s.announced, read.Zones) {
 		return
 	}
-	s.announced = read.Zones
-	s.state.broadcast(now, withEvacuations(notice.Message{}, &read), urgentRelaysPerZone, out)
+	s.announced, s.repeats = read.Zones, announcements
+	s.broadcast(now, out)
+}
+
+// broadcast sends the known set to all peers.
+func (s *evacuationStage) broadcast(now time.Time, out *control.Output) {
+	s.repeats--
+	s.repeatAt = now.Add(announcementInterval)
+	s.state.broadcast(now, withEvacuations(notice.Message{}, s.state.evacuations), urgentRelaysPerZone, out)
 }
 
 // effectiveZones returns the evacuated zones, including those of the former era.
@@ -131,20 +156,6 @@
 	}
 }
 
-// warmUpUntil returns until when a server is cold: it also counts as cold after the end of
-// an evacuation of its zone, where the configuration limits the rate of cold servers.
-func (s *state) warmUpUntil(server *serverRecord) time.Time {
-	returned, ok := s.returnedAt[server.Zone]
-	if !ok || s.table == nil {
-		return server.warmUpUntil
-	}
-	duration, rate := s.table.WarmUp(server.Service)
-	if rate <= 0 {
-		return server.warmUpUntil
-	}
-	return latest(server.warmUpUntil, returned.Add(duration))
-}
-
 // withEvacuations returns a message that a set of evacuated zones accompanies. It leaves
 // out a set that is unknown, or that belongs to another era than the message.
 func withEvacuations(message notice.Message, read *EvacuationsRead) notice.Message {
--- a/control/mesh/evacuation_test.go
+++ b/control/mesh/evacuation_test.go
@@ -49,7 +49,7 @@
 // Guards against requests to an evacuated zone, or none after its end, when datagrams,
 // readers, the store or paths fail at the same time.
 func TestEvacuationHoldsAtAllProcesses(t *testing.T) {
-	f := startEvacuationFleet(5)
+	f := startEvacuationFleet(11)
 	if n := f.countUnready(); n > 0 {
 		t.Fatalf("%d processes are not ready", n)
 	}
@@ -149,6 +149,28 @@
 	}
 }
 
+// Guards against requests to an evacuated zone from processes that all start at once, and
+// have no peer that knows of the evacuation.
+func TestEvacuationOutlastsARestartOfAllProcesses(t *testing.T) {
+	f := startEvacuationFleet(7)
+	f.evacuate(9, "b")
+	f.advance(effectTime)
+	for _, host := range f.hosts {
+		f.kill(host)
+	}
+	f.startAll(500*time.Millisecond, 50*time.Millisecond)
+	for range 40 {
+		f.advance(50 * time.Millisecond)
+		if n := f.countOffering()["b"]; n > 0 {
+			t.Fatalf("%d processes offer a server of the evacuated zone", n)
+		}
+	}
+	f.advance(2 * time.Second)
+	if n := f.countUnready(); n > 0 {
+		t.Errorf("%d processes are not ready", n)
+	}
+}
+
 func followEvacuations(o *Options) { o.FollowEvacuations = true }
 
 // Guards against requests before the evacuations are known, and against an old set that
@@ -251,6 +273,29 @@
 	}
 }
 
+// Guards against the full rate at a cold server beside a process that missed the announcement.
+func TestExitThatMissedAnAnnouncementLearnsThatItsServerIsCold(t *testing.T) {
+	for rate, want := range map[float64]int{12: 1, 0: 0} {
+		p := startWithWarmUp(t, rate)
+		again := newServer("s", "10.0.0.2", 5)
+		again.WarmUpLeft = 3 * time.Second
+		p.post(ServerListRead{Put: []Server{again}})
+		p.advance(time.Second)
+		p.sent = nil
+		again.WarmUpLeft -= time.Second
+		p.post(ServerListRead{Put: []Server{again, newServer("t", "10.0.0.3", 6)}})
+		told := 0
+		for _, send := range p.sent {
+			if change := send.Message.ServerListChange; change != nil && len(change.Put) == 1 && change.Put[0].ID == "s" && slices.Equal(send.Hosts, []string{"10.0.0.2"}) {
+				told++
+			}
+		}
+		if told != want {
+			t.Errorf("rate %v: told %d times, want %d", rate, told, want)
+		}
+	}
+}
+
 // Guards against the full rate at the servers of a zone that returns.
 func TestReturnedZoneIsCold(t *testing.T) {
 	for rate, want := range map[float64]time.Duration{12: 3 * time.Second, 0: 0} {
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -166,6 +166,7 @@
 			change.Removed = append(change.Removed, id)
 		}
 	}
+	s.repeatWarmUps(ev, out)
 	first := !s.listKnown
 	s.listKnown = true
 	s.publishChange(now, &change, first, out)
@@ -297,20 +298,6 @@
 	return true
 }
 
-// minWarmUpExtension is more than the differences in the age of two entries: a server
-// writes its entry at intervals, and it is read with some delay.
-const minWarmUpExtension = time.Second
-
-// coldAgain reports whether an entry says that a running server has become cold again.
-// It matters where the configuration limits the rate of cold servers.
-func (s *serversStage) coldAgain(now time.Time, old *serverRecord, server *Server) bool {
-	if s.state.table == nil {
-		return false
-	}
-	_, rate := s.state.table.WarmUp(server.Service)
-	return rate > 0 && server.WarmUpLeft-max(old.warmUpUntil.Sub(now), 0) >= minWarmUpExtension
-}
-
 // equalForTraffic reports whether two entries are equal for routing. It ignores the
 // remaining warm-up time and the revision, which change with each update.
 func equalForTraffic(a, b Server) bool {
