--- a/sidecar/invalid_response_test.go
+++ b/sidecar/invalid_response_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ragwortyard/ragwortyard/decide/belief"
 	"github.com/ragwortyard/ragwortyard/filters/deliver"
+	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 	"github.com/ragwortyard/ragwortyard/platform"
 )
@@ -43,7 +44,7 @@
 			s := settings()
 			s.BackendAddr = listener.Addr().String()
 			exit := New(s, zap.NewNop())
-			go exit.queue.Run(t.Context(), func() int { return 1 })
+			go exit.queue.Run(t.Context(), func() slots.Backend { return slots.Backend{Slots: 1} })
 			var outcomes []belief.Outcome
 			exit.exit[len(exit.exit)-1].(*deliver.Filter).Observe = func(_ string, outcome belief.Outcome) { outcomes = append(outcomes, outcome) }
 			result := exit.run(t.Context(), attempt("1"))
