slotqueue, slots: calls of backend servers go before other requests

Cause: while a request runs and calls another service, it holds a slot. Its calls queued behind requests that hold none, were refused when these filled the queue, and were refused as late by a mean service time that long requests dominate; entry proxies then sent them to servers known to fail. Change: calls go first; a full queue displaces the request that would be served last; whether a request can end in time is judged by the service time of its kind; entry proxies count only urgent requests as ahead of a call. The two new tests fail on the old queue, which has no notion of a call.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,6 +15,9 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
+// MaxWaitingPerSlot limits the queue to about four service times.
+const MaxWaitingPerSlot = 4
+
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
 const serviceTimeSmoothing = 16
@@ -29,7 +32,10 @@
 	ID       uint64
 	Rank     int // 0 is the most urgent
 	Deadline time.Time
-	Payload  any
+	// IsCall means that a backend server makes the request while another request holds a
+	// slot there. Calls go before all other requests, so that slots are not held in vain.
+	IsCall  bool
+	Payload any
 
 	sortTime time.Time // arrival plus DelayPerRank for each rank; the earliest goes first
 }
@@ -39,9 +45,13 @@
 	slots           int
 	maxWaiting      int // maximum number of waiting requests
 	running         int
-	items           []Item // sorted by sortTime
-	meanServiceTime time.Duration
-	startRate       startRate
+	items           []Item        // in the order in which they are served
+	meanServiceTime time.Duration // of all requests
+	// meanCallTime and meanRequestTime are the same for calls and for all others. Calls are
+	// often ten times as short.
+	meanCallTime, meanRequestTime time.Duration
+
+	startRate startRate
 }
 
 // New returns a queue for a server that runs slots requests at once. At most
@@ -50,6 +60,15 @@
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
 }
 
+// serviceTime returns the mean service time of requests like the item, or 0 while it is
+// unknown.
+func (q *Queue) serviceTime(item Item) time.Duration {
+	if item.IsCall {
+		return q.meanCallTime
+	}
+	return q.meanRequestTime
+}
+
 // SetSlots changes the number of slots.
 func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
 
@@ -71,37 +90,57 @@
 )
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
-// that is expected to wait for longer than maxWait.
-func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) PushResult {
+// that is expected to wait for longer than maxWait. If the queue is full, the request
+// that would be served last is displaced by one that goes before it.
+func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
 	if q.running < q.slots && len(q.items) == 0 && q.startRate.take(now) {
 		q.running++
-		return Granted
-	}
-	if maxWait <= 0 || len(q.items) >= q.maxWaiting {
-		return Refused
+		return Granted, nil
 	}
 	item.sortTime = now.Add(time.Duration(item.Rank) * DelayPerRank)
-	position, _ := slices.BinarySearchFunc(q.items, item.sortTime, func(other Item, sortTime time.Time) int {
-		if other.sortTime.After(sortTime) {
+	position, _ := slices.BinarySearchFunc(q.items, item, func(other, item Item) int {
+		if item.goesBefore(other) {
 			return 1
 		}
 		return -1
 	})
+	if maxWait <= 0 || position >= q.maxWaiting {
+		return Refused, nil
+	}
 	wait := q.estimatedWaitAt(now, position)
 	if wait > maxWait {
-		return Refused
+		return Refused, nil
 	}
 	if q.cannotFinish(now.Add(wait), item) {
-		return MissesDeadline
+		return MissesDeadline, nil
 	}
 	q.items = slices.Insert(q.items, position, item)
-	return Queued
+	if len(q.items) > q.maxWaiting {
+		displaced = slices.Clone(q.items[q.maxWaiting:])
+		q.items = slices.Delete(q.items, q.maxWaiting, len(q.items))
+	}
+	return Queued, displaced
+}
+
+// goesBefore reports whether the item is served before another one that is already in
+// the queue.
+func (i Item) goesBefore(other Item) bool {
+	if i.IsCall != other.IsCall {
+		return i.IsCall
+	}
+	return i.sortTime.Before(other.sortTime)
 }
 
 // cannotFinish reports whether a request that starts at the given time is unlikely
 // to be answered before its deadline.
 func (q *Queue) cannotFinish(start time.Time, item Item) bool {
-	return start.Add(time.Duration(minServiceFraction * float64(q.meanServiceTime))).After(item.Deadline)
+	return start.After(q.lastStart(item))
+}
+
+// lastStart returns the latest start after which the item is unlikely to be answered
+// before its deadline.
+func (q *Queue) lastStart(item Item) time.Time {
+	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.serviceTime(item))))
 }
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
@@ -125,17 +164,27 @@
 	return item, true
 }
 
-// Release frees a slot. held is how long the request held it, or 0 if that is not
-// representative of the service time.
-func (q *Queue) Release(held time.Duration) {
+// Release frees the slot of an item. held is how long it held the slot, or 0 if that is
+// not representative of the service time.
+func (q *Queue) Release(item Item, held time.Duration) {
 	q.running--
 	if held <= 0 {
 		return
 	}
-	if q.meanServiceTime == 0 {
-		q.meanServiceTime = held
+	smooth(&q.meanServiceTime, held)
+	if item.IsCall {
+		smooth(&q.meanCallTime, held)
+	} else {
+		smooth(&q.meanRequestTime, held)
+	}
+}
+
+// smooth adds a value to a moving average, which is 0 before the first one.
+func smooth(mean *time.Duration, value time.Duration) {
+	if *mean == 0 {
+		*mean = value
 	}
-	q.meanServiceTime += (held - q.meanServiceTime) / serviceTimeSmoothing
+	*mean += (value - *mean) / serviceTimeSmoothing
 }
 
 // RemoveExpired removes and returns the requests that are unlikely to be answered
@@ -158,7 +207,7 @@
 func (q *Queue) NextEvent(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for i := range q.items {
-		expiry := q.items[i].Deadline.Add(-time.Duration(minServiceFraction * float64(q.meanServiceTime)))
+		expiry := q.lastStart(q.items[i])
 		if i == 0 || expiry.Before(next) {
 			next = expiry
 		}
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -24,17 +24,24 @@
 			switch rapid.IntRange(0, 2).Draw(t, "op") {
 			case 0:
 				id++
-				item := Item{ID: id, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Deadline: now.Add(time.Second)}
-				switch q.Push(now, item, time.Hour) {
+				item := Item{ID: id, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), IsCall: rapid.Bool().Draw(t, "call"), Deadline: now.Add(time.Second)}
+				result, displaced := q.Push(now, item, time.Hour)
+				switch result {
 				case Granted:
 					running++
 				case Queued:
 					waiting[id] = true
 				}
+				for _, item := range displaced {
+					if !waiting[item.ID] {
+						t.Fatalf("request %d was displaced although it does not wait", item.ID)
+					}
+					delete(waiting, item.ID)
+				}
 			case 1:
 				if running > 0 {
 					running--
-					q.Release(100 * time.Millisecond)
+					q.Release(Item{}, 100*time.Millisecond)
 				}
 			case 2:
 				for _, item := range q.RemoveExpired(now) {
@@ -68,7 +75,7 @@
 	q.Push(start.Add(time.Millisecond), Item{ID: 3, Deadline: deadline}, time.Hour)
 	q.Push(start.Add(3*DelayPerRank), Item{ID: 4, Deadline: deadline}, time.Hour)
 	for _, want := range []uint64{3, 2, 4} {
-		q.Release(0)
+		q.Release(Item{}, 0)
 		if item, _ := q.Pop(start.Add(3 * DelayPerRank)); item.ID != want {
 			t.Fatalf("got %d, want %d", item.ID, want)
 		}
@@ -80,12 +87,12 @@
 func TestRequestsThatMissTheirDeadlineAreRefused(t *testing.T) {
 	q := New(1, 10)
 	q.Push(start, Item{ID: 1, Deadline: start.Add(time.Minute)}, time.Hour)
-	q.Release(2 * time.Second)
+	q.Release(Item{}, 2*time.Second)
 	q.Push(start, Item{ID: 2, Deadline: start.Add(time.Minute)}, time.Hour)
-	if v := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, time.Hour); v != MissesDeadline {
+	if v, _ := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, time.Hour); v != MissesDeadline {
 		t.Errorf("result %d for a request that cannot start in time", v)
 	}
-	if v := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, 0); v != Refused {
+	if v, _ := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, 0); v != Refused {
 		t.Errorf("result %d for a request with a maximum wait of 0", v)
 	}
 }
@@ -96,16 +103,59 @@
 	q := New(1, 10)
 	deadline := start.Add(time.Minute)
 	q.Push(start, Item{ID: 1, Deadline: deadline}, time.Hour)
-	q.Release(100 * time.Millisecond)
+	q.Release(Item{}, 100*time.Millisecond)
 	q.Push(start, Item{ID: 2, Deadline: deadline}, time.Hour)
-	if v := q.Push(start, Item{ID: 3, Deadline: deadline}, 150*time.Millisecond); v != Queued {
+	if v, _ := q.Push(start, Item{ID: 3, Deadline: deadline}, 150*time.Millisecond); v != Queued {
 		t.Errorf("result %d for an expected wait of one service time", v)
 	}
-	if v := q.Push(start, Item{ID: 4, Deadline: deadline}, 150*time.Millisecond); v != Refused {
+	if v, _ := q.Push(start, Item{ID: 4, Deadline: deadline}, 150*time.Millisecond); v != Refused {
 		t.Errorf("result %d for an expected wait of two service times", v)
 	}
 }
 
+// Guards against calls that are refused because less urgent requests fill the queue: the
+// request that makes the call holds a slot elsewhere and fails with it.
+func TestFullQueueYieldsToCalls(t *testing.T) {
+	q := New(1, 2)
+	deadline := start.Add(time.Minute)
+	for id := range uint64(3) {
+		q.Push(start, Item{ID: id, Deadline: deadline}, time.Hour)
+	}
+	result, displaced := q.Push(start.Add(time.Minute/2), Item{ID: 3, Rank: 9, IsCall: true, Deadline: deadline}, time.Hour)
+	if result != Queued || len(displaced) != 1 || displaced[0].ID != 2 {
+		t.Fatalf("result %d, displaced %v, want the last request displaced", result, displaced)
+	}
+	if result, _ := q.Push(start.Add(time.Minute/2), Item{ID: 4, Deadline: deadline}, time.Hour); result != Refused {
+		t.Errorf("result %d for a request at the end of a full queue", result)
+	}
+	q.Release(Item{}, 0)
+	if item, _ := q.Pop(start.Add(time.Minute / 2)); item.ID != 3 {
+		t.Errorf("request %d goes before the call", item.ID)
+	}
+}
+
+// Guards against short calls that are refused, since they would miss their deadline with the
+// service time of long requests in the same slots.
+func TestDeadlineOfCallsIsJudgedByTheServiceTimeOfCalls(t *testing.T) {
+	q := New(1, 10)
+	long, call := Item{ID: 1, Deadline: start.Add(time.Minute)}, Item{ID: 2, IsCall: true, Deadline: start.Add(300 * time.Millisecond)}
+	q.Push(start, long, time.Hour)
+	q.Release(long, time.Second)
+	q.Push(start, call, time.Hour)
+	q.Release(call, 100*time.Millisecond)
+	if result, _ := q.Push(start, call, time.Hour); result != Granted {
+		t.Fatalf("result %d", result)
+	}
+	q.Release(call, 0)
+	q.Push(start, long, time.Hour)
+	if result, _ := q.Push(start.Add(-time.Second), Item{ID: 3, IsCall: true, Deadline: start.Add(200 * time.Millisecond)}, time.Hour); result != Queued {
+		t.Errorf("result %d for a call of 100 ms with 1.2 s left", result)
+	}
+	if expired := q.RemoveExpired(start.Add(100 * time.Millisecond)); len(expired) != 0 {
+		t.Errorf("a call with 100 ms left was removed")
+	}
+}
+
 // limitWindow is the window in which the starts of a limited server are counted.
 const limitWindow = 4 * time.Second
 
@@ -122,14 +172,14 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			q.LimitStarts(now, rate)
 			id++
-			if q.Push(now, Item{ID: id, Deadline: now.Add(time.Minute)}, time.Minute) == Granted {
+			if result, _ := q.Push(now, Item{ID: id, Deadline: now.Add(time.Minute)}, time.Minute); result == Granted {
 				starts = append(starts, now)
 			}
 			for _, ok := q.Pop(now); ok; _, ok = q.Pop(now) {
 				starts = append(starts, now)
 			}
 			for q.Running() > 40 {
-				q.Release(0)
+				q.Release(Item{}, 0)
 			}
 		}
 		for i := range starts {
@@ -152,7 +202,7 @@
 	deadline := start.Add(5 * time.Second)
 	results := make([]PushResult, 4)
 	for i := range results {
-		results[i] = q.Push(start, Item{ID: uint64(i), Deadline: deadline}, time.Minute)
+		results[i], _ = q.Push(start, Item{ID: uint64(i), Deadline: deadline}, time.Minute)
 	}
 	if want := []PushResult{Granted, Queued, Queued, MissesDeadline}; !slices.Equal(results, want) {
 		t.Errorf("results %v, want %v", results, want)
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -81,10 +81,8 @@
 func (r *requestState) candidate(now time.Time, snap *mesh.Snapshot, target *mesh.Target) selection.Candidate {
 	health := target.Live.Health()
 	running, waiting, urgent := target.Live.Load()
-	// Urgent requests go before others in the queue. For calls by backend servers the
-	// whole queue counts nevertheless, since the request that makes the call holds a
-	// slot elsewhere while the call waits.
-	if r.req.Rank <= pipeline.MaxUrgentRank && r.req.ParentID == "" {
+	// Urgent requests, calls of backend servers among them, go before others in the queue.
+	if r.req.Rank <= pipeline.MaxUrgentRank {
 		waiting = urgent
 	}
 	limit, startWait := target.Live.Limit(now)
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// maxWaitingPerSlot limits the queue to about four service times.
-	maxWaitingPerSlot = 4
 	// channelCapacity is large enough that sending to the queue's goroutine normally
 	// does not block.
 	channelCapacity = 64
@@ -97,7 +95,7 @@
 // postEvent sends an event to the control loop without waiting.
 func NewQueue(slots int, postEvent func(control.Event) bool) *Queue {
 	q := &Queue{
-		queue:         slotqueue.New(slots, maxWaitingPerSlot*slots),
+		queue:         slotqueue.New(slots, slotqueue.MaxWaitingPerSlot*slots),
 		arrivals:      make(chan *ticket, channelCapacity),
 		departures:    make(chan departure, channelCapacity),
 		cancellations: make(chan uint64, channelCapacity),
@@ -226,7 +224,11 @@
 	if t.limit.Limited && !q.limit.limit.Known && !q.limit.limit.Limited {
 		q.applyLimit(now, observedLimit{backend: t.backend, limit: pipeline.RateLimit{Limited: true, PerSecond: t.limit.PerSecond}})
 	}
-	switch q.queue.Push(now, t.item, t.maxWait) {
+	result, displaced := q.queue.Push(now, t.item, t.maxWait)
+	for _, item := range displaced {
+		q.refuse(item, pipeline.CodeQueueFull)
+	}
+	switch result {
 	case slotqueue.Granted:
 		q.tickets[t.item.ID] = t
 		t.decision <- pipeline.CodeOK
@@ -249,7 +251,7 @@
 	}
 	q.executed.add(now, t.attemptID, attemptRetention)
 	delete(q.tickets, dep.id)
-	q.queue.Release(dep.held)
+	q.queue.Release(t.item, dep.held)
 }
 
 // ObserveLimit takes over the rate limit that a backend server named in an answer, or that
@@ -377,7 +379,7 @@
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	q := f.Queue
 	t := &ticket{
-		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, Deadline: req.Deadline},
+		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, IsCall: req.Principal.Team == "", Deadline: req.Deadline},
 		attemptID:   req.ID,
 		originalID:  f.OriginalID(req),
 		backend:     req.Backend,
