dispatch: full queues are not asked, and a refusal names when there is room

Cause: a request of an overloaded service went to up to eight exit proxies, each of which refused it for a full queue, and then got Retry-After 0.5 s. Change: servers whose reported queue is full are left out; after three refusals the request is refused; Retry-After is the shortest expected wait, jittered. TestOverloadedServiceRefusesAfterThreeQueues sent 4 of 4 attempts before, TestFullServersAreNotAsked asked full servers.

--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -10,6 +10,7 @@
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
 	"github.com/ragwortyard/ragwortyard/decide/selection"
+	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -75,6 +76,31 @@
 	return targets[index], candidates[index]
 }
 
+// isFull reports whether the queue of a server's exit proxy was full when it last reported.
+// waiting is the number of waiting requests that a request would not go before.
+func isFull(target *mesh.Target, waiting int) bool {
+	return waiting >= slotqueue.MaxWaitingPerSlot*target.Slots
+}
+
+// timeUntilRoom estimates when a server can accept the request: the shortest wait at those
+// that it may be sent to. It is jittered by a quarter, so that refused requests do not all
+// return at the same time. It returns 0 if no server accepts requests at all.
+func (r *requestState) timeUntilRoom() time.Duration {
+	snap, now := r.filter.Snapshot(), time.Now()
+	var shortest time.Duration
+	for _, target := range snap.Services[r.req.Service] {
+		if target.Draining || target.Live.Leaving() || target.Live.Health().RefusesAttempts {
+			continue
+		}
+		candidate := r.candidate(now, snap, target)
+		wait := max(candidate.EstimatedWait(), candidate.MeanServiceTime/time.Duration(max(candidate.Slots, 1)), time.Millisecond)
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(shortest))
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // candidate describes a backend server for the selection.
@@ -99,7 +125,7 @@
 		SameZone:               target.SameZone,
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -48,6 +48,9 @@
 	// for lack of a free slot before the request waits in a queue. Each refusal
 	// costs another transfer of the request.
 	maxQueueFullRefusals = 1
+	// maxQueuesTried is the number of exit proxies that may refuse a request for lack of
+	// room. When a service is overloaded, most others would refuse it, too.
+	maxQueuesTried = 3
 	// firstQueueWait is how long the first attempt may wait for a slot where the
 	// entry proxy expected a free one. It is not 0, since a second attempt costs
 	// another transfer of the request.
@@ -243,7 +246,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return r.canSendAgain() && r.send(ctx)
+		return r.queueFullRefusals < maxQueuesTried && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
@@ -307,6 +310,12 @@
 		result = pipeline.Refuse(pipeline.CodeStopping, "")
 	default:
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+		if r.timeUntilRoom() > 0 {
+			result = pipeline.Refuse(pipeline.CodeQueueFull, "")
+		}
+	}
+	if result.Code == pipeline.CodeQueueFull {
+		result.RetryAfter = r.timeUntilRoom()
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -240,3 +240,45 @@
 		}
 	})
 }
+
+// Guards against a request that asks most servers of an overloaded service, one after the
+// other, before it is refused.
+func TestOverloadedServiceRefusesAfterThreeQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result, sender := handle(t, request(true), func(int, *pipeline.Request) hop.Answer { return refused(pipeline.CodeQueueFull) })
+		if len(sender.sent) != 3 || result.Code != pipeline.CodeQueueFull || result.Outcome != pipeline.NotRun || result.RetryAfter <= 0 {
+			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
+		}
+	})
+}
+
+// Guards against attempts at servers whose queue is known to be full, and against requests
+// that wait for their deadline when all are.
+func TestFullServersAreNotAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		full := pipeline.Load{Running: 7, Waiting: 28, Urgent: 28, Slots: 7}
+		for _, target := range snap.Services["roster"][1:] {
+			target.Live.SetLoad(&full)
+		}
+		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+		f := &Filter{
+			Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+			Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+		}
+		for range 20 {
+			f.Handle(t.Context(), request(true))
+		}
+		for _, req := range sender.sent {
+			if req.Backend != snap.Services["roster"][0].ID {
+				t.Fatalf("a server with a full queue was asked")
+			}
+		}
+		snap.Services["roster"][0].Live.SetLoad(&full)
+		start, sent := time.Now(), len(sender.sent)
+		result := f.Handle(t.Context(), request(true))
+		if len(sender.sent) != sent || time.Since(start) > 0 || result.Code != pipeline.CodeQueueFull || result.RetryAfter < time.Second {
+			t.Errorf("after %v: sent %d times, result %+v", time.Since(start), len(sender.sent)-sent, result)
+		}
+	})
+}
