room, selection, mesh, dispatch: when a request leaves its zone

The cost was derived from the price of two deployments, with one size for all responses. Change: decide/room estimates the use of a service in each zone from the reported loads and beliefs, smoothed over a second, and says what a request has to gain by leaving: more with its size and the measured mean size of the route's responses, less when its zone fills up and the other one is emptier. The control loop keeps the use; the choice compares servers of the own zone and fewer of the others.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -52,6 +52,7 @@
 		servers:  make(map[string]*serverRecord),
 		peers:    make(map[string]*Peer),
 		keyTrust: NewKeyTrust(0),
+		rooms:    newRooms(),
 	}
 	config := &configStage{state: st, keyTrustDuration: o.KeyTrustDuration}
 	stages := []control.Stage{
@@ -76,6 +77,7 @@
 			tolerance:       o.Tolerance,
 			ownersChangedAt: o.Identity.StartedAt,
 		},
+		&roomsStage{state: st},
 		&crashesStage{state: st, counter: crashcount.New()},
 	}
 	return control.NewLoop(stages, st.snapshot, outbound)
@@ -114,6 +116,7 @@
 		Blocked:     s.blocked,
 		Hosts:       len(s.peers) + 1,
 		StoreReader: s.storeReader,
+		Rooms:       s.rooms,
 		Stopping:    s.stopping,
 		PeerTimeout: s.scaledPeerTimeout(),
 	}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -168,6 +168,7 @@
 	// store that it reflects, for peers whose lists differ.
 	Listed       []Server
 	ListRevision uint64
+	Rooms        *Rooms
 	Stopping     bool
 	PeerTimeout  time.Duration // silence after which a peer counts as lost
 }
@@ -232,6 +233,8 @@
 	listRevision     uint64                  // highest revision of the store whose changes are in the list
 	listConfirmed    bool                    // the list is no old copy; also written by the store stage
 
+	rooms *Rooms // written by the rooms stage
+
 	nextRelay int // rotation counter of pickRelays; written by broadcast
 
 	// Written by the store stage.
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -20,9 +20,10 @@
 	StartWait              time.Duration // time until it accepts another request within its rate limit
 	WarmUpLeft             time.Duration // remaining time after its start in which it is slow
 	SameZone               bool
-	Stopping               bool // its process stops soon, which would cut a long request
-	PathSuspect            bool // its exit proxy did not answer the last request or was not heard from recently
-	Excluded               bool // already tried by this request, leaving or known to be full
+	LeaveCost              float64 // cost of leaving the zone for this server; 0 in the same zone
+	Stopping               bool    // its process stops soon, which would cut a long request
+	PathSuspect            bool    // its exit proxy did not answer the last request or was not heard from recently
+	Excluded               bool    // already tried by this request, leaving or known to be full
 }
 
 // Request holds the properties of a request that affect the choice.
@@ -30,7 +31,6 @@
 	Idempotent    bool
 	TargetLatency time.Duration
 	Retryable     bool          // another attempt is possible after a failure
-	Bytes         int           // of the request and its expected answer
 	TimeLeft      time.Duration // until the deadline
 }
 
@@ -70,10 +70,6 @@
 	// costStopping applies to a server whose process is stopping: one request in
 	// twenty takes longer than the process still runs.
 	costStopping = 0.05
-	// costCrossZonePerKB is the price of one kilobyte of traffic between availability
-	// zones (22,000 per GB on both deployments) relative to the average request value
-	// of 2.
-	costCrossZonePerKB = 0.011
 	// costSuspectPath applies to a network path that failed recently: the connection
 	// attempt may have to time out first.
 	costSuspectPath = 0.5
@@ -90,7 +86,8 @@
 	minSampled = 12
 	// maxCompared is the size of the sample. With three in ten servers in a gray failure,
 	// one sample in a thousand holds no healthy one.
-	maxCompared = 6
+	maxCompared          = 6
+	maxComparedElsewhere = 4
 )
 
 // defaultServiceTime is used while the mean service time is unknown.
@@ -113,20 +110,30 @@
 
 // sample returns the indexes of the candidates to compare.
 func sample(candidates []Candidate, random *rand.Rand) []int {
-	eligible := make([]int, 0, len(candidates))
+	var local, remote []int
 	for i := range candidates {
-		if !candidates[i].Excluded {
-			eligible = append(eligible, i)
+		switch c := &candidates[i]; {
+		case c.Excluded:
+		case c.SameZone:
+			local = append(local, i)
+		default:
+			remote = append(remote, i)
 		}
 	}
-	if len(eligible) <= minSampled {
-		return eligible
+	if len(local)+len(remote) <= minSampled {
+		return append(local, remote...)
 	}
-	for i := range maxCompared {
-		j := i + random.IntN(len(eligible)-i)
-		eligible[i], eligible[j] = eligible[j], eligible[i]
+	return append(draw(local, maxCompared, random), draw(remote, maxComparedElsewhere, random)...)
+}
+
+// draw returns at most n elements, chosen at random. It changes the order of indexes.
+func draw(indexes []int, n int, random *rand.Rand) []int {
+	n = min(n, len(indexes))
+	for i := range n {
+		j := i + random.IntN(len(indexes)-i)
+		indexes[i], indexes[j] = indexes[j], indexes[i]
 	}
-	return eligible[:maxCompared]
+	return indexes[:n]
 }
 
 // costWithoutRetry returns the cost of the best server for a request that cannot be
@@ -153,10 +160,7 @@
 	if c.PathSuspect {
 		cost += costSuspectPath
 	}
-	if !c.SameZone {
-		cost += costCrossZonePerKB * float64(r.Bytes) / 1000
-	}
-	return cost
+	return cost + c.LeaveCost
 }
 
 func (c *Candidate) failureCost(r Request, known float64) float64 {
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -23,7 +23,7 @@
 		{GrayFailureProbability: 0.2, EvidenceAge: 5 * time.Second, Slots: 7, SameZone: true},
 		{GrayFailureProbability: 0.02, EvidenceAge: 100 * time.Millisecond, Slots: 7, Running: 3, SameZone: true},
 	}
-	r := Request{TargetLatency: 2500 * time.Millisecond, Bytes: 5000}
+	r := Request{TargetLatency: 2500 * time.Millisecond}
 	if got := Choose(r, candidates, newRand()); got != 1 {
 		t.Errorf("a non-retryable request went to the server without recent evidence")
 	}
@@ -65,7 +65,7 @@
 // and so look idle, as soon as the healthy servers of a small service have queues: a retry
 // waits in the same queues. Servers of unknown health are tried nevertheless.
 func TestRetryableRequestsWaitForHealthyServers(t *testing.T) {
-	r := Request{Idempotent: true, Retryable: true, TargetLatency: 400 * time.Millisecond, TimeLeft: 1200 * time.Millisecond, Bytes: 2000}
+	r := Request{Idempotent: true, Retryable: true, TargetLatency: 400 * time.Millisecond, TimeLeft: 1200 * time.Millisecond}
 	busy := Candidate{GrayFailureProbability: 0.02, EvidenceAge: 50 * time.Millisecond, Running: 5, QueuedAhead: 14, Slots: 5, MeanServiceTime: 120 * time.Millisecond, SameZone: true}
 	failing := Candidate{GrayFailureProbability: 0.85, EvidenceAge: 200 * time.Millisecond, Slots: 5, SameZone: true}
 	unknown := Candidate{GrayFailureProbability: 0.3, EvidenceAge: 3 * time.Second, Slots: 5, SameZone: true}
@@ -96,7 +96,7 @@
 		}
 	}
 	candidates[1].Running = 0
-	r := Request{TargetLatency: time.Second, TimeLeft: 4 * time.Second, Bytes: 2000}
+	r := Request{TargetLatency: time.Second, TimeLeft: 4 * time.Second}
 	random, counts, failing := newRand(), make([]int, servers), 0
 	for range requests {
 		got := Choose(r, candidates, random)
@@ -133,7 +133,7 @@
 // Guards against requests that go to a server at its rate limit while others have free
 // slots, and that avoid it although all others are busy for longer.
 func TestServerAtItsRateLimitIsUsedLast(t *testing.T) {
-	r := Request{TargetLatency: 2 * time.Second, TimeLeft: 8 * time.Second, Bytes: 2000}
+	r := Request{TargetLatency: 2 * time.Second, TimeLeft: 8 * time.Second}
 	free := Candidate{Running: 3, Slots: 7, MeanServiceTime: time.Second}
 	busy := Candidate{Running: 7, QueuedAhead: 14, Slots: 7, MeanServiceTime: time.Second}
 	limited := Candidate{Slots: 7, MeanServiceTime: time.Second, RateLimited: true, StartWait: 500 * time.Millisecond}
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/room"
 	"github.com/ragwortyard/ragwortyard/decide/selection"
 	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
@@ -26,6 +27,9 @@
 	case ctx.Err() == nil:
 		target.Live.RecordPathFailure(time.Now())
 	}
+	if answer.Result.Code == pipeline.CodeOK {
+		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
+	}
 	if answer.HasLoad {
 		target.Live.SetLoad(&answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
@@ -42,7 +46,7 @@
 		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID),
 		zap.String("backend", target.ID), zap.String("host", target.Host),
 		zap.Float64("bad", candidate.GrayFailureProbability), zap.Int64("evidence_ms", candidate.EvidenceAge.Milliseconds()),
-		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Bool("same_zone", candidate.SameZone),
+		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Bool("same_zone", candidate.SameZone), zap.Float64("leave_cost", candidate.LeaveCost),
 		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
 		zap.Int64("took_ms", took.Milliseconds()))
 }
@@ -63,7 +67,6 @@
 		TargetLatency: r.req.Class.TargetLatency,
 		TimeLeft:      time.Until(r.req.Deadline),
 		Retryable:     r.possiblyExecuted+1 < r.req.MaxAttempts && r.budget.retryLikelyAvailable(now),
-		Bytes:         len(r.req.Payload) + typicalResponseBytes,
 	}
 	index := selection.Choose(properties, candidates, newRand())
 	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
@@ -76,6 +79,16 @@
 	return targets[index], candidates[index]
 }
 
+// leaveCost returns what the request has to gain by leaving the zone for a server.
+func (r *requestState) leaveCost(snap *mesh.Snapshot, target *mesh.Target) float64 {
+	if target.SameZone {
+		return 0
+	}
+	service := r.req.Service
+	return room.LeaveCost(snap.Rooms.Utilization(service, r.filter.Zone), snap.Rooms.Utilization(service, target.Zone),
+		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
+}
+
 // isFull reports whether the queue of a server's exit proxy was full when it last reported.
 // waiting is the number of waiting requests that a request would not go before.
 func isFull(target *mesh.Target, waiting int) bool {
@@ -123,6 +136,7 @@
 		StartWait:              startWait,
 		WarmUpLeft:             target.WarmUpUntil.Sub(now),
 		SameZone:               target.SameZone,
+		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
 		Excluded: isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -25,8 +25,10 @@
 // Filter is the last filter of the entry chain.
 type Filter struct {
 	Snapshot func() *mesh.Snapshot
+	Zone     string // availability zone of this process
 	Sender   Sender
 	Budgets  *RetryBudgets
+	Sizes    ResponseSizes
 	NewID    func() string
 	// RetryProbability returns the probability that a call by the backend server of
 	// this host was made on behalf of a retried request. Such calls are charged to
@@ -70,8 +72,6 @@
 	// defaultRetryAfter is the Retry-After if no backend server accepts the request.
 	// Slots become free after about one service time.
 	defaultRetryAfter = 500 * time.Millisecond
-	// typicalResponseBytes is the average size of a response including its header.
-	typicalResponseBytes = 2000
 )
 
 // requestState is the state of one request while its attempts are sent.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -158,6 +158,7 @@
 		&ratelimit.Filter{Snapshot: s.loop.Snapshot, Submit: s.loop.Submit, Metrics: s.metrics},
 		&dispatch.Filter{
 			Snapshot: s.loop.Snapshot,
+			Zone:     s.settings.Zone,
 			Sender:   s,
 			Budgets: &dispatch.RetryBudgets{
 				Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
