dispatch, mesh: calls of retried requests keep to the retry budget of their service

Cause: a call made on behalf of a retried request counts as a retry at the service that it goes to. It was charged to the local budget only, also beyond it, and never refused. Change: such a call takes a retry of the local budget or of the shared one, which it may overdraw up to the whole fixed number; else it is refused (3006). Local budgets and the shared one together can't exceed the deployment's budget while a service has one owner. An owner that does not answer refuses no call. The two new tests fail without it.

--- a/control/mesh/retries.go
+++ b/control/mesh/retries.go
@@ -14,6 +14,9 @@
 type SharedRetries struct {
 	Window       time.Duration
 	MaxPerWindow float64
+	// CallOverdraft is how many calls on behalf of retried requests may be made in each
+	// window beyond MaxPerWindow.
+	CallOverdraft float64
 }
 
 // callReserveRatio is the fraction of the shared retries that is reserved for calls
@@ -33,7 +36,9 @@
 	return &retryPools{limit: r, budgets: make(map[string]*retry.WindowedBudget)}
 }
 
-// take spends one retry and returns the number granted, 0 or 1. ownersChangedAt is
+// take spends one retry and returns the number granted, 0 or 1. Calls made on behalf of
+// retried requests may overdraw the budget, since refusing one wastes its request; later
+// retries lack what they spend. ownersChangedAt is
 // when the set of possible owners last changed: a budget created within a window
 // after that starts empty, since the previous owner may have granted everything.
 func (p *retryPools) take(now, ownersChangedAt time.Time, service string, purpose notice.Purpose) int {
@@ -48,6 +53,13 @@
 		}
 		p.budgets[service] = budget
 	}
+	if purpose == notice.ForCallOfRetry {
+		if budget.Balance(now) < 1-p.limit.CallOverdraft {
+			return 0
+		}
+		budget.Charge(now, 1)
+		return 1
+	}
 	if purpose == notice.ForCallerRetry && budget.Balance(now) < callReserveRatio*p.limit.MaxPerWindow {
 		return 0
 	}
--- a/control/mesh/retries_test.go
+++ b/control/mesh/retries_test.go
@@ -46,6 +46,23 @@
 	}
 }
 
+// Guards against calls of retried requests that exceed the fixed number of retries, or that
+// others spend first.
+func TestCallsOfRetriedRequestsOverdrawUpToTheFixedNumber(t *testing.T) {
+	now := time.Now()
+	p := newRetryPools(SharedRetries{Window: 10 * time.Second, MaxPerWindow: 30, CallOverdraft: 10})
+	granted := map[notice.Purpose]int{}
+	for range 100 {
+		granted[notice.ForCallRetry] += p.take(now, now.Add(-time.Minute), "roster", notice.ForCallRetry)
+	}
+	for range 100 {
+		granted[notice.ForCallOfRetry] += p.take(now, now.Add(-time.Minute), "roster", notice.ForCallOfRetry)
+	}
+	if granted[notice.ForCallRetry] != 30 || granted[notice.ForCallOfRetry] != 10 {
+		t.Errorf("granted %v of 30 and 10", granted)
+	}
+}
+
 // Guards against shared retries that nobody grants or that several processes grant:
 // only the owner does, and a process that gets no answer from it refuses the retry.
 func TestSharedRetriesAreGrantedByTheOwnerOnly(t *testing.T) {
--- a/control/mesh/teams.go
+++ b/control/mesh/teams.go
@@ -42,9 +42,12 @@
 type TokenDecision struct {
 	Granted bool
 	Wait    time.Duration // time until the next token if not granted
-	Source  string        // what decided: "self", "owner" or "alone"
+	Source  string        // what decided: "self", "owner" or DecidedAlone
 }
 
+// DecidedAlone is the source of a decision that the owner of the tokens did not make.
+const DecidedAlone = "alone"
+
 // Timeouts of token requests. An answer takes a millisecond or two.
 const (
 	// tokenRetryDelay is when an unanswered request is sent again: the datagram may
@@ -294,7 +297,7 @@
 func (s *teamsStage) decideLocally(now time.Time, request TokenRequest, silentOwner string, out *control.Output) {
 	if request.Purpose != notice.ForTeam {
 		emitLog(out, "shared retry refused: no answer from the owner", map[string]any{"service": request.Service, "silent_owner": silentOwner})
-		request.Reply <- TokenDecision{Source: "alone"}
+		request.Reply <- TokenDecision{Source: DecidedAlone}
 		return
 	}
 	limit := s.limit(request.Team)
@@ -308,7 +311,7 @@
 	emitLog(out, "team token decided locally: no answer from the owner", map[string]any{
 		"team": request.Team.Name, "granted": n > 0, "silent_owner": silentOwner, "heard": s.countAlivePeers(now), "peers": len(s.state.peers),
 	})
-	request.Reply <- TokenDecision{Granted: n > 0, Wait: time.Second, Source: "alone"}
+	request.Reply <- TokenDecision{Granted: n > 0, Wait: time.Second, Source: DecidedAlone}
 }
 
 // removeUnknownTeams removes the buckets of teams that are no longer in the
--- a/filters/dispatch/budget.go
+++ b/filters/dispatch/budget.go
@@ -53,26 +53,51 @@
 	return b.Balance(now) >= 1 || !b.recentlyDenied(now)
 }
 
+// chargeCall charges a call of a backend server that was made on behalf of a retried request
+// with the given probability: the call counts as a retry at its own service, too. It reports
+// false if the call has to be refused because neither the local budget nor the shared one
+// has a retry left.
+func (b *RetryBudgets) chargeCall(ctx context.Context, local *retryBudget, service string, retryProbability float64) bool {
+	switch {
+	case retryProbability <= 0 || (retryProbability >= 1 && local.TryWithdraw(time.Now())):
+		return true
+	case retryProbability >= 1:
+		decision, answered := b.request(ctx, mesh.TokenRequest{Purpose: notice.ForCallOfRetry, Service: service})
+		if answered && decision.Source != mesh.DecidedAlone {
+			return decision.Granted
+		}
+	}
+	local.Charge(time.Now(), retryProbability)
+	return true
+}
+
 // requestSharedRetry requests a retry from the budget that the fleet shares. It
 // reports whether the retry was granted.
 func (b *RetryBudgets) requestSharedRetry(ctx context.Context, local *retryBudget, req *pipeline.Request) bool {
 	if local.recentlyDenied(time.Now()) {
 		return false
 	}
-	wanted := mesh.TokenRequest{Purpose: notice.ForCallRetry, Service: req.Service, Reply: make(chan mesh.TokenDecision, 1)}
+	wanted := mesh.TokenRequest{Purpose: notice.ForCallRetry, Service: req.Service}
 	if req.Principal.Team != "" {
 		wanted.Purpose = notice.ForCallerRetry
 	}
+	decision, answered := b.request(ctx, wanted)
+	if answered && !decision.Granted {
+		local.lastDenied.Store(time.Now().UnixNano())
+	}
+	return decision.Granted
+}
+
+// request asks the control loop for a shared retry. It reports false if there is no answer.
+func (b *RetryBudgets) request(ctx context.Context, wanted mesh.TokenRequest) (decision mesh.TokenDecision, answered bool) {
+	wanted.Reply = make(chan mesh.TokenDecision, 1)
 	if b.Submit(ctx, wanted) != nil {
-		return false
+		return mesh.TokenDecision{}, false
 	}
 	select {
 	case decision := <-wanted.Reply:
-		if !decision.Granted {
-			local.lastDenied.Store(time.Now().UnixNano())
-		}
-		return decision.Granted
+		return decision, true
 	case <-ctx.Done():
-		return false
+		return mesh.TokenDecision{}, false
 	}
 }
--- a/filters/dispatch/budget_test.go
+++ b/filters/dispatch/budget_test.go
@@ -49,3 +49,35 @@
 		}
 	})
 }
+
+// Guards against calls of retried requests that exceed the retry budget of their service,
+// and against refusing them while the owner of the shared budget is away.
+func TestCallsOfRetriedRequestsKeepToTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		decision := mesh.TokenDecision{Granted: true, Source: "owner"}
+		asked := 0
+		b := &RetryBudgets{Window: 10 * time.Second, RetriesPerRequest: 1, Submit: func(_ context.Context, ev control.Event) error {
+			if wanted := ev.(mesh.TokenRequest); wanted.Purpose == notice.ForCallOfRetry {
+				asked++
+				wanted.Reply <- decision
+			}
+			return nil
+		}}
+		local := b.forService("roster")
+		local.Deposit(time.Now())
+		if !b.chargeCall(t.Context(), local, "roster", 1) || asked != 0 {
+			t.Errorf("asked %d times while the local budget holds a retry", asked)
+		}
+		if !b.chargeCall(t.Context(), local, "roster", 0) || !b.chargeCall(t.Context(), local, "roster", 1) || asked != 1 {
+			t.Errorf("asked %d times, want once for the second call of a retried request", asked)
+		}
+		decision.Granted = false
+		if b.chargeCall(t.Context(), local, "roster", 1) {
+			t.Error("a call was permitted although no budget is left")
+		}
+		decision.Source = mesh.DecidedAlone
+		if !b.chargeCall(t.Context(), local, "roster", 1) {
+			t.Error("a call was refused because the owner did not answer")
+		}
+	})
+}
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -119,8 +119,8 @@
 		queueFull: make(map[string]bool),
 	}
 	r.budget.Deposit(time.Now())
-	if req.Principal.Team == "" {
-		r.budget.Charge(time.Now(), f.RetryProbability(req.ParentID))
+	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
+		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
 	}
 	if !r.send(ctx) {
 		return r.unservedResult()
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -41,6 +41,7 @@
 	ForTeam        Purpose = iota // a request of a team
 	ForCallRetry                  // a retry of a call made by a backend server
 	ForCallerRetry                // a retry of a caller's request
+	ForCallOfRetry                // a call made on behalf of a retried request
 )
 
 // TokenRequest requests tokens from the process that owns a team's rate limit or a
--- a/pipeline/code.go
+++ b/pipeline/code.go
@@ -39,6 +39,7 @@
 	CodeDeadlineTooShort Code = 3003
 	CodeQuotaUnavailable Code = 3004
 	CodeShed             Code = 3005
+	CodeRetriesSpent     Code = 3006
 )
 
 // Codes for routing.
@@ -134,6 +135,7 @@
 	{CodeDeadlineTooShort, "deadline-too-short", NotRun, 503, "The deadline cannot be met at the present load."},
 	{CodeQuotaUnavailable, "quota-unavailable", NotRun, 503, "No keeper of the team's rate answered in time."},
 	{CodeShed, "shed", NotRun, 503, "The backend server refused the request before running it, because of its load."},
+	{CodeRetriesSpent, "retries-spent", NotRun, 503, "The call belongs to a retried request, and the service's retry budget is spent."},
 	{CodeNoBackend, "no-backend", NotRun, 503, "No backend server of the service takes new work."},
 	{CodeStopping, "stopping", NotRun, 503, "The process is stopping and takes no new work."},
 	{CodeEjected, "ejected", NotRun, 503, "The backend server is ejected; used between processes."},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -65,8 +65,9 @@
 	defaultSlots = 4
 	// localRetryFraction is the fraction of Settings.RetryBudgetRatio that entry proxies
 	// use on their own, sharedRetryFraction that of Settings.RetryBudgetExtra that the
-	// fleet shares. The remainder covers the short times in which the shared retries of a
-	// service have two owners, and calls whose parent request is unknown.
+	// fleet shares. The remainder of the ratio covers the short times in which the shared
+	// retries of a service have two owners, and calls whose parent request is unknown; that
+	// of the fixed number is for calls of retried requests.
 	localRetryFraction  = 0.9
 	sharedRetryFraction = 0.75
 	// maxHeaderBytes is larger than any limit that operators may configure, so that the
@@ -121,7 +122,7 @@
 		KeyTrustDuration: settings.KeyRevocationTime - keyTrustMargin,
 		DrainTime:        settings.DrainTime,
 		Tolerance:        settings.RateTolerance,
-		SharedRetries:    mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra},
+		SharedRetries:    mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra, CallOverdraft: (1 - sharedRetryFraction) * settings.RetryBudgetExtra},
 		Load:             s.queue.Load,
 		BootClock:        bootclock.Now,
 	}, s.commands)
