--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -55,6 +55,7 @@
 		servers:  make(map[string]*serverRecord),
 		peers:    make(map[string]*Peer),
 		keyTrust: NewKeyTrust(0),
+		rooms:    newRooms(),
 
 		evacuationsFollowed: o.FollowEvacuations,
 		returnedAt:          make(map[string]time.Time),
@@ -83,6 +84,7 @@
 			tolerance:       o.Tolerance,
 			ownersChangedAt: o.Identity.StartedAt,
 		},
+		&roomsStage{state: st},
 		&crashesStage{state: st, counter: crashcount.New()},
 	}
 	return control.NewLoop(stages, st.snapshot, outbound)
@@ -121,6 +123,7 @@
 		Blocked:     s.blocked,
 		Hosts:       len(s.peers) + 1,
 		StoreReader: s.storeReader,
+		Rooms:       s.rooms,
 		Stopping:    s.stopping,
 		PeerTimeout: s.scaledPeerTimeout(),
 		Evacuated:   s.evacuated,
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -172,6 +172,7 @@
 	ListedAt     time.Time        // when the warm-up times in Listed were right
 	Evacuations  *EvacuationsRead // of a store reader, for its peers; nil if unknown
 	Evacuated    map[string]bool  // evacuated availability zones
+	Rooms        *Rooms
 	Stopping     bool
 	PeerTimeout  time.Duration // silence after which a peer counts as lost
 }
@@ -242,6 +243,8 @@
 	listRevision     uint64                  // highest revision of the store whose changes are in the list
 	listConfirmed    bool                    // the list is no old copy; also written by the store stage
 
+	rooms *Rooms // written by the rooms stage
+
 	nextRelay int // rotation counter of pickRelays; written by broadcast
 
 	// Written by the store stage.
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -27,8 +27,10 @@
 // Filter is the last filter of the entry chain.
 type Filter struct {
 	Snapshot func() *mesh.Snapshot
+	Zone     string // availability zone of this process
 	Sender   Sender
 	Budgets  *RetryBudgets
+	Sizes    ResponseSizes
 	NewID    func() string
 	// RetryProbability returns the probability that a call by the backend server of
 	// this host was made on behalf of a retried request. Such calls are charged to
@@ -53,6 +55,9 @@
 	// for lack of a free slot before the request waits in a queue. Each refusal
 	// costs another transfer of the request.
 	maxQueueFullRefusals = 1
+	// maxQueuesTried is the number of exit proxies that may refuse a request for lack of
+	// room. When a service is overloaded, most others would refuse it, too.
+	maxQueuesTried = 3
 	// firstQueueWait is how long the first attempt may wait for a slot where the
 	// entry proxy expected a free one. It is not 0, since a second attempt costs
 	// another transfer of the request.
@@ -75,8 +80,6 @@
 	// evacuatedRetryAfter is the Retry-After if all servers of the service are evacuated.
 	// The end of an evacuation is known everywhere within a second.
 	evacuatedRetryAfter = time.Second
-	// typicalResponseBytes is the average size of a response including its header.
-	typicalResponseBytes = 2000
 )
 
 // requestState is the state of one request while its attempts are sent.
@@ -124,8 +127,8 @@
 		queueFull: make(map[string]bool),
 	}
 	r.budget.Deposit(time.Now())
-	if req.Principal.Team == "" {
-		r.budget.Charge(time.Now(), f.RetryProbability(req.ParentID))
+	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
+		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
 	}
 	if !r.send(ctx) {
 		return r.unservedResult()
@@ -251,7 +254,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return r.canSendAgain() && r.send(ctx)
+		return r.queueFullRefusals < maxQueuesTried && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
@@ -321,6 +324,12 @@
 		result = pipeline.Refuse(pipeline.CodeStopping, "")
 	default:
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+		if r.timeUntilRoom() > 0 {
+			result = pipeline.Refuse(pipeline.CodeQueueFull, "")
+		}
+	}
+	if result.Code == pipeline.CodeQueueFull {
+		result.RetryAfter = r.timeUntilRoom()
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
