slotqueue: calls leave every fourth start to other requests

Change: while both wait, three calls start before another request does, and other requests keep a quarter of the places in the queue. The new test, on the code before: no other request starts.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -18,6 +18,14 @@
 // MaxWaitingPerSlot limits the queue to about four service times.
 const MaxWaitingPerSlot = 4
 
+// While both wait, maxCallsInARow calls start before another request does, and the other
+// requests keep at least 1 in minOtherShare of the places in the queue. Otherwise a service
+// that is overloaded by calls would serve nothing else.
+const (
+	maxCallsInARow = 3
+	minOtherShare  = 4
+)
+
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
 const serviceTimeSmoothing = 16
@@ -45,7 +53,9 @@
 	slots           int
 	maxWaiting      int // maximum number of waiting requests
 	running         int
-	items           []Item        // in the order in which they are served
+	items           []Item        // calls, then others, each in the order in which they are served
+	calls           int           // number of calls in items
+	callsInARow     int           // calls that started while other requests waited
 	meanServiceTime time.Duration // of all requests
 	// meanCallTime and meanRequestTime are the same for calls and for all others. Calls are
 	// often ten times as short.
@@ -115,8 +125,8 @@
 )
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
-// that is expected to wait for longer than maxWait. If the queue is full, the request
-// that would be served last is displaced by one that goes before it.
+// that is expected to wait for longer than maxWait. If the queue is full, a request that
+// goes before the last one displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
 	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.running++
@@ -129,24 +139,63 @@
 		}
 		return -1
 	})
-	if maxWait <= 0 || position >= q.maxWaiting {
-		return Refused, nil
+	victim := -1
+	if len(q.items) >= q.maxWaiting {
+		if victim = q.displacedBy(item); victim < position {
+			return Refused, nil
+		}
 	}
-	wait := q.estimatedWaitAt(now, position)
-	if wait > maxWait {
+	wait := q.estimatedWaitAt(now, q.startsBefore(item, position))
+	if maxWait <= 0 || wait > maxWait {
 		return Refused, nil
 	}
 	if q.cannotFinish(now.Add(wait), item) {
 		return MissesDeadline, nil
 	}
+	if victim >= 0 {
+		displaced = append(displaced, q.removeAt(victim))
+	}
 	q.items = slices.Insert(q.items, position, item)
-	if len(q.items) > q.maxWaiting {
-		displaced = slices.Clone(q.items[q.maxWaiting:])
-		q.items = slices.Delete(q.items, q.maxWaiting, len(q.items))
+	if item.IsCall {
+		q.calls++
 	}
 	return Queued, displaced
 }
 
+// displacedBy returns the position in the full queue of the request that yields to an item,
+// which may be that of a request which goes before it: the last call if the other requests
+// have no more places than their share, else the last of all.
+func (q *Queue) displacedBy(item Item) int {
+	others := len(q.items) - q.calls
+	if !item.IsCall {
+		others++
+	}
+	if others <= q.maxWaiting/minOtherShare {
+		return q.calls - 1
+	}
+	return len(q.items) - 1
+}
+
+// startsBefore returns how many waiting requests start before an item that is inserted at a
+// position.
+func (q *Queue) startsBefore(item Item, position int) int {
+	if item.IsCall {
+		return position + min(position/maxCallsInARow, len(q.items)-q.calls)
+	}
+	others := position - q.calls
+	return others + min(q.calls, maxCallsInARow*(others+1))
+}
+
+// removeAt removes and returns the request at a position.
+func (q *Queue) removeAt(position int) Item {
+	item := q.items[position]
+	q.items = slices.Delete(q.items, position, position+1)
+	if item.IsCall {
+		q.calls--
+	}
+	return item
+}
+
 // goesBefore reports whether the item is served before another one that is already in
 // the queue.
 func (i Item) goesBefore(other Item) bool {
@@ -183,10 +232,18 @@
 	if q.running >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
 		return Item{}, false
 	}
-	item := q.items[0]
-	q.items = slices.Delete(q.items, 0, 1)
 	q.running++
-	return item, true
+	others := len(q.items) > q.calls
+	switch {
+	case q.calls > 0 && others && q.callsInARow >= maxCallsInARow:
+		q.callsInARow = 0
+		return q.removeAt(q.calls), true
+	case q.calls > 0 && others:
+		q.callsInARow++
+	default:
+		q.callsInARow = 0
+	}
+	return q.removeAt(0), true
 }
 
 // Release frees the slot of an item. held is how long it held the slot, or 0 if that is
@@ -221,6 +278,9 @@
 			return false
 		}
 		expired = append(expired, item)
+		if item.IsCall {
+			q.calls--
+		}
 		return true
 	})
 	return expired
@@ -250,15 +310,13 @@
 	if position < 0 {
 		return Item{}, false
 	}
-	item := q.items[position]
-	q.items = slices.Delete(q.items, position, position+1)
-	return item, true
+	return q.removeAt(position), true
 }
 
 // Clear removes and returns all waiting requests.
 func (q *Queue) Clear() []Item {
 	items := q.items
-	q.items = nil
+	q.items, q.calls = nil, 0
 	return items
 }
 
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -134,6 +134,32 @@
 	}
 }
 
+// Guards against a service that serves nothing but calls when they overload it, and against
+// calls that lose their precedence.
+func TestCallsDoNotStarveOtherRequests(t *testing.T) {
+	q := New(5, 20)
+	now, id := start, uint64(0)
+	started := map[bool]int{}
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for i := range 4 { // three calls and one other request, for one free slot
+			id++
+			q.Push(now, Item{ID: id, Rank: i, IsCall: i > 0, Deadline: now.Add(time.Second)}, time.Second)
+		}
+		if item, ok := q.Pop(now); ok {
+			started[item.IsCall]++
+		}
+		if q.Running() == 5 {
+			q.Release(Item{IsCall: true}, 50*time.Millisecond)
+		}
+		q.RemoveExpired(now)
+	}
+	share := float64(started[false]) / float64(started[false]+started[true])
+	if share < 0.2 || share > 0.3 {
+		t.Errorf("%.2f of the starts are no calls, want a quarter", share)
+	}
+}
+
 // Guards against short calls that are refused, since they would miss their deadline with the
 // service time of long requests in the same slots.
 func TestDeadlineOfCallsIsJudgedByTheServiceTimeOfCalls(t *testing.T) {
