soak, fakebackend: evacuated zones, cold servers, a store that returns from a copy

Cause: the soak brought none of the three about. Change: two kinds of planned work, drawn from a random stream of their own, so that the other faults of every seed and the recorded regressions stay as they are: zone-evacuated and store-restored. A backend server is cold after each start but the first and at the end of an evacuation. New invariants: no request reaches an evacuated zone, a cold server gets at most its rate, a host that has refused a withdrawn key does not run it again. The drain invariant also covers servers that have left their address, and holds while the store returns from a copy.

--- a/internal/fakebackend/backend.go
+++ b/internal/fakebackend/backend.go
@@ -49,11 +49,16 @@
 	// Call makes the calls of the server to other services that a request needs, and
 	// reports whether they succeeded; nil for none.
 	Call func(ctx context.Context, attempt string) bool
+	// OnColdRequest is told of the requests for a cold server; nil for none.
+	OnColdRequest func(id string, at time.Time)
+	// OnMisdirected is told of the attempts that expect another server; nil for none.
+	OnMisdirected func(attempt, expected string)
 
 	mu         sync.Mutex
 	id         string
 	random     *rand.Rand
 	faults     Faults
+	coldUntil  time.Time
 	namedSince time.Time // when the first response named the current rate limit; zero before
 	running    atomic.Int32
 	server     *http.Server
@@ -98,6 +103,23 @@
 	b.faults, b.namedSince = f, time.Time{}
 }
 
+// coldSlowFactor multiplies the service times of a cold server.
+const coldSlowFactor = 3
+
+// MakeCold makes the server cold for a duration.
+func (b *Backend) MakeCold(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldUntil = time.Now().Add(d)
+}
+
+// ColdLeft returns how much longer the server is cold.
+func (b *Backend) ColdLeft() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(time.Until(b.coldUntil), 0)
+}
+
 // Body returns the response body for a request.
 func Body(attempt string) string { return "answer to " + attempt + "\n" }
 
@@ -119,15 +141,25 @@
 			b.namedSince = time.Now()
 		}
 	}
-	namedSince := b.namedSince
+	namedSince, now := b.namedSince, time.Now()
+	cold := now.Before(b.coldUntil)
 	serviceTime := time.Duration((0.5 + b.random.ExpFloat64()*0.5) * float64(b.MeanServiceTime))
 	b.mu.Unlock()
 	w.Header().Set(platform.HeaderAttemptID, attempt)
 	if want := r.Header.Get(platform.HeaderExpectedInstance); want != "" && want != id {
+		if b.OnMisdirected != nil {
+			b.OnMisdirected(attempt, want)
+		}
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if cold {
+		serviceTime *= coldSlowFactor
+		if b.OnColdRequest != nil {
+			b.OnColdRequest(id, now)
+		}
+	}
 	if int(b.running.Add(1)) > b.Slots {
 		b.running.Add(-1)
 		w.Header().Set(platform.HeaderNotExecuted, "1")
--- a/internal/soak/invariants.go
+++ b/internal/soak/invariants.go
@@ -18,12 +18,15 @@
 	WrongTeam              = "a request was executed for a team other than that of its key"
 	KeyForwarded           = "a key was forwarded to a backend server"
 	WithdrawnKeyAccepted   = "a request was executed although its key had been withdrawn"
-	RequestAfterDrain      = "a request reached a backend server after its drain time"
+	RequestAfterDrain      = "a request was sent to a backend server after its drain time"
 	AbortedByShutdown      = "a graceful shutdown aborted a request"
 	TeamRateExceeded       = "a team got more than its rate and burst"
 	NamedRateExceeded      = "a backend server got more than the rate that it named"
 	NotRecovered           = "requests fail after the faults have ended"
 	FaultInjectionFailed   = "the soak failed to inject a fault"
+	RequestAfterEvacuation = "a request reached a backend server of an evacuated zone"
+	ColdRateExceeded       = "a cold backend server got more than its rate"
+	ConfigReverted         = "a request was executed although its host had refused its withdrawn key before"
 	UnknownRequest         = "a backend server executed a request that no caller sent"
 )
 
@@ -69,10 +72,14 @@
 	mu             sync.Mutex
 	started        time.Time
 	requests       map[string]*request
-	withdrawn      map[string]time.Time // by key: when the store acknowledged the withdrawal
-	draining       map[string]time.Time // by backend server: when the store acknowledged its drain
-	stopped        map[string]time.Time // by backend server
-	faultIntervals []hostInterval       // injected faults, without graceful shutdowns and faults of the store
+	withdrawn      map[string]time.Time   // by key: when the store acknowledged the withdrawal
+	draining       map[string]time.Time   // by backend server: when the store acknowledged its drain
+	stopped        map[string]time.Time   // by backend server
+	evacuations    map[string]*evacuation // by availability zone
+	refusedKeys    map[hostKey]time.Time  // first refusal by the running process of a host
+	coldRequests   map[string][]time.Time // by backend server: requests while it was cold
+	storeReturns   []storeReturn
+	faultIntervals []hostInterval // injected faults, without graceful shutdowns and faults of the store
 	// storeFaultIntervals are the faults of the store. They permit no shutdown to abort a
 	// request.
 	storeFaultIntervals []hostInterval
@@ -91,6 +98,7 @@
 	return &invariantChecker{
 		started: time.Now(), requests: make(map[string]*request),
 		withdrawn: make(map[string]time.Time), draining: make(map[string]time.Time), stopped: make(map[string]time.Time),
+		evacuations: make(map[string]*evacuation), refusedKeys: make(map[hostKey]time.Time), coldRequests: make(map[string][]time.Time),
 	}
 }
 
@@ -152,7 +160,18 @@
 	if at, withdrawn := c.withdrawn[r.key]; withdrawn && r.sent.Sub(at) > keyRevocationTime {
 		c.report(WithdrawnKeyAccepted, "%s was sent %v after the withdrawal, at host %d", r.id, r.sent.Sub(at), r.host)
 	}
+	c.checkRefusedKey(r)
 	c.checkDrain(r, execution)
+	c.checkEvacuation(r, execution)
+}
+
+// recordMisdirected records an attempt that expected a server which has left its address.
+func (c *invariantChecker) recordMisdirected(attempt, expected string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.requests[attempt]; r != nil {
+		c.checkDrain(r, fakebackend.Execution{Backend: expected, Began: time.Now()})
+	}
 }
 
 // checkDrain reports requests that reach a backend server after its drain time. It
@@ -160,7 +179,7 @@
 // of the drain, or a slow connection may have delayed the request.
 func (c *invariantChecker) checkDrain(r *request, execution fakebackend.Execution) {
 	at, draining := c.draining[execution.Backend]
-	late := execution.Began.Sub(at)
+	late := execution.Began.Sub(c.acknowledgedAgain(at, serverReturnTime+heartbeatInterval))
 	if draining && late > drainTime && !c.faulty(at.Add(-faultRecoveryTime), execution.Began, true) {
 		c.report(RequestAfterDrain, "%s reached %s %v after the drain was announced, through host %d", r.id, execution.Backend, late, r.host)
 	}
@@ -225,6 +244,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.ended, r.status = time.Now(), status
+	if status == http.StatusUnauthorized {
+		c.recordRefusedKey(r)
+	}
 	if status == http.StatusOK {
 		c.succeeded++
 		if !r.isCompleteResponse(body, signature) {
--- a/internal/soak/invariants_test.go
+++ b/internal/soak/invariants_test.go
@@ -116,6 +116,78 @@
 			checker.recordExecution(execution(r.id))
 			checker.recordConnEnd(r, time.Now(), false)
 		}},
+		"drained server after the store lost the drain": {RequestAfterDrain, func(checker *invariantChecker, r *request) {
+			checker.recordDrain("i-1")
+			<-time.After(knownAfter)
+			checker.recordStoreReturn(time.Now())
+			<-time.After(storeReturnTime)
+			checker.recordExecution(execution(r.id))
+		}},
+		"drained server that has left": {RequestAfterDrain, func(checker *invariantChecker, r *request) {
+			checker.recordDrain("i-1")
+			<-time.After(drainTime + time.Second)
+			checker.recordMisdirected(r.id, "i-1")
+		}},
+		"drain that the store lost at once": {"", func(checker *invariantChecker, r *request) {
+			checker.recordDrain("i-1")
+			checker.recordStoreReturn(time.Now())
+			<-time.After(drainTime + time.Millisecond)
+			checker.recordExecution(execution(r.id))
+		}},
+		"evacuated zone": {RequestAfterEvacuation, func(checker *invariantChecker, r *request) {
+			checker.recordEvacuation(zoneName(1))
+			<-time.After(evacuationTime + time.Millisecond)
+			evacuated := execution(r.id)
+			evacuated.Backend = "i-1-1"
+			checker.recordExecution(evacuated)
+		}},
+		"evacuated zone with a fault": {"", func(checker *invariantChecker, r *request) {
+			checker.recordEvacuation(zoneName(1))
+			<-time.After(evacuationTime + time.Millisecond)
+			checker.recordFault(1, time.Now(), time.Now())
+			evacuated := execution(r.id)
+			evacuated.Backend = "i-1-1"
+			checker.recordExecution(evacuated)
+		}},
+		"zone at the end of its evacuation": {"", func(checker *invariantChecker, r *request) {
+			checker.recordEvacuation(zoneName(1))
+			<-time.After(evacuationTime + time.Millisecond)
+			checker.recordEvacuationEnd(zoneName(1))
+			<-time.After(time.Millisecond)
+			evacuated := execution(r.id)
+			evacuated.Backend = "i-1-1"
+			checker.recordExecution(evacuated)
+		}},
+		"cold server above its rate": {ColdRateExceeded, func(checker *invariantChecker, _ *request) {
+			for range 13 {
+				checker.recordColdRequest("i-1", time.Now())
+				<-time.After(time.Second / 14)
+			}
+			checker.checkRates()
+		}},
+		"cold server within its rate": {"", func(checker *invariantChecker, _ *request) {
+			for range 24 {
+				checker.recordColdRequest("i-1", time.Now())
+				<-time.After(time.Second / 11)
+			}
+			checker.checkRates()
+		}},
+		"old configuration after the new one": {ConfigReverted, func(checker *invariantChecker, r *request) {
+			checker.withdrawn[r.key] = r.sent
+			<-time.After(time.Second)
+			checker.recordResponse(r, http.StatusUnauthorized, "", "")
+			<-time.After(time.Second)
+			later := &request{id: "later", team: "a", key: r.key}
+			checker.recordSent(later)
+			checker.recordExecution(execution(later.id))
+		}},
+		"new key that its host did not know at first": {"", func(checker *invariantChecker, r *request) {
+			checker.recordResponse(r, http.StatusUnauthorized, "", "")
+			<-time.After(time.Second)
+			later := &request{id: "later", team: "a", key: r.key}
+			checker.recordSent(later)
+			checker.recordExecution(execution(later.id))
+		}},
 		"never sent": {UnknownRequest, func(checker *invariantChecker, _ *request) { checker.recordExecution(execution("other")) }},
 		"not recovered": {NotRecovered, func(checker *invariantChecker, r *request) {
 			checker.recordConnEnd(r, time.Now(), false)
--- a/internal/soak/rates.go
+++ b/internal/soak/rates.go
@@ -25,6 +25,13 @@
 	namedRateWindow = 4 * time.Second
 	namedRateFactor = 1.5
 	namedRateExtra  = 5
+	// coldTime is how long a server is cold, and coldRate the requests per second that it
+	// accepts meanwhile.
+	coldTime = 3 * time.Second
+	coldRate = 3.0
+	// coldRateFactor and coldRateExtra limit the requests at a cold server within a second.
+	coldRateFactor = 1.5
+	coldRateExtra  = 8
 )
 
 // rateTolerance is the amount by which teams may exceed their rates.
@@ -36,7 +43,14 @@
 	return r.team == teamName(limitedTeam) && r.status == http.StatusTooManyRequests
 }
 
-// checkRates checks the rate of the limited team and the rates that servers named.
+// recordColdRequest records that a request reached a cold backend server.
+func (c *invariantChecker) recordColdRequest(id string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.coldRequests[id] = append(c.coldRequests[id], at)
+}
+
+// checkRates checks the rate of the limited team and the rates of limited and cold servers.
 func (c *invariantChecker) checkRates() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -62,6 +76,12 @@
 			c.report(NamedRateExceeded, "%d requests at %s within %v, permitted %.0f", most, server, namedRateWindow, permitted)
 		}
 	}
+	for server, times := range c.coldRequests {
+		permitted := coldRateFactor*coldRate + coldRateExtra
+		if most := mostWithin(times, time.Second); float64(most) > permitted {
+			c.report(ColdRateExceeded, "%d requests at %s within a second, permitted %.1f", most, server, permitted)
+		}
+	}
 }
 
 // mostWithin returns the highest number of times within any window.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -45,6 +45,8 @@
 	TerminateMany FaultKind = "terminate-many" // terminates a third of the hosts, one after the other
 	KillAll       FaultKind = "kill-all"       // kills all processes at once
 	Overload      FaultKind = "overload"       // service times are so long that requests queue everywhere
+	ZoneEvacuated FaultKind = "zone-evacuated" // the operator evacuates the zone of a host; its servers are cold at the end
+	StoreRestored FaultKind = "store-restored" // the store comes back from a copy; servers drain and a key is withdrawn meanwhile
 )
 
 // faultKinds lists the kinds with the weights with which they are drawn: faults of
@@ -85,6 +87,19 @@
 	{KillAll, 1, true, false, 0},
 }
 
+// occasionalKinds occur at most once in a run. They are drawn apart from faultKinds, so that
+// the other faults of a seed do not depend on them.
+var occasionalKinds = []struct {
+	kind     FaultKind
+	duration time.Duration
+}{
+	{ZoneEvacuated, evacuationTime + evacuatedTime},
+	{StoreRestored, storeCopyAge + storeReturnTime + 2*drainTime + restartDelay},
+}
+
+// Of occasionalOneIn runs, one has each of occasionalKinds.
+const occasionalOneIn = 2
+
 // Fault is one scheduled fault.
 type Fault struct {
 	At       time.Duration // since the start of traffic
@@ -160,6 +175,34 @@
 		}
 		faults = append(faults, fault)
 	}
+	faults = append(faults, occasionalFaults(seed, hosts, faultWindow, plannedOnly, faults)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
+
+// occasionalFaults draws the faults of occasionalKinds that end within the fault window.
+func occasionalFaults(seed uint64, hosts int, faultWindow time.Duration, plannedOnly bool, others []Fault) []Fault {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var faults []Fault
+	for _, k := range occasionalKinds {
+		drawn, host, start := random.IntN(occasionalOneIn) == 0, random.IntN(hosts), random.Float64()
+		if !drawn || k.duration > faultWindow {
+			continue
+		}
+		fault := Fault{At: warmUp + time.Duration(start*float64(faultWindow-k.duration)), Duration: k.duration, Kind: k.kind, Host: host}
+		if k.kind == StoreRestored {
+			if slices.ContainsFunc(others, func(other Fault) bool { return other.Kind == KillAll && fault.overlaps(other.At) }) {
+				continue // no process is left that knows what the store lost
+			}
+			if !plannedOnly {
+				// This process starts while the store does not have what it lost.
+				faults = append(faults, Fault{At: fault.At + storeCopyAge + storeReturnTime, Kind: Kill, Host: (host + 1) % hosts})
+			}
+		}
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
+// overlaps reports whether a moment lies between the start of the fault and its end.
+func (f Fault) overlaps(at time.Duration) bool { return at >= f.At && at <= f.At+f.Duration }
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -31,7 +31,7 @@
 // Guards against a recorded regression that can no longer be parsed, for example
 // because a fault kind was renamed.
 func TestRecordedRegressionsParse(t *testing.T) {
-	known := map[FaultKind]bool{Overload: true}
+	known := map[FaultKind]bool{Overload: true, ZoneEvacuated: true, StoreRestored: true}
 	for _, k := range faultKinds {
 		known[k.kind] = true
 	}
@@ -56,6 +56,11 @@
 			seen[f.Kind] = true
 		}
 	}
+	for _, k := range occasionalKinds {
+		if !seen[k.kind] {
+			t.Errorf("%s is not scheduled by any of 60 seeds", k.kind)
+		}
+	}
 	for _, k := range faultKinds {
 		if !seen[k.kind] {
 			t.Errorf("%s is not scheduled by any of 60 seeds", k.kind)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -124,7 +124,7 @@
 		h.process.signal(syscall.SIGHUP)
 		return
 	case ServerDrain:
-		tb.drain(ctx, h)
+		tb.drain(ctx, h, drainTime+drainTime/2)
 		return
 	case StoreCut, StoreReset:
 		tb.checker.recordStoreFault(f.Host, now, now.Add(f.Duration+faultRecoveryTime))
@@ -136,7 +136,13 @@
 		return
 	case Kill:
 		tb.checker.recordFault(f.Host, now, now.Add(restartDelay+faultRecoveryTime))
-		tb.recordInjectionError(h.process.restart(syscall.SIGKILL, graceTime))
+		tb.restartProcess(h, syscall.SIGKILL)
+		return
+	case ZoneEvacuated:
+		tb.evacuateZone(ctx, zoneName(f.Host), f.Duration)
+		return
+	case StoreRestored:
+		tb.restoreStore(ctx, f.Host)
 		return
 	}
 	tb.checker.recordFault(f.Host, now, now.Add(f.Duration+faultRecoveryTime))
@@ -150,10 +156,16 @@
 	tb.checker.recordShutdown(h.index, time.Now())
 	var pending sync.WaitGroup
 	pending.Go(func() { callers.sendDuring(ctx, graceTime) })
-	tb.recordInjectionError(h.process.restart(syscall.SIGTERM, graceTime))
+	tb.restartProcess(h, syscall.SIGTERM)
 	pending.Wait()
 }
 
+// restartProcess stops the process of a host by a signal and starts it again.
+func (tb *testbed) restartProcess(h *host, s syscall.Signal) {
+	tb.recordInjectionError(h.process.restart(s, graceTime))
+	tb.checker.recordProcessStart(h.index)
+}
+
 // applyForDuration injects a fault, waits for its duration and removes it.
 func (tb *testbed) applyForDuration(ctx context.Context, h *host, f Fault) {
 	switch f.Kind {
@@ -246,15 +258,15 @@
 		tb.checker.recordFault(-1, now, now.Add(restartDelay+2*faultRecoveryTime))
 		var pending sync.WaitGroup
 		for _, h := range tb.hosts {
-			pending.Go(func() { tb.recordInjectionError(h.process.restart(syscall.SIGKILL, graceTime)) })
+			pending.Go(func() { tb.restartProcess(h, syscall.SIGKILL) })
 		}
 		pending.Wait()
 	}
 }
 
-// drain marks the server of a host as draining, stops it after one and a half times
-// the drain time, and starts it again under another identifier.
-func (tb *testbed) drain(ctx context.Context, h *host) {
+// drain marks the server of a host as draining, stops it after a duration, and starts it
+// again under another identifier.
+func (tb *testbed) drain(ctx context.Context, h *host, d time.Duration) {
 	h.mu.Lock()
 	if h.serverDown {
 		h.mu.Unlock()
@@ -265,7 +277,7 @@
 	h.mu.Unlock()
 	tb.register(h)
 	tb.checker.recordDrain(id)
-	sleepContext(ctx, drainTime+drainTime/2)
+	sleepContext(ctx, d)
 	tb.stopServer(h, id, true)
 	sleepContext(ctx, restartDelay)
 	tb.recordInjectionError(tb.restartServer(h, id))
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
@@ -54,6 +55,8 @@
 	mu             sync.Mutex
 	config         routing.Config
 	keyWithdrawals int // number of withdrawals, over all teams
+
+	heartbeatsPaused atomic.Bool
 }
 
 // host is one host: a backend server, its sidecar process, and the proxies that
@@ -75,6 +78,13 @@
 	serverDown bool // the backend server is stopped and sends no heartbeats
 }
 
+// serverIDFormat is the format of the identifiers of backend servers: their host and the number
+// of their start.
+const serverIDFormat = "i-%d-%d"
+
+// zoneName returns the availability zone of a host.
+func zoneName(host int) string { return fmt.Sprintf("zone-%d", host%zoneCount) }
+
 func teamName(i int) string { return fmt.Sprintf("team-%d", i) }
 
 // keyName returns the key of a team after a number of withdrawals.
@@ -143,7 +153,7 @@
 	if i%2 == 1 {
 		service = serviceB
 	}
-	zone := fmt.Sprintf("zone-%d", i%zoneCount)
+	zone := zoneName(i)
 	h := &host{index: i, callerAddr: net.JoinHostPort(private, portCallers)}
 	var err error
 	if h.peerProxy, err = newFaultProxy(net.JoinHostPort(public, portPeers), net.JoinHostPort(private, portPeers)); err != nil {
@@ -154,6 +164,7 @@
 	}
 	h.backend = fakebackend.NewBackend(seed+uint64(i), serverSlots, meanServiceTime, tb.checker.recordExecution)
 	h.backend.Call = (&backendCaller{checker: tb.checker, host: i, pool: &callerPool{addr: h.callerAddr}}).call
+	h.backend.OnColdRequest, h.backend.OnMisdirected = tb.checker.recordColdRequest, tb.checker.recordMisdirected
 	h.entry = mesh.Server{Service: service, Zone: zone, Addr: net.JoinHostPort(public, portServer), Slots: serverSlots}
 	h.serverAddr = net.JoinHostPort(private, portServer)
 	if err := h.startServer(); err != nil {
@@ -183,7 +194,8 @@
 	return h, h.process.start()
 }
 
-// startServer starts the backend server under a new identifier.
+// startServer starts the backend server under a new identifier. It is cold unless this is its
+// first start.
 func (h *host) startServer() error {
 	listener, err := listen(h.serverAddr)
 	if err != nil {
@@ -192,10 +204,13 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.starts++
-	h.entry.ID = fmt.Sprintf("i-%d-%d", h.index, h.starts)
+	h.entry.ID = fmt.Sprintf(serverIDFormat, h.index, h.starts)
 	h.entry.StartUnixMS = time.Now().UnixMilli()
 	h.entry.Draining = false
 	h.serverDown = false
+	if h.starts > 1 {
+		h.backend.MakeCold(coldTime)
+	}
 	h.backend.Serve(h.entry.ID, listener)
 	return nil
 }
@@ -205,7 +220,9 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		tb.register(h)
+		if !tb.heartbeatsPaused.Load() {
+			tb.register(h)
+		}
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
@@ -221,6 +238,7 @@
 		return
 	}
 	h.sequence++
+	h.entry.WarmUpLeft = h.backend.ColdLeft()
 	data, err := platform.EncodeServer(&h.entry, h.sequence)
 	if err == nil {
 		tb.store.Put(platform.ServerKey(h.entry.ID), string(data))
