--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -176,7 +176,11 @@
 		ReadinessAddr: net.JoinHostPort(private, portReadiness), BackendAddr: net.JoinHostPort(private, portServer), StoreAddr: toStore,
 		KeyRevocationTime: keyRevocationTime, DrainTime: drainTime, StopTimeout: graceTime,
 		RetryBudgetRatio: 0.2, RetryBudgetExtra: 60, RetryBudgetWindow: 10 * time.Second,
-		RateTolerance: rateTolerance,
+		RateTolerance:  rateTolerance,
+		EvacuationTime: evacuationTime,
+	}
+	for i := range zoneCount {
+		settings.Zones = append(settings.Zones, zoneName(i))
 	}
 	data, err := platform.EncodeSettings(&settings)
 	if err != nil {
@@ -276,11 +280,14 @@
 			Timeout: requestTimeout, TargetLatency: time.Second, MaxAttempts: 3,
 		}
 	}
+	service := func(name string) routing.Service {
+		return routing.Service{Name: name, HealthPath: "/health", MaxConnections: 300, WarmUpTime: coldTime, WarmUpRate: coldRate}
+	}
 	call := route("call", pathCall, serviceA, true)
 	call.AllowAnonymous = true
 	return routing.Config{
 		Version:  1,
-		Services: []routing.Service{{Name: serviceA, HealthPath: "/health", MaxConnections: 300}, {Name: serviceB, HealthPath: "/health", MaxConnections: 300}},
+		Services: []routing.Service{service(serviceA), service(serviceB)},
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes:   []routing.Route{route("once", pathOnce, serviceB, false), route("repeatable", pathRepeatable, serviceA, true), call},
 	}
