sidecar, platform: a process without a configuration refuses attempts where cold servers are limited

Cause: a process that starts while it is cut off has no configuration, and so no rate of cold servers. It ran its peers' attempts at a cold backend server without a limit. Change: where the settings limit requests to cold servers, such a process refuses attempts as not run (4008). The new test fails without the change.

--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -177,7 +177,7 @@
 		KeyRevocationTime: keyRevocationTime, DrainTime: drainTime, StopTimeout: graceTime,
 		RetryBudgetRatio: 0.2, RetryBudgetExtra: 60, RetryBudgetWindow: 10 * time.Second,
 		RateTolerance:  rateTolerance,
-		EvacuationTime: evacuationTime,
+		EvacuationTime: evacuationTime, ColdServersLimited: true,
 	}
 	for i := range zoneCount {
 		settings.Zones = append(settings.Zones, zoneName(i))
--- a/sidecar/evacuation_test.go
+++ b/sidecar/evacuation_test.go
@@ -80,3 +80,19 @@
 		t.Errorf("%d requests at the backend server beside the first", len(arrived))
 	}
 }
+
+// Guards against a process without a configuration that sends the attempts of its peers to a
+// cold backend server at any rate.
+func TestProcessWithoutConfigurationRefusesAttemptsWhereColdServersAreLimited(t *testing.T) {
+	for limited, want := range map[bool]pipeline.Code{false: pipeline.CodeOK, true: pipeline.CodeNotReady} {
+		settings := settings()
+		settings.ColdServersLimited = limited
+		got := pipeline.CodeOK
+		if result := (admission{New(settings, zap.NewNop())}).Handle(t.Context(), attempt("early")); result != nil {
+			got = result.Code
+		}
+		if got != want {
+			t.Errorf("limited %v: %v, want %v", limited, got, want)
+		}
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -248,13 +248,17 @@
 // Name returns "admission".
 func (admission) Name() string { return "admission" }
 
-// Handle refuses attempts while the process stops, and attempts for a backend server
+// Handle refuses attempts while the process stops or does not know the rate that its backend
+// server accepts while it is cold, and attempts for a backend server
 // that is leaving, has left or is in an evacuated availability zone.
 func (a admission) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
 	if a.sidecar.refusingAttempts.Load() {
 		return pipeline.Refuse(pipeline.CodeStopping, "")
 	}
 	snap := a.sidecar.loop.Snapshot()
+	if snap.Table == nil && a.sidecar.settings.ColdServersLimited {
+		return pipeline.Refuse(pipeline.CodeNotReady, "") // the backend server may be cold, and its rate is not known
+	}
 	target := snap.Local[req.Backend]
 	if (target != nil && (target.Draining || target.Live.Leaving())) || snap.Delisted[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
