--- a/control/mesh/rooms.go
+++ b/control/mesh/rooms.go
@@ -26,6 +26,13 @@
 	return (*r.zones.Load())[roomKey{service, zone}].Utilization
 }
 
+// Each calls fn with the utilization of each service in each zone.
+func (r *Rooms) Each(fn func(service, zone string, utilization float64)) {
+	for key, zone := range *r.zones.Load() {
+		fn(key.service, key.zone, zone.Utilization)
+	}
+}
+
 func newRooms() *Rooms {
 	r := &Rooms{}
 	r.zones.Store(&map[roomKey]room.Zone{})
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -114,6 +114,34 @@
 	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(shortest))
 }
 
+// logNoRoom logs the refusal of a request for lack of room, with what was known of it.
+func (r *requestState) logNoRoom(result *pipeline.Result) {
+	snap, now := r.filter.Snapshot(), time.Now()
+	servers, full := 0, 0
+	for _, target := range snap.Services[r.req.Service] {
+		servers++
+		if candidate := r.candidate(now, snap, target); isFull(target, candidate.QueuedAhead) {
+			full++
+		}
+	}
+	r.filter.Log.Info("request refused: no server has room",
+		zap.String("request", r.req.ID), zap.String("service", r.req.Service), zap.Int("rank", r.req.Rank),
+		zap.Int("attempts", r.attemptsSent), zap.Int("servers", servers), zap.Int("full", full),
+		zap.Float64("zone_utilization", snap.Rooms.Utilization(r.req.Service, r.filter.Zone)),
+		zap.Int64("retry_after_ms", result.RetryAfter.Milliseconds()))
+}
+
+// countZone counts an attempt by the zone of its backend server.
+func (r *requestState) countZone(target *mesh.Target) {
+	counter := r.filter.AttemptsLeavingZone
+	if target.SameZone {
+		counter = r.filter.AttemptsInZone
+	}
+	if counter != nil {
+		counter.Inc()
+	}
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // candidate describes a backend server for the selection.
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -44,7 +44,10 @@
 	// EvacuationRefusals counts requests that were refused because all backend servers of
 	// their service are in evacuated availability zones.
 	EvacuationRefusals *metrics.Counter
-	Log                *zap.Logger
+	// AttemptsInZone and AttemptsLeavingZone count attempts by the zone of their backend
+	// server: that of this process, or another one. They may be nil.
+	AttemptsInZone, AttemptsLeavingZone *metrics.Counter
+	Log                                 *zap.Logger
 }
 
 // Name returns "dispatch".
@@ -295,6 +298,7 @@
 	}
 	r.open[attempt.ID] = openAttempt{target, time.Now()}
 	r.attemptsSent++
+	r.countZone(target)
 	r.possiblyExecuted++
 	target.Live.AttemptStarted()
 	go func() {
@@ -330,6 +334,7 @@
 	}
 	if result.Code == pipeline.CodeQueueFull {
 		result.RetryAfter = r.timeUntilRoom()
+		r.logNoRoom(result)
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,6 +64,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.metrics.WritePrometheus(w)
+		s.loop.Snapshot().Rooms.Each(func(service, zone string, utilization float64) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`ragwortyard_room_utilization{service=%q,zone=%q}`, service, zone), utilization)
+		})
 		metrics.WriteProcessMetrics(w)
 	})
 	return mux
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -185,10 +185,13 @@
 			Budgets: &dispatch.RetryBudgets{
 				Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
 			},
-			NewID:              s.ids.next,
-			RetryProbability:   s.queue.RetryProbability,
-			StopBegan:          s.stop.began,
-			StopSchedule:       func() shutdown.Schedule { return s.stop.schedule },
+			NewID:               s.ids.next,
+			RetryProbability:    s.queue.RetryProbability,
+			StopBegan:           s.stop.began,
+			StopSchedule:        func() shutdown.Schedule { return s.stop.schedule },
+			AttemptsInZone:      s.metrics.NewCounter(`ragwortyard_attempts_total{zone="own"}`),
+			AttemptsLeavingZone: s.metrics.NewCounter(`ragwortyard_attempts_total{zone="other"}`),
+
 			EvacuationRefusals: s.metrics.NewCounter("ragwortyard_evacuation_refused_requests_total"),
 			Log:                s.log,
 		},
