--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -53,9 +53,9 @@
 	lastID             atomic.Uint64
 	limit              observedLimit                      // last observed limit of the server's rate
 	named              atomic.Pointer[pipeline.RateLimit] // of limit
-	refresh            chan struct{}                      // asks for a look at the state of the server
+	refresh            chan struct{}                      // requests an update of the state of the server
 	backend            func() Backend
-	evacuated          bool // of the last look
+	evacuated          bool // by the last update of backend
 	cold               coldStarts
 	evacuationRefusals atomic.Uint64
 	postEvent          func(control.Event) bool
@@ -138,7 +138,7 @@
 // SetLog sets the logger. It must be called before Run.
 func (q *Queue) SetLog(log *zap.Logger) { q.cold.log = log }
 
-// Refresh asks the queue to look at the state of the backend server now, without waiting.
+// Refresh requests an update of the state of the backend server, without waiting.
 func (q *Queue) Refresh() {
 	select {
 	case q.refresh <- struct{}{}:
--- a/sidecar/outbound.go
+++ b/sidecar/outbound.go
@@ -30,7 +30,7 @@
 	wakeFollower func(mesh.ReadStore)    // requests a read of the store
 	fetchConfig  func(mesh.FetchConfig)  // requests the configuration of a peer
 	fetchServers func(mesh.FetchServers) // requests the list of backend servers of a peer
-	refreshQueue func()                  // makes the queue look at the evacuated zones
+	refreshQueue func()                  // updates the state of the backend server in the queue
 }
 
 func newCommandExecutor(log *zap.Logger, port string, set *metrics.Set) *commandExecutor {
