slotqueue, dispatch: calls have places of their own in the queue

Cause: calls and other requests shared 16 places. The entry proxies took a queue of 4 waiting requests a slot for full, while exits refuse from 16 on, whatever the slots. Change: 32 calls may wait besides 16 other requests, an urgent request displaces the last one of its kind, a call is sent on after three full queues, and both sides use one constant.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,17 +15,18 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
-// MaxWaitingPerSlot limits the queue to about four service times.
-const MaxWaitingPerSlot = 4
-
-// While both wait, maxCallsInARow calls start before another request does, and the other
-// requests keep at least 1 in minOtherShare of the places in the queue. Otherwise a service
-// that is overloaded by calls would serve nothing else.
+// MaxWaiting is the usual limit of waiting requests other than calls: one to four service
+// times on servers with four to sixteen slots. Twice as many calls may wait, which are shorter.
 const (
-	maxCallsInARow = 3
-	minOtherShare  = 4
+	MaxWaiting      = 16
+	MaxWaitingCalls = callsPerWaiting * MaxWaiting
+	callsPerWaiting = 2
 )
 
+// maxCallsInARow is how many calls start before another request does while both wait. A
+// service that is overloaded by calls would serve nothing else without it.
+const maxCallsInARow = 3
+
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
 const serviceTimeSmoothing = 16
@@ -51,7 +52,7 @@
 // Queue grants a limited number of slots.
 type Queue struct {
 	slots           int
-	maxWaiting      int // maximum number of waiting requests
+	maxWaiting      int // maximum number of waiting requests other than calls
 	running         int
 	items           []Item        // calls, then others, each in the order in which they are served
 	calls           int           // number of calls in items
@@ -65,8 +66,8 @@
 	coldRate  startRate // while the server is cold
 }
 
-// New returns a queue for a server that runs slots requests at once. At most
-// maxWaiting requests wait.
+// New returns a queue for a server that runs slots requests at once. At most maxWaiting
+// requests wait, and twice as many calls.
 func New(slots, maxWaiting int) *Queue {
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
 }
@@ -125,8 +126,8 @@
 )
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
-// that is expected to wait for longer than maxWait. If the queue is full, a request that
-// goes before the last one displaces it.
+// that is expected to wait for longer than maxWait. In a full queue, a request that goes
+// before the last one of its kind displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
 	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.running++
@@ -139,11 +140,12 @@
 		}
 		return -1
 	})
-	victim := -1
-	if len(q.items) >= q.maxWaiting {
-		if victim = q.displacedBy(item); victim < position {
-			return Refused, nil
-		}
+	full, last := len(q.items)-q.calls >= q.maxWaiting, len(q.items)-1
+	if item.IsCall {
+		full, last = q.calls >= callsPerWaiting*q.maxWaiting, q.calls-1
+	}
+	if full && position > last {
+		return Refused, nil
 	}
 	wait := q.estimatedWaitAt(now, q.startsBefore(item, position))
 	if maxWait <= 0 || wait > maxWait {
@@ -152,8 +154,8 @@
 	if q.cannotFinish(now.Add(wait), item) {
 		return MissesDeadline, nil
 	}
-	if victim >= 0 {
-		displaced = append(displaced, q.removeAt(victim))
+	if full {
+		displaced = append(displaced, q.removeAt(last))
 	}
 	q.items = slices.Insert(q.items, position, item)
 	if item.IsCall {
@@ -162,20 +164,6 @@
 	return Queued, displaced
 }
 
-// displacedBy returns the position in the full queue of the request that yields to an item,
-// which may be that of a request which goes before it: the last call if the other requests
-// have no more places than their share, else the last of all.
-func (q *Queue) displacedBy(item Item) int {
-	others := len(q.items) - q.calls
-	if !item.IsCall {
-		others++
-	}
-	if others <= q.maxWaiting/minOtherShare {
-		return q.calls - 1
-	}
-	return len(q.items) - 1
-}
-
 // startsBefore returns how many waiting requests start before an item that is inserted at a
 // position.
 func (q *Queue) startsBefore(item Item, position int) int {
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -89,12 +89,19 @@
 		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
 }
 
-// isFull reports whether the queue of a server's exit proxy was full when it last reported.
-// waiting is the number of waiting requests that a request would not go before.
-func isFull(target *mesh.Target, waiting int) bool {
-	return waiting >= slotqueue.MaxWaitingPerSlot*target.Slots
+// isFull reports whether the queue of a server's exit proxy had no place for the request when
+// it last reported.
+func (r *requestState) isFull(target *mesh.Target) bool {
+	_, waiting, urgent := target.Live.Load()
+	if r.isCall() {
+		return urgent >= slotqueue.MaxWaitingCalls
+	}
+	return waiting-urgent >= slotqueue.MaxWaiting
 }
 
+// isCall reports whether a backend server makes the request while another one holds a slot.
+func (r *requestState) isCall() bool { return r.req.Principal.Team == "" }
+
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
 // return at the same time. It returns 0 if no server accepts requests at all.
@@ -116,11 +123,11 @@
 
 // logNoRoom logs the refusal of a request for lack of room, with what was known of it.
 func (r *requestState) logNoRoom(result *pipeline.Result) {
-	snap, now := r.filter.Snapshot(), time.Now()
+	snap := r.filter.Snapshot()
 	servers, full := 0, 0
 	for _, target := range snap.Services[r.req.Service] {
 		servers++
-		if candidate := r.candidate(now, snap, target); isFull(target, candidate.QueuedAhead) {
+		if r.isFull(target) {
 			full++
 		}
 	}
@@ -167,7 +174,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Evacuated || isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Evacuated || r.isFull(target) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -59,7 +59,8 @@
 	// costs another transfer of the request.
 	maxQueueFullRefusals = 1
 	// maxQueuesTried is the number of exit proxies that may refuse a request for lack of
-	// room. When a service is overloaded, most others would refuse it, too.
+	// room. When a service is overloaded, most others would refuse it, too. Calls are sent
+	// on, since the request that makes them fails with them.
 	maxQueuesTried = 3
 	// firstQueueWait is how long the first attempt may wait for a slot where the
 	// entry proxy expected a free one. It is not 0, since a second attempt costs
@@ -257,7 +258,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return r.queueFullRefusals < maxQueuesTried && r.canSendAgain() && r.send(ctx)
+		return (r.isCall() || r.queueFullRefusals < maxQueuesTried) && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
