platform, mesh: answers of the store carry its era

Cause: a watch went on from the highest revision seen, also after the store had come back from a copy, whose revisions are lower and given out again.

--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -23,6 +23,7 @@
 
 // ServerListRead reports a change of the list of backend servers in the store.
 type ServerListRead struct {
+	Era      uint64 // of the store; 0 if it names none
 	Revision uint64 // of the store; 0 when unknown
 	Complete bool   // Put is the complete list
 	Put      []Server
@@ -291,10 +292,10 @@
 }
 
 // equalForTraffic reports whether two entries are equal for routing. It ignores the
-// remaining warm-up time and the revision, which change with each update.
+// remaining warm-up time and the position, which change with each update.
 func equalForTraffic(a, b Server) bool {
 	a.WarmUpLeft, b.WarmUpLeft = 0, 0
-	a.Revision, b.Revision = 0, 0
+	a.Era, b.Era, a.Revision, b.Revision = 0, 0, 0, 0
 	return a == b
 }
 
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -27,14 +27,18 @@
 	Zone           string
 	Host           string // IP address of its host
 	Addr           string // "ip:port", reachable from its host only
-	CreateRevision uint64 // increases with each entry that the platform creates
-	Revision       uint64 // increases with each change of an entry
+	CreateRevision uint64 // increases with each entry that the platform creates in an era
+	Era            uint64 // of the store when the entry was read
+	Revision       uint64 // increases with each change of an entry in an era
 	Slots          int
 	Draining       bool
 	WarmUpLeft     time.Duration // remaining warm-up time when the entry was read
 	StartUnixMS    int64         // start in Unix milliseconds; 0 when unknown
 }
 
+// Position returns the position of the entry.
+func (s Server) Position() StorePosition { return StorePosition{Era: s.Era, Revision: s.Revision} }
+
 // Health is the last known health of a backend server.
 type Health struct {
 	BadProbability  float64 // probability of a gray failure at LastOutcomeAt
