mesh, platform: order by era and revision after the store came back from a copy

Cause: after a return from a copy, lists of readers and entries written again with lower revisions were refused until the count had caught up; servers that had left came back from the copy, and the answers of the copy confirmed keys at processes that had missed the newest configuration. Change: lists, entries, announcements and answers of readers are ordered by era, then revision. Entries of the copy that contradict what is known are held back until their servers write them again; a reader that knows only the copy is told. Entries that the copy lacks get the grace period of an outage. Versions that the store lost are fetched from the peer that names them. Readers publish the position of their list when it advances.

--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -54,13 +54,17 @@
 		keyTrust: NewKeyTrust(0),
 	}
 	config := &configStage{state: st, keyTrustDuration: o.KeyTrustDuration}
+	servers := &serversStage{
+		state: st, drainTime: o.DrainTime,
+		storeReturn: storeReturn{removed: make(map[string]removedServer)},
+	}
 	stages := []control.Stage{
 		&stopStage{state: st},
 		&relayStage{state: st},
 		config,
-		&serversStage{state: st, drainTime: o.DrainTime},
+		servers,
 		&storeStage{
-			state: st, config: config, bootClock: o.BootClock, firstStart: o.FirstStart,
+			state: st, config: config, servers: servers, bootClock: o.BootClock, firstStart: o.FirstStart,
 			pending: make(map[uint32]storeQuery), missedAnswers: make(map[string]int), excludedUntil: make(map[string]time.Time),
 		},
 		&healthStage{state: st, load: o.Load, estimates: make(map[string]belief.Estimate)},
@@ -116,9 +120,12 @@
 		StoreReader: s.storeReader,
 		Stopping:    s.stopping,
 		PeerTimeout: s.scaledPeerTimeout(),
+
+		ListPosition: s.listPosition,
+		ListComplete: !s.listIncomplete,
+		HeldEntries:  s.heldEntries,
 	}
-	if s.storeReader {
-		snap.ListRevision = s.listRevision
+	if s.storeReader && snap.ListComplete {
 		for _, server := range s.servers {
 			if server.missingSince.IsZero() {
 				snap.Listed = append(snap.Listed, server.Server)
@@ -130,7 +137,7 @@
 	}
 	newest := s.newestAtAddress()
 	for id, server := range s.servers {
-		if server.CreateRevision < newest[server.Addr] {
+		if compareAge(server.Server, newest[server.Addr]) < 0 {
 			continue
 		}
 		target := &Target{
--- a/control/mesh/configsources.go
+++ b/control/mesh/configsources.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/decide/rendezvous"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
 )
 
 // A new configuration costs a call to the store for each process that reads it there. A
@@ -42,6 +43,53 @@
 // ControlEvent marks ConfigNotFetched as an event.
 func (ConfigNotFetched) ControlEvent() {}
 
+// namedVersion is the newest version of a configuration that a peer named, and the peer. It
+// is fetched from there if it does not arrive otherwise: a store that came back from a copy
+// may have lost it until it is written again.
+type namedVersion struct {
+	version uint64
+	host    string
+	fetchAt time.Time // when it is fetched if it has not arrived
+}
+
+// namedFetchDelay is how long a named version may take to arrive by other ways: the offer
+// of a source and the transfer from it. A reader gets it from the store, sooner.
+const (
+	namedFetchDelay       = configOfferTimeout + PeerFetchTimeout
+	readerNamedFetchDelay = configRetryDelay
+)
+
+// noteVersion records a version that a peer holds.
+func (s *storeStage) noteVersion(now time.Time, host string, version uint64) {
+	if version <= s.version() || version < s.named.version {
+		return
+	}
+	if version > s.named.version {
+		s.named.fetchAt = now.Add(namedFetchDelay)
+		if s.isReader {
+			s.named.fetchAt = now.Add(readerNamedFetchDelay)
+		}
+	}
+	s.named.version, s.named.host = version, host
+}
+
+// correctVersion names the version of this process to a reader with an older one. A reader
+// has it from the store by then, unless the store came back from a copy that lacks it.
+func (s *storeStage) correctVersion(host string, version uint64, out *control.Output) {
+	if version < s.version() {
+		sendTo(out, []string{host}, notice.Message{ConfigVersion: &notice.ConfigVersion{Version: s.version()}})
+	}
+}
+
+// fetchNamed requests a fetch of the named version if it is due.
+func (s *storeStage) fetchNamed(now time.Time, out *control.Output) {
+	if s.named.version <= s.version() || now.Before(s.named.fetchAt) {
+		return
+	}
+	s.named.fetchAt = now.Add(PeerFetchTimeout)
+	out.Emit(FetchConfig{Host: s.named.host, Version: s.named.version})
+}
+
 // configSources returns the hosts of this process's availability zone that read new
 // configurations from the store, best ranked first.
 func (s *storeStage) configSources(now time.Time) []string {
--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -37,7 +37,9 @@
 	firstStart   bool           // the whole fleet starts for the first time
 	storeTable   *routing.Table // in the store, if processes read it; nil if reads get no answer
 	storeServers []Server       // in the store, if processes read it; nil if reads get no answer
+	storeEra     uint64         // of all answers of the store
 	storeRev     uint64         // revision of storeServers
+	storeAway    bool           // reads of the store get no answer
 	tableReads   int            // reads of storeTable
 	listReads    int            // reads of storeServers without Stale
 	staleReads   int            // reads of storeServers with Stale
@@ -261,33 +263,46 @@
 	const interval = 400 * time.Millisecond
 	for _, host := range f.hosts {
 		p := f.processes[host]
-		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] {
+		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] || f.storeAway {
 			continue
 		}
-		p.post(ServerListRead{Complete: true, Revision: f.storeRev, Put: f.storeServers})
+		p.post(f.readServers())
 		if f.storeTable != nil {
 			p.post(TableRead{Table: f.storeTable})
-			p.post(TableConfirmed{BootTime: p.bootClock()})
+			p.post(TableConfirmed{BootTime: p.bootClock(), Era: f.storeEra})
 		}
 	}
 	f.after(interval, f.followStore)
 }
 
+// readServers returns the list that the store holds.
+func (f *testFleet) readServers() ServerListRead {
+	read := ServerListRead{Complete: true, Era: f.storeEra, Revision: f.storeRev}
+	for _, server := range f.storeServers {
+		server.Era = f.storeEra
+		read.Put = append(read.Put, server)
+	}
+	return read
+}
+
 // answerRead answers a read of the store with what it holds at that time.
 func (f *testFleet) answerRead(p *fleetProcess, read ReadStore) {
+	if f.storeAway {
+		return
+	}
 	delay := f.between(4*time.Millisecond, 60*time.Millisecond)
 	if read.Config && f.storeTable != nil {
 		f.tableReads++
-		table := f.storeTable
+		table, era := f.storeTable, f.storeEra
 		f.after(delay, func() {
 			p.post(TableRead{Table: table})
-			p.post(TableConfirmed{BootTime: p.bootClock() - delay})
+			p.post(TableConfirmed{BootTime: p.bootClock() - delay, Era: era})
 		})
 	}
 	if !read.Servers || f.storeServers == nil {
 		return
 	}
-	list := ServerListRead{Complete: true, Revision: f.storeRev, Put: f.storeServers}
+	list := f.readServers()
 	if read.Stale {
 		f.staleReads++
 		list.Source = FromStaleStore
@@ -316,11 +331,11 @@
 	f.fetches++
 	f.after(f.between(2*time.Millisecond, 100*time.Millisecond), func() {
 		reader := f.peerOf(p, fetch.Host)
-		if reader == nil || !reader.StoreReader {
+		if reader == nil || !reader.StoreReader || !reader.ListComplete {
 			p.post(ServersNotFetched{})
 			return
 		}
-		p.post(ServerListRead{Complete: true, Revision: reader.ListRevision, Put: reader.Listed, Source: FromReader})
+		p.post(ServerListRead{Complete: true, Era: reader.ListPosition.Era, Revision: reader.ListPosition.Revision, Put: reader.Listed, Source: FromReader, Host: fetch.Host})
 	})
 }
 
--- a/control/mesh/fuzz_test.go
+++ b/control/mesh/fuzz_test.go
@@ -19,6 +19,7 @@
 		{Status: &notice.Status{BootID: 5, Seq: 9, Backend: "s", AgeMS: math.MaxUint32, Unheard: []string{"", "x"}}, BackendLimit: &notice.BackendLimit{Limited: true, PerSecond: nan}},
 		{ServerListChange: &notice.ServerListChange{Revision: math.MaxUint64, Put: []notice.Server{{ID: "s", Addr: "nowhere"}, {}}, Removed: []string{"s", "none"}}},
 		{ConfigVersion: &notice.ConfigVersion{Version: math.MaxUint64}},
+		{Era: math.MaxUint64, ServerListChange: &notice.ServerListChange{Removed: []string{"s"}}},
 		{StoreState: &notice.StoreState{ID: 1, Version: 1, AgeMS: math.MaxUint32}},
 		{TokenRequest: &notice.TokenRequest{ID: 1, Name: "none", Purpose: 200, Count: math.MaxUint16}},
 		{TokenGrant: &notice.TokenGrant{ID: 1, Count: math.MaxUint16, WaitMS: math.MaxUint32}},
--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -200,7 +200,7 @@
 	status.MeanServiceTimeMS = uint32(load.MeanServiceTime.Milliseconds())
 	newest := s.state.newestAtAddress()
 	for id, server := range s.state.servers {
-		if server.Host != s.state.identity.Host || server.CreateRevision < newest[server.Addr] || (status.Backend != "" && server.Draining) {
+		if server.Host != s.state.identity.Host || compareAge(server.Server, newest[server.Addr]) < 0 || (status.Backend != "" && server.Draining) {
 			continue
 		}
 		health := server.live.Health()
--- a/control/mesh/position.go
+++ b/control/mesh/position.go
@@ -1,6 +1,9 @@
 package mesh
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // StorePosition is a point in the history of the platform's store. The store counts an
 // era up when it comes back from a copy; its revisions are lower then and are given out
@@ -14,3 +17,12 @@
 func (p StorePosition) Compare(q StorePosition) int {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
 }
+
+// noteEra records an era that the store or a store reader named. The first one is no
+// change.
+func (s *state) noteEra(now time.Time, era uint64) {
+	if s.eraKnown && era > s.era {
+		s.eraChangedAt = now
+	}
+	s.era, s.eraKnown = max(s.era, era), true
+}
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"strings"
@@ -29,6 +30,12 @@
 	Put      []Server
 	Removed  []string
 	Source   ListSource
+	Host     string // of the reader, if FromReader
+}
+
+// position returns the position of the store at which the list was read.
+func (e ServerListRead) position() StorePosition {
+	return StorePosition{Era: e.Era, Revision: e.Revision}
 }
 
 // ControlEvent marks ServerListRead as an event.
@@ -70,6 +77,8 @@
 	storeUpSince   time.Time // when the store last began to answer again
 	entriesExpired bool      // the last outage was long enough for entries to expire
 	listKnown      bool      // the list was read at least once
+
+	storeReturn // what is kept of the time before the store came back from a copy
 }
 
 // FetchServers is a command to fetch the list of backend servers from a store reader.
@@ -112,7 +121,7 @@
 		s.applyRead(now, ev, out)
 	case MessageReceived:
 		if m := ev.Message.ServerListChange; m != nil && s.state.peers[ev.Host] != nil {
-			s.applyAnnounced(now, m, out)
+			s.applyAnnounced(now, ev.Message.Era, m, out)
 		}
 	case StoreUnavailable:
 		if !s.storeDown {
@@ -129,27 +138,49 @@
 	case control.Tick:
 		s.removeMissing(now, out)
 		s.removeSilentPeers(now)
+		s.forgetRemoved(now)
 	}
 }
 
 // applyRead applies a change that this process read from the store, or the list of a
 // reader. An older list than the known one would bring back servers that have left.
 func (s *serversStage) applyRead(now time.Time, ev ServerListRead, out *control.Output) {
-	if ev.Source != FromStore && ev.Revision < s.state.listRevision {
-		emitLog(out, "older list of backend servers ignored", map[string]any{"revision": ev.Revision, "known": s.state.listRevision})
+	known := s.state.listPosition
+	if ev.Era < known.Era || (ev.Source != FromStore && ev.position().Compare(known) < 0) {
+		emitLog(out, "older list of backend servers ignored", map[string]any{
+			"era": ev.Era, "revision": ev.Revision, "known_era": known.Era, "known": known.Revision,
+		})
 		return
 	}
-	s.state.listRevision = max(s.state.listRevision, ev.Revision)
+	s.advancePosition(now, ev.position(), out)
+	if s.state.storeReader && s.state.listPosition != known {
+		out.Publish() // peers whose lists are newer than the published position ignore that of this reader
+	}
+	returned := ev.Complete && s.endReturn(now, ev.position(), out)
 	if confirmed := s.state.listConfirmed || ev.Source != FromStaleStore; confirmed != s.state.listConfirmed {
 		s.state.listConfirmed = confirmed
 		out.Publish()
 	}
-	change := notice.ServerListChange{Revision: ev.Revision}
+	change, correction := notice.ServerListChange{Revision: ev.Revision}, notice.ServerListChange{Revision: ev.Revision}
 	seen := make(map[string]bool, len(ev.Put))
+	held := s.state.heldEntries
 	for _, server := range ev.Put {
 		seen[server.ID] = true
-		if s.putServer(now, server, out) {
+		switch s.putUnlessHeld(now, server, out) {
+		case entryChanged:
 			change.Put = append(change.Put, encodeServer(server))
+		case entryHeld:
+			s.addKnown(&change, server.ID)
+			s.addKnown(&correction, server.ID)
+		case entryStillHeld:
+			s.addKnown(&correction, server.ID)
+		case entryUnchanged:
+		}
+	}
+	if ev.Source == FromReader {
+		// The reader started after the return, or missed what is known here.
+		for _, part := range splitChange(&correction) {
+			sendTo(out, []string{ev.Host}, notice.Message{ServerListChange: &part, Era: ev.Era})
 		}
 	}
 	removed := ev.Removed
@@ -161,10 +192,13 @@
 		}
 	}
 	for _, id := range removed {
-		if s.removeOrMarkMissing(now, id, ev.Revision, out) {
+		if s.removeOrMarkMissing(now, id, ev.position(), out) {
 			change.Removed = append(change.Removed, id)
 		}
 	}
+	if returned {
+		s.logReturn(s.state.heldEntries-held, out)
+	}
 	first := !s.listKnown
 	s.listKnown = true
 	s.publishChange(now, &change, first, out)
@@ -182,7 +216,7 @@
 		return
 	}
 	for _, part := range splitChange(change) {
-		s.state.broadcast(now, notice.Message{ServerListChange: &part}, urgentRelaysPerZone, out)
+		s.state.broadcast(now, notice.Message{ServerListChange: &part, Era: s.state.listPosition.Era}, urgentRelaysPerZone, out)
 	}
 }
 
@@ -198,16 +232,21 @@
 	return parts
 }
 
-// applyAnnounced applies a change that a store reader broadcast.
-func (s *serversStage) applyAnnounced(now time.Time, change *notice.ServerListChange, out *control.Output) {
-	s.state.listRevision = max(s.state.listRevision, change.Revision)
+// applyAnnounced applies a change that a store reader broadcast. A change of an earlier era
+// is ignored.
+func (s *serversStage) applyAnnounced(now time.Time, era uint64, change *notice.ServerListChange, out *control.Output) {
+	at := StorePosition{Era: era, Revision: change.Revision}
+	if era < s.state.listPosition.Era {
+		return
+	}
+	s.advancePosition(now, at, out)
 	changed := false
 	for _, entry := range change.Put {
-		changed = s.putServer(now, decodeServer(entry), out) || changed
+		changed = s.putServer(now, decodeServer(entry, era), out) || changed
 	}
 	for _, id := range change.Removed {
-		if server := s.state.servers[id]; server != nil && server.Revision <= change.Revision {
-			s.remove(id)
+		if server := s.state.servers[id]; server != nil && server.Position().Compare(at) <= 0 {
+			s.remove(now, id)
 			emitLog(out, "backend server removed", map[string]any{"backend": id, "after": "announcement by a store reader"})
 			changed = true
 		}
@@ -219,16 +258,16 @@
 }
 
 // EncodeServerList encodes the list of backend servers of a store reader for
-// FetchServers. It returns nil if the process is no reader.
+// FetchServers. It returns nil if the process is no reader or has not read the whole list.
 func EncodeServerList(snap *Snapshot) ([]byte, error) {
-	if !snap.StoreReader {
+	if !snap.StoreReader || !snap.ListComplete {
 		return nil, nil
 	}
-	list := notice.ServerListChange{Revision: snap.ListRevision}
+	list := notice.ServerListChange{Revision: snap.ListPosition.Revision}
 	for _, server := range snap.Listed {
 		list.Put = append(list.Put, encodeServer(server))
 	}
-	return notice.Encode(notice.Message{ServerListChange: &list})
+	return notice.Encode(notice.Message{ServerListChange: &list, Era: snap.ListPosition.Era})
 }
 
 // DecodeServerList decodes the list of a store reader.
@@ -240,9 +279,9 @@
 	if message.ServerListChange == nil {
 		return ServerListRead{}, errors.New("the message contains no list of backend servers")
 	}
-	read := ServerListRead{Revision: message.ServerListChange.Revision, Complete: true, Source: FromReader}
+	read := ServerListRead{Era: message.Era, Revision: message.ServerListChange.Revision, Complete: true, Source: FromReader}
 	for _, entry := range message.ServerListChange.Put {
-		read.Put = append(read.Put, decodeServer(entry))
+		read.Put = append(read.Put, decodeServer(entry, message.Era))
 	}
 	return read, nil
 }
@@ -254,24 +293,31 @@
 	}
 }
 
-func decodeServer(n notice.Server) Server {
+func decodeServer(n notice.Server, era uint64) Server {
 	host, _, _ := strings.Cut(n.Addr, ":")
 	return Server{
-		ID: n.ID, Service: n.Service, Zone: n.Zone, Host: host, Addr: n.Addr, CreateRevision: n.CreateRevision, Revision: n.Revision,
+		ID: n.ID, Service: n.Service, Zone: n.Zone, Host: host, Addr: n.Addr, CreateRevision: n.CreateRevision, Era: era, Revision: n.Revision,
 		Slots: int(n.Slots), Draining: n.Draining, WarmUpLeft: time.Duration(n.WarmUpLeftMS) * time.Millisecond, StartUnixMS: n.StartUnixMS,
 	}
 }
 
 // putServer adds or updates a server and reports whether its entry changed. An entry
-// with an older revision is ignored. A server that was restarted or moved to another
+// with an older position is ignored. A server that was restarted or moved to another
 // host gets a new live state.
 func (s *serversStage) putServer(now time.Time, server Server, out *control.Output) bool {
 	old := s.state.servers[server.ID]
-	if old != nil && server.Revision < old.Revision {
+	if old != nil && server.Position().Compare(old.Position()) < 0 {
 		return false
 	}
+	if gone, ok := s.removed[server.ID]; ok {
+		if server.Era > 0 && server.Position().Compare(gone.Position()) < 0 && contradicts(server, gone.Server, true) {
+			return false
+		}
+		delete(s.removed, server.ID)
+	}
 	fresh := old == nil || old.StartUnixMS != server.StartUnixMS || old.Host != server.Host
 	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) {
+		old.Era, old.Revision = server.Era, server.Revision
 		return false
 	}
 	next := &serverRecord{Server: server, warmUpUntil: now.Add(server.WarmUpLeft)}
@@ -307,27 +353,28 @@
 }
 
 // removeOrMarkMissing removes a server and reports whether it did. During or just
-// after a store outage it only marks the server as missing, since its entry may
-// have expired while the server runs.
-func (s *serversStage) removeOrMarkMissing(now time.Time, id string, revision uint64, out *control.Output) bool {
+// after a store outage, or after the store came back from a copy, it only marks the server
+// as missing, since its entry may have expired or been lost while the server runs.
+func (s *serversStage) removeOrMarkMissing(now time.Time, id string, at StorePosition, out *control.Output) bool {
 	server := s.state.servers[id]
-	if server == nil || (revision != 0 && server.Revision > revision) {
+	if server == nil || (at.Revision != 0 && server.Position().Compare(at) > 0) {
 		return false
 	}
-	if s.storeDown || (s.entriesExpired && now.Sub(s.storeUpSince) < s.missingGracePeriod()) {
+	if s.storeDown || s.returnedWithin(now, s.missingGracePeriod()) || (s.entriesExpired && now.Sub(s.storeUpSince) < s.missingGracePeriod()) {
 		if server.missingSince.IsZero() {
 			server.missingSince = now
 		}
 		return false
 	}
-	s.remove(id)
+	s.remove(now, id)
 	emitLog(out, "backend server removed", map[string]any{"backend": id})
 	return true
 }
 
 // remove deletes a server from the list. Servers of this host are added to delisted,
 // so that attempts from entry proxies with an older list are refused.
-func (s *serversStage) remove(id string) {
+func (s *serversStage) remove(now time.Time, id string) {
+	s.rememberRemoved(now, s.state.servers[id].Server)
 	if s.state.servers[id].Host == s.state.identity.Host {
 		delisted := copyWithout(s.state.delisted, id)
 		delisted[id] = true
@@ -357,24 +404,38 @@
 	var change notice.ServerListChange
 	for id, server := range s.state.servers {
 		if !server.missingSince.IsZero() && now.Sub(server.missingSince) >= s.missingGracePeriod() {
-			change.Revision = max(change.Revision, server.Revision)
+			if server.Era == s.state.listPosition.Era {
+				change.Revision = max(change.Revision, server.Revision)
+			}
 			change.Removed = append(change.Removed, id)
-			s.remove(id)
+			s.remove(now, id)
 			emitLog(out, "backend server removed", map[string]any{"backend": id, "after": "store outage"})
 		}
 	}
 	s.publishChange(now, &change, false, out)
 }
 
-// newestAtAddress returns the highest create revision of the servers at each address.
-// A server that crashed stays listed for some seconds beside its successor at the
-// same address.
-func (s *state) newestAtAddress() map[string]uint64 {
-	newest := make(map[string]uint64, len(s.servers))
+// newestAtAddress returns the newest of the servers at each address. A server that
+// crashed stays listed for some seconds beside its successor at the same address. A missing
+// server counts only if its entry was lost with an era.
+func (s *state) newestAtAddress() map[string]Server {
+	newest := make(map[string]Server, len(s.servers))
 	for _, server := range s.servers {
-		if server.missingSince.IsZero() {
-			newest[server.Addr] = max(newest[server.Addr], server.CreateRevision)
+		if !server.missingSince.IsZero() && server.Era == s.listPosition.Era {
+			continue
+		}
+		if known, ok := newest[server.Addr]; !ok || compareAge(server.Server, known) > 0 {
+			newest[server.Addr] = server.Server
 		}
 	}
 	return newest
 }
+
+// compareAge returns +1 if a is a newer server than b, -1 if it is older and 0 if neither
+// is known. Create revisions are comparable within an era only.
+func compareAge(a, b Server) int {
+	if a.Era != b.Era && a.StartUnixMS != 0 && b.StartUnixMS != 0 {
+		return cmp.Compare(a.StartUnixMS, b.StartUnixMS)
+	}
+	return cmp.Or(cmp.Compare(a.Era, b.Era), cmp.Compare(a.CreateRevision, b.CreateRevision))
+}
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -168,10 +168,13 @@
 	Blocked     map[crashcount.Fingerprint]time.Time
 	Hosts       int  // number of hosts of the fleet, including this one
 	StoreReader bool // this process reads the platform's store for its peers
-	// Listed and ListRevision are the list of a store reader and the revision of the
-	// store that it reflects, for peers whose lists differ.
+	// Listed and ListPosition are the list of a store reader and the position of the store
+	// that it reflects, for peers whose lists differ. ListComplete is false until the whole
+	// list of the era has been read.
 	Listed       []Server
-	ListRevision uint64
+	ListPosition StorePosition
+	ListComplete bool
+	HeldEntries  uint64 // number of entries that were held back since the start
 	Stopping     bool
 	PeerTimeout  time.Duration // silence after which a peer counts as lost
 }
@@ -233,9 +236,16 @@
 	hostsByZone      map[string][]string     // hosts of peers, sorted
 	liveStatesByHost map[string][]*LiveState // of the servers on each host
 	delisted         map[string]bool         // backend servers of this host that were removed from the list
-	listRevision     uint64                  // highest revision of the store whose changes are in the list
+	listPosition     StorePosition           // highest position of the store whose changes are in the list
+	listIncomplete   bool                    // the whole list of the era of listPosition has not been read yet
+	heldEntries      uint64                  // number of entries that were held back
 	listConfirmed    bool                    // the list is no old copy; also written by the store stage
 
+	// Written by the configuration and the servers stage, through noteEra.
+	era          uint64    // newest known era of the store
+	eraKnown     bool      // era was read or announced at least once
+	eraChangedAt time.Time // when era last rose; zero if it did not
+
 	nextRelay int // rotation counter of pickRelays; written by broadcast
 
 	// Written by the store stage.
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -90,16 +90,16 @@
 type storeStage struct {
 	state     *state
 	config    *configStage
+	servers   *serversStage
 	bootClock func() time.Duration
 	// firstStart delays the first read of the list.
 	firstStart bool
 
 	isReader         bool
-	confirmedAt      time.Duration // boot clock time at which the store last confirmed the configuration
-	listReadAt       time.Time     // when this process last read the list from the store
-	listKnownAt      time.Time     // when this process last got the list, also from a peer or an old copy
-	readersKnownAt   time.Time     // when this process first knew a list with servers
-	announcedVersion uint64        // last configuration version that was broadcast
+	listReadAt       time.Time // when this process last read the list from the store
+	listKnownAt      time.Time // when this process last got the list, also from a peer or an old copy
+	readersKnownAt   time.Time // when this process first knew a list with servers
+	announcedVersion uint64    // last configuration version that was broadcast
 	nextQueryAt      time.Time
 	retryQueryAt     time.Time // when the last query is retried; zero if it was answered or retried
 	readerSince      time.Time // when this process became a reader
@@ -118,6 +118,7 @@
 	awaitedUntil     time.Time            // when it is read from the store instead; zero while none is awaited
 	fetchedVersion   uint64               // last version whose fetch from a source was requested
 	noConfigAt       time.Time            // when a reader last answered that the store has no configuration
+	named            namedVersion         // newest configuration that a peer named
 }
 
 // Name returns "store".
@@ -139,18 +140,24 @@
 // that are due.
 func (s *storeStage) Handle(now time.Time, ev control.Event, out *control.Output) {
 	switch ev := ev.(type) {
-	case TableConfirmed:
-		s.confirmedAt = max(s.confirmedAt, ev.BootTime)
 	case TableRead:
 		s.announceVersion(now, out)
-		if s.confirmedAt == 0 {
+		if s.config.confirmedAt == 0 {
 			s.nextQueryAt = now // a peer's copy is of no use for keys until a reader confirms it
 		}
+		if ev.Table.Version() < s.requestedVersion {
+			s.named.fetchAt = now // the store has an older one
+		}
 	case ConfigNotFetched:
-		s.readConfig(now, ev.Version, out)
+		if !s.isReader {
+			s.readConfig(now, ev.Version, out)
+		}
 	case ServersNotFetched:
 		out.Emit(ReadStore{Servers: true})
 	case ServerListRead:
+		if ev.Era < s.state.listPosition.Era {
+			break
+		}
 		if s.readersKnownAt.IsZero() && len(s.state.servers) > 0 {
 			s.readersKnownAt, s.nextQueryAt = now, now // the list determines the readers
 		}
@@ -162,6 +169,7 @@
 		s.receive(now, ev, out)
 	}
 	s.stopAwaiting(now, out)
+	s.fetchNamed(now, out)
 	switch {
 	case !now.Before(s.nextQueryAt):
 		s.nextQueryAt = now.Add(s.queryInterval())
@@ -190,11 +198,15 @@
 	case m.StoreQuery != nil:
 		s.answerQuery(now, ev.Host, m.StoreQuery, out)
 	case m.StoreState != nil:
-		s.handleAnswer(now, m.StoreState, out)
+		s.handleAnswer(now, m.Era, m.StoreState, out)
 	case m.ConfigVersion != nil:
+		s.noteVersion(now, ev.Host, m.ConfigVersion.Version)
 		if !s.isReader {
 			s.handleOffer(now, ev.Host, m.ConfigVersion.Version, out)
 		}
+		if s.isReader || slices.Contains(s.configSources(now), s.state.identity.Host) {
+			s.correctVersion(ev.Host, m.ConfigVersion.Version, out)
+		}
 	}
 }
 
@@ -315,7 +327,7 @@
 		maxConfigAge, maxAge = maxListAge, firstAnswerTimeout // peers may not know this host yet, and then announce nothing to it
 	}
 	read := ReadStore{
-		Config: s.bootClock()-s.confirmedAt > maxConfigAge && now.Sub(latest(s.noConfigAt, s.readersKnownAt)) > maxAge &&
+		Config: s.bootClock()-s.config.confirmedAt > maxConfigAge && now.Sub(latest(s.noConfigAt, s.readersKnownAt)) > maxAge &&
 			now.Sub(s.ownConfigReadAt) >= minOwnReadInterval,
 		Servers: now.Sub(latest(s.lastAnswerAt, s.listKnownAt)) > maxAge && now.Sub(s.ownListReadAt) >= minOwnReadInterval,
 	}
@@ -341,32 +353,36 @@
 // answerQuery sends the state that this process last read from the store. Only readers
 // with recent data answer: the data of other processes, and of a reader without a
 // connection to the store, may be outdated without their knowing. Version 0 says that the
-// store has no configuration.
+// store has no configuration. After the store came back from a copy, the version is named
+// before the store confirms it again.
 func (s *storeStage) answerQuery(now time.Time, host string, query *notice.StoreQuery, out *control.Output) {
-	age := max(s.bootClock()-s.confirmedAt, 0)
-	if !s.isReader || now.Sub(s.listReadAt) > maxReaderListAge {
+	age := max(s.bootClock()-s.config.confirmedAt, 0)
+	if !s.isReader || s.state.listIncomplete || now.Sub(s.listReadAt) > maxReaderListAge {
 		return
 	}
 	answer := notice.StoreState{ID: query.ID, Digest: s.digest()}
 	if s.state.table != nil {
-		if age > maxReaderConfirmationAge {
+		if age > maxReaderConfirmationAge && !s.config.settling(now) {
 			return
 		}
 		answer.Version, answer.AgeMS = s.version(), uint32(age.Milliseconds())
 	}
-	out.Emit(SendMessage{Hosts: []string{host}, Message: notice.Message{StoreState: &answer}})
+	out.Emit(SendMessage{Hosts: []string{host}, Message: notice.Message{StoreState: &answer, Era: s.state.listPosition.Era}})
 }
 
 // handleAnswer compares the state of a reader with that of this process. The
 // confirmation counts from when the query was sent, so that a pause of the process
-// before it handles the answer does not extend the trust in keys.
-func (s *storeStage) handleAnswer(now time.Time, state *notice.StoreState, out *control.Output) {
+// before it handles the answer does not extend the trust in keys. The list of a reader that
+// is still in an earlier era is not compared.
+func (s *storeStage) handleAnswer(now time.Time, era uint64, state *notice.StoreState, out *control.Output) {
 	query, ok := s.pending[state.ID]
 	if !ok {
 		return
 	}
 	delete(s.pending, state.ID)
 	s.retryQueryAt, s.missedAnswers[query.host] = time.Time{}, 0
+	s.noteVersion(now, query.host, state.Version)
+	s.correctVersion(query.host, state.Version, out)
 	switch {
 	case state.Version == 0:
 		s.noConfigAt = now
@@ -374,17 +390,16 @@
 		s.handleMissedOffer(now, state.Version, out)
 	default:
 		confirmedAt := query.bootTime - time.Duration(state.AgeMS+1)*time.Millisecond
-		s.confirmedAt = max(s.confirmedAt, confirmedAt)
 		s.config.confirm(confirmedAt)
 	}
 	s.lastAnswerAt = now
 	switch {
+	case era < s.state.listPosition.Era:
 	case state.Digest != s.digest():
 		emitLog(out, "list of backend servers differs from that of a store reader", map[string]any{"host": query.host})
 		out.Emit(FetchServers{Host: query.host})
-	case !s.state.listConfirmed:
-		s.state.listConfirmed = true
-		out.Publish()
+	default:
+		s.servers.confirmList(now, era, out)
 	}
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -36,6 +36,10 @@
 			}
 			return 0
 		},
+		"ragwortyard_store_era": func() float64 { return float64(s.loop.Snapshot().ListPosition.Era) },
+		"ragwortyard_store_entries_held_total": func() float64 {
+			return float64(s.loop.Snapshot().HeldEntries)
+		},
 		"ragwortyard_hosts": func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
 	for name, read := range gauges {
--- a/sidecar/peerfetch.go
+++ b/sidecar/peerfetch.go
@@ -97,6 +97,7 @@
 		f.log.Warn("cannot use the list of backend servers of a peer", zap.String("host", wanted.Host), zap.Error(err))
 		return mesh.ServersNotFetched{}
 	}
+	list.Host = wanted.Host
 	return list
 }
 
