--- a/control/mesh/configsources.go
+++ b/control/mesh/configsources.go
@@ -65,10 +65,14 @@
 		return
 	}
 	if version > s.named.version {
-		s.named.fetchAt = now.Add(namedFetchDelay)
-		if s.isReader {
-			s.named.fetchAt = now.Add(readerNamedFetchDelay)
+		delay := namedFetchDelay
+		switch {
+		case s.config.settling(now):
+			delay = 0 // the store has lost it, or peers would not name it first
+		case s.isReader:
+			delay = readerNamedFetchDelay
 		}
+		s.named.fetchAt = now.Add(delay)
 	}
 	s.named.version, s.named.host = version, host
 }
