mesh: the order of eras in one file

Cause: the era that a process knows was recorded beside the comparison of positions. Change: noteEra moves to storereturn.go. Result: go test ./control/mesh ./internal/archtest ./filters/... passes.

--- a/control/mesh/position.go
+++ b/control/mesh/position.go
@@ -1,9 +1,6 @@
 package mesh
 
-import (
-	"cmp"
-	"time"
-)
+import "cmp"
 
 // StorePosition is a point in the history of the platform's store. The store counts an
 // era up when it comes back from a copy; its revisions are lower then and are given out
@@ -17,12 +14,3 @@
 func (p StorePosition) Compare(q StorePosition) int {
 	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
 }
-
-// noteEra records an era that the store or a store reader named. The first one is no
-// change.
-func (s *state) noteEra(now time.Time, era uint64) {
-	if s.eraKnown && era > s.era {
-		s.eraChangedAt = now
-	}
-	s.era, s.eraKnown = max(s.era, era), true
-}
--- a/control/mesh/storereturn.go
+++ b/control/mesh/storereturn.go
@@ -39,6 +39,15 @@
 	copyPosition StorePosition
 }
 
+// noteEra records an era that the store or a store reader named. The first one is no
+// change.
+func (s *state) noteEra(now time.Time, era uint64) {
+	if s.eraKnown && era > s.era {
+		s.eraChangedAt = now
+	}
+	s.era, s.eraKnown = max(s.era, era), true
+}
+
 // advancePosition moves the position of the list forward.
 func (s *serversStage) advancePosition(now time.Time, at StorePosition, out *control.Output) {
 	if at.Era > s.state.listPosition.Era {
