--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -31,6 +31,8 @@
 	Removed  []string
 	Source   ListSource
 	Host     string // of the reader, if FromReader
+	// Evacuations is the set of evacuated zones of the reader; nil if it sent none.
+	Evacuations *EvacuationsRead
 }
 
 // position returns the position of the store at which the list was read.
@@ -199,6 +201,7 @@
 	if returned {
 		s.logReturn(s.state.heldEntries-held, out)
 	}
+	s.repeatWarmUps(ev, out)
 	first := !s.listKnown
 	s.listKnown = true
 	s.publishChange(now, &change, first, out)
@@ -257,17 +260,20 @@
 	}
 }
 
-// EncodeServerList encodes the list of backend servers of a store reader for
-// FetchServers. It returns nil if the process is no reader or has not read the whole list.
-func EncodeServerList(snap *Snapshot) ([]byte, error) {
+// EncodeServerList encodes the list of backend servers of a store reader, and its set of
+// evacuated zones, for FetchServers. It returns nil if the process is no reader or has not
+// read the whole list.
+func EncodeServerList(now time.Time, snap *Snapshot) ([]byte, error) {
 	if !snap.StoreReader || !snap.ListComplete {
 		return nil, nil
 	}
 	list := notice.ServerListChange{Revision: snap.ListPosition.Revision}
 	for _, server := range snap.Listed {
+		server.WarmUpLeft = max(server.WarmUpLeft-now.Sub(snap.ListedAt), 0)
 		list.Put = append(list.Put, encodeServer(server))
 	}
-	return notice.Encode(notice.Message{ServerListChange: &list, Era: snap.ListPosition.Era})
+	message := notice.Message{ServerListChange: &list, Era: snap.ListPosition.Era}
+	return notice.Encode(withEvacuations(message, snap.Evacuations))
 }
 
 // DecodeServerList decodes the list of a store reader.
@@ -283,6 +289,10 @@
 	for _, entry := range message.ServerListChange.Put {
 		read.Put = append(read.Put, decodeServer(entry, message.Era))
 	}
+	if message.Evacuations != nil {
+		evacuations := decodeEvacuations(&message)
+		read.Evacuations = &evacuations
+	}
 	return read, nil
 }
 
@@ -316,7 +326,7 @@
 		delete(s.removed, server.ID)
 	}
 	fresh := old == nil || old.StartUnixMS != server.StartUnixMS || old.Host != server.Host
-	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) {
+	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) && !s.coldAgain(now, old, &server) {
 		old.Era, old.Revision = server.Era, server.Revision
 		return false
 	}
--- a/control/mesh/storereturn_test.go
+++ b/control/mesh/storereturn_test.go
@@ -116,7 +116,7 @@
 			p.post(MessageReceived{Host: "10.0.0.2", Message: notice.Message{Era: 2, ServerListChange: &notice.ServerListChange{Revision: 51, Put: []notice.Server{encodeServer(drains)}}}})
 		},
 		"list of a reader": func(p *testProcess) {
-			data, err := EncodeServerList(&Snapshot{StoreReader: true, ListComplete: true, ListPosition: StorePosition{Era: 2, Revision: 51}, Listed: []Server{drains}})
+			data, err := EncodeServerList(p.now, &Snapshot{StoreReader: true, ListComplete: true, ListPosition: StorePosition{Era: 2, Revision: 51}, Listed: []Server{drains}})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -217,7 +217,7 @@
 	if announced := answers(); before != 1 || announced != 0 {
 		t.Errorf("%d answers before the return, %d after news of it, want 1 and none", before, announced)
 	}
-	if list, err := EncodeServerList(p.loop.Snapshot()); list != nil || err != nil {
+	if list, err := EncodeServerList(p.now, p.loop.Snapshot()); list != nil || err != nil {
 		t.Errorf("offers a list that it has not read, %v", err)
 	}
 }
@@ -262,7 +262,7 @@
 
 // drill brings the store of a fleet back from a copy.
 func (f *testFleet) drill(era, revision uint64, servers []Server) {
-	f.storeEra, f.storeRev, f.storeServers, f.storeAway = era, revision, servers, false
+	f.storeEra, f.storeRev, f.storeServers, f.storeDown = era, revision, servers, false
 }
 
 // checkServers reports processes, except that on one host, that list a server that left, or a
@@ -302,7 +302,7 @@
 			f.publishVersion(era)
 			f.advance(time.Duration(rapid.IntRange(1000, 4000).Draw(rt, "known_ms")) * time.Millisecond)
 			newest := f.storeTable
-			f.storeAway = true
+			f.storeDown = true
 			f.advance(time.Duration(rapid.IntRange(0, 2500).Draw(rt, "away_ms")) * time.Millisecond)
 			f.drill(era, uint64(rapid.IntRange(50, 300).Draw(rt, "revision")), copied)
 			f.storeTable = f.table
