--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -37,6 +37,7 @@
 	firstStart   bool            // the whole fleet starts for the first time
 	storeTable   *routing.Table  // in the store, if processes read it; nil if reads get no answer
 	storeServers []Server        // in the store, if processes read it; nil if reads get no answer
+	storeEra     uint64          // of all answers of the store
 	storeRev     uint64          // revision of the store
 	storeDown    bool            // the store answers nobody
 	evacuations  bool            // availability zones may be evacuated
@@ -272,19 +273,29 @@
 			continue
 		}
 		f.postEvacuations(p)
-		p.post(ServerListRead{Complete: true, Revision: f.storeRev, Put: f.storeServers})
+		p.post(f.readServers())
 		if f.storeTable != nil {
 			p.post(TableRead{Table: f.storeTable})
-			p.post(TableConfirmed{BootTime: p.bootClock()})
+			p.post(TableConfirmed{BootTime: p.bootClock(), Era: f.storeEra})
 		}
 	}
 	f.after(interval, f.followStore)
 }
 
+// readServers returns the list that the store holds.
+func (f *testFleet) readServers() ServerListRead {
+	read := ServerListRead{Complete: true, Era: f.storeEra, Revision: f.storeRev}
+	for _, server := range f.storeServers {
+		server.Era = f.storeEra
+		read.Put = append(read.Put, server)
+	}
+	return read
+}
+
 // postEvacuations posts the evacuated zones in the store to a process.
 func (f *testFleet) postEvacuations(p *fleetProcess) {
 	if f.evacuations {
-		p.post(EvacuationsRead{Position: StorePosition{Revision: f.storeRev}, Zones: f.storeZones})
+		p.post(EvacuationsRead{Position: StorePosition{Era: f.storeEra, Revision: f.storeRev}, Zones: f.storeZones})
 	}
 }
 
@@ -319,16 +330,16 @@
 	}
 	if read.Config && f.storeTable != nil {
 		f.tableReads++
-		table := f.storeTable
+		table, era := f.storeTable, f.storeEra
 		f.after(delay, func() {
 			p.post(TableRead{Table: table})
-			p.post(TableConfirmed{BootTime: p.bootClock() - delay})
+			p.post(TableConfirmed{BootTime: p.bootClock() - delay, Era: era})
 		})
 	}
 	if !read.Servers || f.storeServers == nil {
 		return
 	}
-	list := ServerListRead{Complete: true, Revision: f.storeRev, Put: f.storeServers}
+	list := f.readServers()
 	if read.Stale {
 		f.staleReads++
 		list.Source = FromStaleStore
@@ -357,7 +368,7 @@
 	f.fetches++
 	f.after(f.between(2*time.Millisecond, 100*time.Millisecond), func() {
 		reader := f.peerOf(p, fetch.Host)
-		if reader == nil || !reader.StoreReader {
+		if reader == nil || !reader.StoreReader || !reader.ListComplete {
 			p.post(ServersNotFetched{})
 			return
 		}
@@ -369,6 +380,7 @@
 		if err != nil {
 			panic(err)
 		}
+		list.Host = fetch.Host
 		p.post(list)
 	})
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -42,6 +42,10 @@
 		"ragwortyard_ahead_bytes":                  func() float64 { return float64(s.ahead.Stats().Bytes) },
 		"ragwortyard_ahead_connections_at_a_bound": func() float64 { return float64(s.ahead.Stats().AtBound) },
 		"ragwortyard_zones_evacuated":              func() float64 { return float64(len(s.loop.Snapshot().Evacuated)) },
+		"ragwortyard_store_era":                    func() float64 { return float64(s.loop.Snapshot().ListPosition.Era) },
+		"ragwortyard_store_entries_held_total": func() float64 {
+			return float64(s.loop.Snapshot().HeldEntries)
+		},
 		"ragwortyard_evacuation_refused_attempts_total": func() float64 {
 			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
 		},
