--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -9,7 +9,9 @@
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/belief"
+	"github.com/ragwortyard/ragwortyard/decide/room"
 	"github.com/ragwortyard/ragwortyard/decide/selection"
+	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -25,6 +27,9 @@
 	case ctx.Err() == nil:
 		target.Live.RecordPathFailure(time.Now())
 	}
+	if answer.Result.Code == pipeline.CodeOK {
+		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
+	}
 	if answer.HasLoad {
 		target.Live.SetLoad(&answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
@@ -41,7 +46,7 @@
 		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID),
 		zap.String("backend", target.ID), zap.String("host", target.Host),
 		zap.Float64("bad", candidate.GrayFailureProbability), zap.Int64("evidence_ms", candidate.EvidenceAge.Milliseconds()),
-		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Bool("same_zone", candidate.SameZone),
+		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Bool("same_zone", candidate.SameZone), zap.Float64("leave_cost", candidate.LeaveCost),
 		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
 		zap.Int64("took_ms", took.Milliseconds()))
 }
@@ -62,7 +67,6 @@
 		TargetLatency: r.req.Class.TargetLatency,
 		TimeLeft:      time.Until(r.req.Deadline),
 		Retryable:     r.possiblyExecuted+1 < r.req.MaxAttempts && r.budget.retryLikelyAvailable(now),
-		Bytes:         len(r.req.Payload) + typicalResponseBytes,
 	}
 	index := selection.Choose(properties, candidates, newRand())
 	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
@@ -75,16 +79,49 @@
 	return targets[index], candidates[index]
 }
 
+// leaveCost returns what the request has to gain by leaving the zone for a server.
+func (r *requestState) leaveCost(snap *mesh.Snapshot, target *mesh.Target) float64 {
+	if target.SameZone {
+		return 0
+	}
+	service := r.req.Service
+	return room.LeaveCost(snap.Rooms.Utilization(service, r.filter.Zone), snap.Rooms.Utilization(service, target.Zone),
+		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
+}
+
+// isFull reports whether the queue of a server's exit proxy was full when it last reported.
+// waiting is the number of waiting requests that a request would not go before.
+func isFull(target *mesh.Target, waiting int) bool {
+	return waiting >= slotqueue.MaxWaitingPerSlot*target.Slots
+}
+
+// timeUntilRoom estimates when a server can accept the request: the shortest wait at those
+// that it may be sent to. It is jittered by a quarter, so that refused requests do not all
+// return at the same time. It returns 0 if no server accepts requests at all.
+func (r *requestState) timeUntilRoom() time.Duration {
+	snap, now := r.filter.Snapshot(), time.Now()
+	var shortest time.Duration
+	for _, target := range snap.Services[r.req.Service] {
+		if target.Draining || target.Live.Leaving() || target.Live.Health().RefusesAttempts {
+			continue
+		}
+		candidate := r.candidate(now, snap, target)
+		wait := max(candidate.EstimatedWait(), candidate.MeanServiceTime/time.Duration(max(candidate.Slots, 1)), time.Millisecond)
+		if shortest == 0 || wait < shortest {
+			shortest = wait
+		}
+	}
+	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(shortest))
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // candidate describes a backend server for the selection.
 func (r *requestState) candidate(now time.Time, snap *mesh.Snapshot, target *mesh.Target) selection.Candidate {
 	health := target.Live.Health()
 	running, waiting, urgent := target.Live.Load()
-	// Urgent requests go before others in the queue. For calls by backend servers the
-	// whole queue counts nevertheless, since the request that makes the call holds a
-	// slot elsewhere while the call waits.
-	if r.req.Rank <= pipeline.MaxUrgentRank && r.req.ParentID == "" {
+	// Urgent requests, calls of backend servers among them, go before others in the queue.
+	if r.req.Rank <= pipeline.MaxUrgentRank {
 		waiting = urgent
 	}
 	limit, startWait := target.Live.Limit(now)
@@ -99,9 +136,10 @@
 		StartWait:              startWait,
 		WarmUpLeft:             target.WarmUpUntil.Sub(now),
 		SameZone:               target.SameZone,
+		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
