httpahead: nothing runs ahead behind a request that the server refuses

Cause: requests behind the server's current one started as soon as its last byte was passed on, before net/http had checked it. Behind a request that it refuses (a field name with a space in place of Content-Length, a chunk that does not end with CRLF), the bytes that ran could belong to the body of that request. Change: they start with the read by which net/http notices a caller who leaves. It begins once the request is accepted and its body is read. A connection no longer counts as at a bound once the request that waited is passed on.

--- a/internal/httpahead/conn.go
+++ b/internal/httpahead/conn.go
@@ -76,7 +76,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.frame.state == complete {
-		if len(p) == 1 { // net/http detects in this way that the caller leaves
+		// net/http detects in this way that the caller leaves, once it has accepted the
+		// request and the handler has read its body.
+		if len(p) == 1 {
+			if !c.ending && !isPast(c.deadline) {
+				c.startRequests()
+			}
 			return 0, c.readAhead(true)
 		}
 		if err := c.awaitTurn(); err != nil {
@@ -112,7 +117,6 @@
 		c.answered.Store(false)
 		c.ending = false
 		c.sealed = c.sealed || c.frame.head.last
-		c.startRequests()
 	}
 	return size, nil
 }
@@ -156,6 +160,7 @@
 // dropBuffered removes bytes from the beginning of the buffer.
 func (c *conn) dropBuffered(n int) {
 	c.blocked = false
+	c.setAtBound(false)
 	c.since = c.readAt
 	c.buf = c.buf[:copy(c.buf, c.buf[n:])]
 	if len(c.buf) == 0 {
--- a/internal/httpahead/httpahead_test.go
+++ b/internal/httpahead/httpahead_test.go
@@ -311,6 +311,30 @@
 	}
 }
 
+// Guards against requests that run although they lie in the bytes of a request before them that the server refuses.
+func TestNothingRunsBehindARefusedRequest(t *testing.T) {
+	for name, first := range map[string]string{
+		"field name":  "POST /1 HTTP/1.1\r\nHost: a\r\nContent Length: 40\r\n\r\n",
+		"field value": "POST /1 HTTP/1.1\r\nHost: a\r\nX: \x01\r\n\r\n",
+		"chunk end":   "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, before := range []string{"", get("/0?wait=10ms")} {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t, testOptions)
+					f.send(before + first + get("/2"))
+					if _, err := io.ReadAll(f.reader); err != nil {
+						t.Error(err)
+					}
+					if _, ran := f.ranPath("/2"); ran {
+						t.Error("the request behind has run")
+					}
+				})
+			}
+		})
+	}
+}
+
 // Guards against an answer that is cut but looks complete because another one follows.
 func TestAbortedAnswerEndsTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
