slotqueue, dispatch: entries and exits agree when a queue is full

Cause: the queue of an exit proxy holds 16 requests, four for each of the slots that it assumes before the server is listed, whatever the number of slots then is. Entry proxies took it for full at four for each listed slot: for servers of five or more slots full queues were asked nevertheless, for servers of two or three slots queues with room were not. Change: one constant for both. The size of the queue is as before. Result: TestFullQueueHasTheSizeOfTheExitProxysQueue failed before with 2, 5 and 8 slots and passes.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,8 +15,8 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
-// MaxWaitingPerSlot limits the queue to about four service times.
-const MaxWaitingPerSlot = 4
+// MaxWaiting is the maximum number of requests that wait for the slots of a server.
+const MaxWaiting = 16
 
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -89,11 +89,9 @@
 		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
 }
 
-// isFull reports whether the queue of a server's exit proxy was full when it last reported.
-// waiting is the number of waiting requests that a request would not go before.
-func isFull(target *mesh.Target, waiting int) bool {
-	return waiting >= slotqueue.MaxWaitingPerSlot*target.Slots
-}
+// isFull reports whether the queue of a server's exit proxy is full. waiting is the number of
+// waiting requests that a request would not go before, as last reported.
+func isFull(waiting int) bool { return waiting >= slotqueue.MaxWaiting }
 
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
@@ -139,7 +137,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: isFull(waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -282,3 +283,27 @@
 		}
 	})
 }
+
+// Guards against entry proxies that judge by another limit than the exit proxy's whether a queue is full.
+func TestFullQueueHasTheSizeOfTheExitProxysQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, slots := range []int{2, 4, 5, 8} {
+			for waiting, want := range map[int]int{slotqueue.MaxWaiting - 1: 1, slotqueue.MaxWaiting: 0} {
+				snap := snapshot()
+				for _, target := range snap.Services["roster"] {
+					target.Slots = slots
+					target.Live.SetLoad(&pipeline.Load{Running: slots, Waiting: waiting, Urgent: waiting, Slots: slots})
+				}
+				sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+				f := &Filter{
+					Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+					Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+				}
+				f.Handle(t.Context(), request(true))
+				if len(sender.sent) != want {
+					t.Errorf("%d slots, %d requests wait: sent %d times, want %d", slots, waiting, len(sender.sent), want)
+				}
+			}
+		}
+	})
+}
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -95,7 +95,7 @@
 // postEvent sends an event to the control loop without waiting.
 func NewQueue(slots int, postEvent func(control.Event) bool) *Queue {
 	q := &Queue{
-		queue:         slotqueue.New(slots, slotqueue.MaxWaitingPerSlot*slots),
+		queue:         slotqueue.New(slots, slotqueue.MaxWaiting),
 		arrivals:      make(chan *ticket, channelCapacity),
 		departures:    make(chan departure, channelCapacity),
 		cancellations: make(chan uint64, channelCapacity),
