selection: the sample is filled from other zones

Cause: of a service with more than 12 servers, requests compared only four in other zones, also where their own zone had none (it was evacuated, or all its servers were tried): with three in ten servers in a gray failure, one sample in 120 held no healthy one. Change: as many more from other zones as the zone lacks, six in all. Result: TestSampleIsFilledFromOtherZones failed before and passes.

--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -84,8 +84,9 @@
 const (
 	// minSampled is the number of servers above which a random sample is compared.
 	minSampled = 12
-	// maxCompared is the size of the sample. With three in ten servers in a gray failure,
-	// one sample in a thousand holds no healthy one.
+	// maxCompared is the size of the sample in the zone, and the minimum size of the whole
+	// sample. With three in ten servers in a gray failure, one sample in a thousand holds no
+	// healthy one.
 	maxCompared          = 6
 	maxComparedElsewhere = 4
 )
@@ -94,7 +95,7 @@
 const defaultServiceTime = 500 * time.Millisecond
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if all are
-// excluded. It compares at most maxCompared candidates of a large service.
+// excluded. It compares only a sample of the candidates of a large service.
 func Choose(r Request, candidates []Candidate, random *rand.Rand) int {
 	compared := sample(candidates, random)
 	known := costWithoutRetry(r, candidates, compared)
@@ -123,7 +124,8 @@
 	if len(local)+len(remote) <= minSampled {
 		return append(local, remote...)
 	}
-	return append(draw(local, maxCompared, random), draw(remote, maxComparedElsewhere, random)...)
+	elsewhere := max(maxComparedElsewhere, maxCompared-len(local))
+	return append(draw(local, maxCompared, random), draw(remote, elsewhere, random)...)
 }
 
 // draw returns at most n elements, chosen at random. It changes the order of indexes.
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -147,3 +147,16 @@
 		t.Errorf("estimated wait %v, want %v", wait, limited.StartWait)
 	}
 }
+
+// Guards against a sample that is too small for a healthy server if the own zone has few or none.
+func TestSampleIsFilledFromOtherZones(t *testing.T) {
+	for local, want := range map[int]int{0: maxCompared, 1: maxCompared, 3: 3 + maxComparedElsewhere, 10: maxCompared + maxComparedElsewhere} {
+		candidates := make([]Candidate, local+2*minSampled)
+		for i := range local {
+			candidates[i].SameZone = true
+		}
+		if got := len(sample(candidates, newRand())); got != want {
+			t.Errorf("%d servers in the zone: compares %d, want %d", local, got, want)
+		}
+	}
+}
