mesh, dispatch: an old report of a full queue does not count

Cause: a server whose exit proxy last reported a full queue was not asked. If no status arrived any more (a path that loses datagrams), no request was sent to it either, so no answer told that there was room again. Change: such a report counts for the time after which a peer counts as lost. SetLoad takes the time; the calls in the tests are changed accordingly. Result: TestServerIsAskedAgainIfItsReportOfAFullQueueIsOld failed before (no attempt, 503) and passes.

--- a/control/mesh/health.go
+++ b/control/mesh/health.go
@@ -204,7 +204,7 @@
 			continue
 		}
 		health := server.live.Health()
-		server.live.SetLoad(load)
+		server.live.SetLoad(now, load)
 		server.live.SetLimit(now, load)
 		health.MeanServiceTime = load.MeanServiceTime
 		status.RefusesAttempts = s.state.refusesAttempts || server.live.Leaving()
@@ -325,7 +325,7 @@
 	if message.BackendLimit != nil {
 		s.receiveLimit(host, message.BackendLimit, &load, out)
 	}
-	server.live.SetLoad(&load)
+	server.live.SetLoad(now, &load)
 	server.live.SetLimit(now, &load)
 	server.live.health.Store(&Health{
 		BadProbability:  float64(status.BadProbability),
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -51,6 +51,7 @@
 	running         atomic.Int32 // as its exit proxy last reported in a status or a response
 	waiting         atomic.Int32
 	urgent          atomic.Int32
+	loadReportedAt  atomic.Int64 // in nanoseconds since timeBase
 	inFlight        atomic.Int32
 	limit           atomic.Pointer[observedLimit]
 	leaving         atomic.Bool  // an answer of the server said that it is leaving
@@ -65,7 +66,8 @@
 func (l *LiveState) Health() Health { return *l.health.Load() }
 
 // SetLoad records the load that the server's exit proxy reported.
-func (l *LiveState) SetLoad(load *pipeline.Load) {
+func (l *LiveState) SetLoad(now time.Time, load *pipeline.Load) {
+	l.loadReportedAt.Store(int64(now.Sub(timeBase)))
 	l.running.Store(int32(load.Running))
 	l.waiting.Store(int32(load.Waiting))
 	l.urgent.Store(int32(load.Urgent))
@@ -78,6 +80,11 @@
 	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load()), int(l.urgent.Load())
 }
 
+// LoadReportedWithin reports whether the exit proxy reported its load within the last d.
+func (l *LiveState) LoadReportedWithin(now time.Time, d time.Duration) bool {
+	return now.Sub(timeBase.Add(time.Duration(l.loadReportedAt.Load()))) < d
+}
+
 // observedLimit is the rate limit of a backend server as its exit proxy last reported it.
 type observedLimit struct {
 	limit     pipeline.RateLimit
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -31,7 +31,7 @@
 		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
 	}
 	if answer.HasLoad {
-		target.Live.SetLoad(&answer.Load)
+		target.Live.SetLoad(time.Now(), &answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
 		if answer.Load.Leaving {
 			target.Live.MarkLeaving()
@@ -90,8 +90,11 @@
 }
 
 // isFull reports whether the queue of a server's exit proxy is full. waiting is the number of
-// waiting requests that a request would not go before, as last reported.
-func isFull(waiting int) bool { return waiting >= slotqueue.MaxWaiting }
+// waiting requests that a request would not go before, as last reported. An old report does
+// not count: if no further one arrives, only an answer tells that there is room again.
+func isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target, waiting int) bool {
+	return waiting >= slotqueue.MaxWaiting && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
+}
 
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
@@ -137,7 +140,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: isFull(waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: isFull(now, snap, target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -170,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		snap := snapshot()
 		for _, target := range snap.Services["roster"] {
-			target.Live.SetLoad(&pipeline.Load{Running: 7, Waiting: 60, Urgent: 0, Slots: 7})
+			target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: 60, Urgent: 0, Slots: 7})
 		}
 		for rank, waiting := range map[int]int{pipeline.MaxUrgentRank: 0, pipeline.MaxUrgentRank + 1: 60} {
 			req := request(true)
@@ -260,7 +260,7 @@
 		snap := snapshot()
 		full := pipeline.Load{Running: 7, Waiting: 28, Urgent: 28, Slots: 7}
 		for _, target := range snap.Services["roster"][1:] {
-			target.Live.SetLoad(&full)
+			target.Live.SetLoad(time.Now(), &full)
 		}
 		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
 		f := &Filter{
@@ -275,7 +275,7 @@
 				t.Fatalf("a server with a full queue was asked")
 			}
 		}
-		snap.Services["roster"][0].Live.SetLoad(&full)
+		snap.Services["roster"][0].Live.SetLoad(time.Now(), &full)
 		start, sent := time.Now(), len(sender.sent)
 		result := f.Handle(t.Context(), request(true))
 		if len(sender.sent) != sent || time.Since(start) > 0 || result.Code != pipeline.CodeQueueFull || result.RetryAfter < time.Second {
@@ -292,7 +292,7 @@
 				snap := snapshot()
 				for _, target := range snap.Services["roster"] {
 					target.Slots = slots
-					target.Live.SetLoad(&pipeline.Load{Running: slots, Waiting: waiting, Urgent: waiting, Slots: slots})
+					target.Live.SetLoad(time.Now(), &pipeline.Load{Running: slots, Waiting: waiting, Urgent: waiting, Slots: slots})
 				}
 				sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
 				f := &Filter{
@@ -307,3 +307,22 @@
 		}
 	})
 }
+
+// Guards against servers that are never asked again because their last report, of a full queue, was followed by none.
+func TestServerIsAskedAgainIfItsReportOfAFullQueueIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		for _, target := range snap.Services["roster"] {
+			target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: slotqueue.MaxWaiting, Urgent: slotqueue.MaxWaiting, Slots: 7})
+		}
+		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+		f := &Filter{
+			Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+			Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+		}
+		time.Sleep(snap.PeerTimeout)
+		if result := f.Handle(t.Context(), request(true)); len(sender.sent) != 1 || result.Status != 200 {
+			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
+		}
+	})
+}
