dispatch: callers without a key are not refused as calls of retried requests

Cause: a request without a team counted as a call of a backend server. Without a known parent the probability of a retry is the share of retries at the server of this host, which is 1 if that runs one request, a retry. Callers of routes without keys were then refused with 3006 once the retry budget was spent. Change: a request that names no parent is charged as before and never refused. Result: TestCallerWithoutKeyIsNotRefusedForTheRetriesOfOthers failed before and passes.

--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -119,7 +119,7 @@
 		queueFull: make(map[string]bool),
 	}
 	r.budget.Deposit(time.Now())
-	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
+	if req.Principal.Team == "" && !r.chargeCall(ctx) {
 		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
 	}
 	if !r.send(ctx) {
@@ -128,6 +128,18 @@
 	return r.awaitResult(ctx)
 }
 
+// chargeCall charges a request without a team to the retry budget, since a call of a retried
+// request is a retry, too. It reports false if the call has to be refused. A request that
+// names no parent may be a caller's, where requests need no key, and is never refused.
+func (r *requestState) chargeCall(ctx context.Context) bool {
+	probability := r.filter.RetryProbability(r.req.ParentID)
+	if r.req.ParentID == "" {
+		r.budget.Charge(time.Now(), probability)
+		return true
+	}
+	return r.filter.Budgets.chargeCall(ctx, r.budget, r.req.Service, probability)
+}
+
 func (r *requestState) awaitResult(ctx context.Context) *pipeline.Result {
 	end := time.NewTimer(time.Until(r.req.Deadline) + responseGrace)
 	defer end.Stop()
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -326,3 +326,26 @@
 		}
 	})
 }
+
+// Guards against requests without a key that are refused as calls of a retried request although no backend server made them.
+func TestCallerWithoutKeyIsNotRefusedForTheRetriesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+		f := &Filter{
+			Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+			Budgets:          &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)},
+			RetryProbability: func(string) float64 { return 1 }, // all requests at the server of this host are retries
+			Log:              zap.NewNop(),
+		}
+		req := request(true)
+		req.Principal = pipeline.Principal{}
+		if result := f.Handle(t.Context(), req); result.Code != pipeline.CodeOK {
+			t.Errorf("without a parent: %+v", result)
+		}
+		req.ParentID = "parent"
+		if result := f.Handle(t.Context(), req); result.Code != pipeline.CodeRetriesSpent {
+			t.Errorf("of a retried parent: %+v", result)
+		}
+	})
+}
