--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -103,7 +103,7 @@
 	snap, now := r.filter.Snapshot(), time.Now()
 	var shortest time.Duration
 	for _, target := range snap.Services[r.req.Service] {
-		if target.Draining || target.Live.Leaving() || target.Live.Health().RefusesAttempts {
+		if target.Evacuated || target.Draining || target.Live.Leaving() || target.Live.Health().RefusesAttempts {
 			continue
 		}
 		candidate := r.candidate(now, snap, target)
@@ -140,7 +140,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: isFull(now, snap, target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Evacuated || isFull(now, snap, target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -40,7 +40,12 @@
 		"ragwortyard_ahead_held_answers":           func() float64 { return float64(s.ahead.Stats().HeldAnswers) },
 		"ragwortyard_ahead_bytes":                  func() float64 { return float64(s.ahead.Stats().Bytes) },
 		"ragwortyard_ahead_connections_at_a_bound": func() float64 { return float64(s.ahead.Stats().AtBound) },
-		"ragwortyard_hosts":                        func() float64 { return float64(s.loop.Snapshot().Hosts) },
+		"ragwortyard_zones_evacuated":              func() float64 { return float64(len(s.loop.Snapshot().Evacuated)) },
+		"ragwortyard_evacuation_refused_attempts_total": func() float64 {
+			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
+		},
+		"ragwortyard_cold_refused_attempts_total": func() float64 { return float64(s.queue.ColdRefusals()) },
+		"ragwortyard_hosts":                       func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
 	for name, read := range gauges {
 		s.metrics.NewGauge(name, read)
