slotqueue: other requests get their places in a queue full of calls

Cause: other requests keep a quarter of the places, but one that arrived while calls filled the queue was refused: it would have displaced the last call, which goes before it, and that was taken for no gain. A service that calls overload has a full queue most of the time. Change: up to its share, such a request displaces the last call.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -141,7 +141,7 @@
 	})
 	victim := -1
 	if len(q.items) >= q.maxWaiting {
-		if victim = q.displacedBy(item); victim < position {
+		if victim = q.displacedBy(item, position); victim < 0 {
 			return Refused, nil
 		}
 	}
@@ -154,6 +154,9 @@
 	}
 	if victim >= 0 {
 		displaced = append(displaced, q.removeAt(victim))
+		if victim < position {
+			position--
+		}
 	}
 	q.items = slices.Insert(q.items, position, item)
 	if item.IsCall {
@@ -162,18 +165,22 @@
 	return Queued, displaced
 }
 
-// displacedBy returns the position in the full queue of the request that yields to an item,
-// which may be that of a request which goes before it: the last call if the other requests
+// displacedBy returns the position in the full queue of the request that yields to an item
+// at the given position, or -1 if the item itself does: the last call if the other requests
 // have no more places than their share, else the last of all.
-func (q *Queue) displacedBy(item Item) int {
+func (q *Queue) displacedBy(item Item, position int) int {
 	others := len(q.items) - q.calls
 	if !item.IsCall {
 		others++
 	}
+	last, yields := len(q.items)-1, position == len(q.items)
 	if others <= q.maxWaiting/minOtherShare {
-		return q.calls - 1
+		last, yields = q.calls-1, item.IsCall && position == q.calls
+	}
+	if yields {
+		return -1
 	}
-	return len(q.items) - 1
+	return last
 }
 
 // startsBefore returns how many waiting requests start before an item that is inserted at a
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -160,6 +160,36 @@
 	}
 }
 
+// Guards against requests that find no place in a queue full of calls, although a quarter of the places is theirs.
+func TestOtherRequestsGetTheirPlacesInAQueueFullOfCalls(t *testing.T) {
+	q := New(1, 16)
+	deadline := start.Add(time.Hour)
+	for id := range uint64(17) {
+		q.Push(start, Item{ID: id, IsCall: true, Deadline: deadline}, time.Hour)
+	}
+	for id := range uint64(5) {
+		result, displaced := q.Push(start, Item{ID: 100 + id, Deadline: deadline}, time.Hour)
+		switch {
+		case id < 4 && (result != Queued || len(displaced) != 1 || displaced[0].ID != 16-id):
+			t.Errorf("request %d: result %d, displaced %v", id, result, displaced)
+		case id == 4 && result != Refused:
+			t.Errorf("request %d: result %d beyond its share", id, result)
+		}
+	}
+	if result, _ := q.Push(start, Item{ID: 200, IsCall: true, Deadline: deadline}, time.Hour); result != Refused || q.Waiting() != 16 {
+		t.Errorf("result %d for a call at the end of the calls, %d wait", result, q.Waiting())
+	}
+	var order []uint64
+	for range 16 {
+		q.Release(Item{}, 0)
+		item, _ := q.Pop(start)
+		order = append(order, item.ID)
+	}
+	if want := []uint64{1, 2, 3, 100, 4, 5, 6, 101, 7, 8, 9, 102, 10, 11, 12, 103}; !slices.Equal(order, want) {
+		t.Errorf("order %v, want %v", order, want)
+	}
+}
+
 // Guards against short calls that are refused, since they would miss their deadline with the
 // service time of long requests in the same slots.
 func TestDeadlineOfCallsIsJudgedByTheServiceTimeOfCalls(t *testing.T) {
