dispatch: a queue full of calls is not full for other requests

Cause: entry proxies did not send to a queue that reported 16 waiting requests, whatever they were. The places that exit proxies keep for other requests than calls were thus never asked for while calls filled all queues. Change: less urgent requests are sent while fewer of them wait than have places. The report counts urgent requests of teams with the calls, so such a queue may be asked in vain; after three refusals the request is refused as before. Result: TestQueueFullOfCallsIsNotFullForOtherRequests failed before and passes.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -24,6 +24,8 @@
 const (
 	maxCallsInARow = 3
 	minOtherShare  = 4
+	// MinOthers is that number of places in a queue of MaxWaiting.
+	MinOthers = MaxWaiting / minOtherShare
 )
 
 // serviceTimeSmoothing is the number of requests in the moving average of the time
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -89,11 +89,16 @@
 		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
 }
 
-// isFull reports whether the queue of a server's exit proxy is full. waiting is the number of
-// waiting requests that a request would not go before, as last reported. An old report does
-// not count: if no further one arrives, only an answer tells that there is room again.
-func isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target, waiting int) bool {
-	return waiting >= slotqueue.MaxWaiting && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
+// isFull reports whether the queue of a server's exit proxy has no place for a request of the
+// given rank. Less urgent requests have places of their own. An old report does not count: if
+// no further one arrives, only an answer tells that there is room again.
+func isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target, rank int) bool {
+	_, waiting, urgent := target.Live.Load()
+	full := urgent >= slotqueue.MaxWaiting
+	if rank > pipeline.MaxUrgentRank {
+		full = waiting >= slotqueue.MaxWaiting && waiting-urgent >= slotqueue.MinOthers
+	}
+	return full && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
 }
 
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
@@ -140,7 +145,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Evacuated || isFull(now, snap, target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Evacuated || isFull(now, snap, target, r.req.Rank) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -349,3 +349,26 @@
 		}
 	})
 }
+
+// Guards against requests that are not sent to a queue full of calls, although the exit proxy has places for them.
+func TestQueueFullOfCallsIsNotFullForOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for others, want := range map[int]int{slotqueue.MinOthers - 1: 1, slotqueue.MinOthers: 0} {
+			snap := snapshot()
+			for _, target := range snap.Services["roster"] {
+				target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: slotqueue.MaxWaiting, Urgent: slotqueue.MaxWaiting - others, Slots: 7})
+			}
+			sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+			f := &Filter{
+				Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+				Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+			}
+			req := request(true)
+			req.Rank = pipeline.MaxUrgentRank + 1
+			f.Handle(t.Context(), req)
+			if len(sender.sent) != want {
+				t.Errorf("%d others wait: sent %d times, want %d", others, len(sender.sent), want)
+			}
+		}
+	})
+}
