room: the cost of leaving a zone is bounded

Change: at most 0.6. Up to 18 KB nothing changes. Result: TestLargeResponsesLeaveAFailingServer failed before with 40 KB and 4 MB and passes.

--- a/decide/room/room.go
+++ b/decide/room/room.go
@@ -72,6 +72,8 @@
 	// ten more often than one elsewhere.
 	leaveCost      = 0.05
 	leaveCostPerKB = 0.03
+	// maxLeaveCost keeps large requests from staying at a server that fails most of them.
+	maxLeaveCost = 0.6
 	// minLeaveShare is the part of that cost that remains when the zone has no room.
 	minLeaveShare = 0.2
 	// ampleUtilization and fullUtilization bound the range in which the cost falls.
@@ -86,7 +88,7 @@
 // to gain by leaving its zone, as a fraction of its value. local and other are the
 // utilizations of both zones.
 func LeaveCost(local, other float64, bytes int) float64 {
-	cost := leaveCost + leaveCostPerKB*float64(bytes)/1000
+	cost := min(leaveCost+leaveCostPerKB*float64(bytes)/1000, maxLeaveCost)
 	if other > local-minUtilizationGap {
 		return cost
 	}
--- a/decide/selection/zones_test.go
+++ b/decide/selection/zones_test.go
@@ -175,3 +175,16 @@
 		t.Errorf("%.2f of the requests leave a zone whose servers fail; %d failed", share, p.failed)
 	}
 }
+
+// Guards against requests with large responses that stay at a failing server of their zone.
+func TestLargeResponsesLeaveAFailingServer(t *testing.T) {
+	for _, bytes := range []int{2000, 40_000, 4 << 20} {
+		candidates := []Candidate{
+			{GrayFailureProbability: 0.9, Slots: 5, SameZone: true},
+			{GrayFailureProbability: 0.02, Slots: 5, LeaveCost: room.LeaveCost(0, 0, bytes)},
+		}
+		if Choose(Request{TargetLatency: time.Second, TimeLeft: 4 * time.Second}, candidates, newRand()) != 1 {
+			t.Errorf("a request with %d bytes stays", bytes)
+		}
+	}
+}
