--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,18 +15,19 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
-// MaxWaiting is the usual limit of waiting requests other than calls: one to four service
-// times on servers with four to sixteen slots. Twice as many calls may wait, which are shorter.
+// MaxWaiting is the maximum number of requests that wait for the slots of a server.
+const MaxWaiting = 16
+
+// While both wait, calls get callTimeShare times as much slot time as other requests, which keep
+// at least 1 in minOtherShare of the places in the queue. Otherwise a service that is
+// overloaded by calls would serve nothing else.
 const (
-	MaxWaiting      = 16
-	MaxWaitingCalls = callsPerWaiting * MaxWaiting
-	callsPerWaiting = 2
+	callTimeShare = 4
+	minOtherShare = 4
+	// MinOthers is that number of places in a queue of MaxWaiting.
+	MinOthers = MaxWaiting / minOtherShare
 )
 
-// maxCallsInARow is how many calls start before another request does while both wait. A
-// service that is overloaded by calls would serve nothing else without it.
-const maxCallsInARow = 3
-
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
 const serviceTimeSmoothing = 16
@@ -52,7 +53,7 @@
 // Queue grants a limited number of slots.
 type Queue struct {
 	slots           int
-	maxWaiting      int // maximum number of waiting requests other than calls
+	maxWaiting      int // maximum number of waiting requests
 	running         int
 	items           []Item        // calls, then others, each in the order in which they are served
 	calls           int           // number of calls in items
@@ -66,8 +67,8 @@
 	coldRate  startRate // while the server is cold
 }
 
-// New returns a queue for a server that runs slots requests at once. At most maxWaiting
-// requests wait, and twice as many calls.
+// New returns a queue for a server that runs slots requests at once. At most
+// maxWaiting requests wait.
 func New(slots, maxWaiting int) *Queue {
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
 }
@@ -126,8 +127,8 @@
 )
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
-// that is expected to wait for longer than maxWait. In a full queue, a request that goes
-// before the last one of its kind displaces it.
+// that is expected to wait for longer than maxWait. If the queue is full, a request that
+// goes before the last one displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
 	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.running++
@@ -140,12 +141,11 @@
 		}
 		return -1
 	})
-	full, last := len(q.items)-q.calls >= q.maxWaiting, len(q.items)-1
-	if item.IsCall {
-		full, last = q.calls >= callsPerWaiting*q.maxWaiting, q.calls-1
-	}
-	if full && position > last {
-		return Refused, nil
+	victim := -1
+	if len(q.items) >= q.maxWaiting {
+		if victim = q.displacedBy(item, position); victim < 0 {
+			return Refused, nil
+		}
 	}
 	wait := q.estimatedWaitAt(now, q.startsBefore(item, position))
 	if maxWait <= 0 || wait > maxWait {
@@ -154,8 +154,11 @@
 	if q.cannotFinish(now.Add(wait), item) {
 		return MissesDeadline, nil
 	}
-	if full {
-		displaced = append(displaced, q.removeAt(last))
+	if victim >= 0 {
+		displaced = append(displaced, q.removeAt(victim))
+		if victim < position {
+			position--
+		}
 	}
 	q.items = slices.Insert(q.items, position, item)
 	if item.IsCall {
@@ -164,14 +167,40 @@
 	return Queued, displaced
 }
 
+// displacedBy returns the position in the full queue of the request that yields to an item
+// at the given position, or -1 if the item itself does: the last call if the other requests
+// have no more places than their share, else the last of all.
+func (q *Queue) displacedBy(item Item, position int) int {
+	others := len(q.items) - q.calls
+	if !item.IsCall {
+		others++
+	}
+	last, yields := len(q.items)-1, position == len(q.items)
+	if others <= q.maxWaiting/minOtherShare {
+		last, yields = q.calls-1, item.IsCall && position == q.calls
+	}
+	if yields {
+		return -1
+	}
+	return last
+}
+
 // startsBefore returns how many waiting requests start before an item that is inserted at a
 // position.
 func (q *Queue) startsBefore(item Item, position int) int {
 	if item.IsCall {
-		return position + min(position/maxCallsInARow, len(q.items)-q.calls)
+		return position + min(position/q.callsPerOther(), len(q.items)-q.calls)
 	}
 	others := position - q.calls
-	return others + min(q.calls, maxCallsInARow*(others+1))
+	return others + min(q.calls, q.callsPerOther()*(others+1))
+}
+
+// callsPerOther returns how many calls start before another request does while both wait.
+func (q *Queue) callsPerOther() int {
+	if q.meanCallTime <= 0 || q.meanRequestTime <= 0 {
+		return callTimeShare
+	}
+	return max(int(callTimeShare*q.meanRequestTime/q.meanCallTime), 1)
 }
 
 // removeAt removes and returns the request at a position.
@@ -223,7 +252,7 @@
 	q.running++
 	others := len(q.items) > q.calls
 	switch {
-	case q.calls > 0 && others && q.callsInARow >= maxCallsInARow:
+	case q.calls > 0 && others && q.callsInARow >= q.callsPerOther():
 		q.callsInARow = 0
 		return q.removeAt(q.calls), true
 	case q.calls > 0 && others:
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -31,7 +31,7 @@
 		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
 	}
 	if answer.HasLoad {
-		target.Live.SetLoad(&answer.Load)
+		target.Live.SetLoad(time.Now(), &answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
 		if answer.Load.Leaving {
 			target.Live.MarkLeaving()
@@ -90,17 +90,19 @@
 }
 
 // isFull reports whether the queue of a server's exit proxy had no place for the request when
-// it last reported.
-func (r *requestState) isFull(target *mesh.Target) bool {
+// it last reported. Less urgent requests have places of their own. An old report does not count: if
+// no further one arrives, only an answer tells that there is room again.
+func (r *requestState) isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target) bool {
 	_, waiting, urgent := target.Live.Load()
-	if r.isCall() {
-		return urgent >= slotqueue.MaxWaitingCalls
+	full := urgent >= slotqueue.MaxWaiting
+	if r.req.Rank > pipeline.MaxUrgentRank {
+		full = waiting >= slotqueue.MaxWaiting && waiting-urgent >= slotqueue.MinOthers
 	}
-	return waiting-urgent >= slotqueue.MaxWaiting
+	return full && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
 }
 
 // isCall reports whether a backend server makes the request while another one holds a slot.
-func (r *requestState) isCall() bool { return r.req.Principal.Team == "" }
+func (r *requestState) isCall() bool { return r.req.Principal.Team == "" && r.req.ParentID != "" }
 
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
@@ -123,11 +125,11 @@
 
 // logNoRoom logs the refusal of a request for lack of room, with what was known of it.
 func (r *requestState) logNoRoom(result *pipeline.Result) {
-	snap := r.filter.Snapshot()
+	snap, now := r.filter.Snapshot(), time.Now()
 	servers, full := 0, 0
 	for _, target := range snap.Services[r.req.Service] {
 		servers++
-		if r.isFull(target) {
+		if r.isFull(now, snap, target) {
 			full++
 		}
 	}
@@ -174,7 +176,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Evacuated || r.isFull(target) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
+		Excluded: target.Evacuated || r.isFull(now, snap, target) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
 			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
 	}
 }
