pipeline, lookup, hop, slots: calls are marked by their entry

Cause: an exit took each request without a team for a call of a backend server. Change: the entry marks a request without a team that names a parent; the mark crosses the hop. Result: the extended tests of lookup and hop fail without it.

--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -101,9 +101,6 @@
 	return full && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
 }
 
-// isCall reports whether a backend server makes the request while another one holds a slot.
-func (r *requestState) isCall() bool { return r.req.Principal.Team == "" && r.req.ParentID != "" }
-
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
 // return at the same time. It returns 0 if no server accepts requests at all.
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -270,7 +270,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return (r.isCall() || r.queueFullRefusals < maxQueuesTried) && r.canSendAgain() && r.send(ctx)
+		return (r.req.IsCall || r.queueFullRefusals < maxQueuesTried) && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
@@ -341,12 +341,15 @@
 		result = pipeline.Refuse(pipeline.CodeStopping, "")
 	default:
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
-		if r.timeUntilRoom() > 0 {
+		if wait := r.timeUntilRoom(); wait > 0 {
 			result = pipeline.Refuse(pipeline.CodeQueueFull, "")
+			result.RetryAfter = wait
 		}
 	}
 	if result.Code == pipeline.CodeQueueFull {
-		result.RetryAfter = r.timeUntilRoom()
+		if result == r.lastRefusal {
+			result.RetryAfter = r.timeUntilRoom()
+		}
 		r.logNoRoom(result)
 	}
 	if result.RetryAfter <= 0 {
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -251,7 +251,7 @@
 			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
 		}
 		call := request(true)
-		call.Principal.Team, call.ParentID = "", "parent"
+		call.Principal.Team, call.ParentID, call.IsCall = "", "parent", true
 		if _, sender = handle(t, call, func(int, *pipeline.Request) hop.Answer { return refused(pipeline.CodeQueueFull) }); len(sender.sent) < 4 {
 			t.Errorf("call sent %d times, want to each of four servers", len(sender.sent))
 		}
--- a/filters/lookup/lookup.go
+++ b/filters/lookup/lookup.go
@@ -52,6 +52,7 @@
 	req.Route = route.Name
 	req.Service = route.PickService(rand.Float64())
 	req.CallerService = f.CallerService
+	req.IsCall = req.Principal.Team == "" && req.ParentID != ""
 	req.MaxAttempts = max(route.MaxAttempts, 1)
 	req.Class = pipeline.Class{Name: route.Name, Idempotent: route.Idempotent, TargetLatency: route.TargetLatency}
 	limitDeadline(req, route.Timeout)
--- a/filters/lookup/lookup_test.go
+++ b/filters/lookup/lookup_test.go
@@ -82,7 +82,13 @@
 		t.Errorf("caller's deadline: %v", left)
 	}
 	call := request("/open/1")
+	call.ParentID = "parent"
 	f.Handle(t.Context(), call)
+	anonymous := request("/open/1")
+	f.Handle(t.Context(), anonymous)
+	if !call.IsCall || anonymous.IsCall || req.IsCall {
+		t.Errorf("calls: %v, caller without a key: %v, with one: %v", call.IsCall, anonymous.IsCall, req.IsCall)
+	}
 	if call.Rank >= req.Rank || call.CallerService != "bookings" || req.Principal.Team != "acme" || req.MaxAttempts != 2 {
 		t.Errorf("call %+v, request %+v", call, req)
 	}
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -454,7 +454,7 @@
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	q := f.Queue
 	t := &ticket{
-		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, IsCall: req.Principal.Team == "", Deadline: req.Deadline},
+		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, IsCall: req.IsCall, Deadline: req.Deadline},
 		attemptID:   req.ID,
 		originalID:  f.OriginalID(req),
 		backend:     req.Backend,
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -45,6 +45,7 @@
 	keyIdempotent      = "e"
 	keyFingerprint     = "f"
 	keyReachedBackend  = "p"
+	keyIsCall          = "k"
 	keyTargetLatency   = "g"
 	keyCode            = "c"
 	keyRetryAfter      = "a"
@@ -87,6 +88,9 @@
 	if req.ReachedBackend {
 		v.Set(keyReachedBackend, "1")
 	}
+	if req.IsCall {
+		v.Set(keyIsCall, "1")
+	}
 	if req.BackendLimit.Limited {
 		v.Set(keyRateLimit, strconv.FormatFloat(req.BackendLimit.PerSecond, 'g', rateLimitDigits, 64))
 	}
@@ -148,6 +152,7 @@
 		Backend:        v.Get(keyBackend),
 		MaxQueueWait:   time.Duration(wait) * time.Millisecond,
 		ReachedBackend: v.Get(keyReachedBackend) == "1",
+		IsCall:         v.Get(keyIsCall) == "1",
 		BackendLimit:   limit,
 	}, nil
 }
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -91,6 +91,9 @@
 	// ParentID identifies the request that a backend server was running when it made
 	// this one; empty if unknown or if no backend server made it.
 	ParentID string
+	// IsCall means that a backend server makes the request while another one holds a slot
+	// there.
+	IsCall bool
 	// MaxQueueWait is the maximum time that the attempt may wait for a slot. It is
 	// refused immediately if the expected wait is longer, so that it can be sent to
 	// another backend server.
