httpconn: test of the bound on large bodies independent of the scheduler

Cause: TestEndlessBodiesAreBoundedTogether subtracted the bytes of a connection when the server's goroutine saw it closed. The client returns the share of the bound before that, after the chunks of the body are unreachable, so the bytes of an ended exchange were counted beside those of the next one for as long as the goroutine was not scheduled. The client itself holds no more than the bound.

Change: the bytes are counted where the client reads them and until it closes the connection, in virtual time with one chunk per interval; the sum is checked after every chunk, when all goroutines are blocked. The limit and the number of exchanges are unchanged. The test also checks that the limit is reached and that a small response does not wait beside large ones, as its comment promised.

--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -10,9 +10,9 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -268,14 +268,15 @@
 	}
 }
 
-// endlessServer answers on connections without buffers, so that a byte counts as soon as
-// the client has read it.
+// endlessServer answers on connections without buffers with a head and an endless body. It
+// sends one chunk of the body per chunkInterval.
 type endlessServer struct {
-	head    string       // of each answer; an endless body follows
-	pending atomic.Int64 // bytes read by the client on connections that are open
-	peak    atomic.Int64
+	head string
+	held atomic.Int64 // bytes read by the client on connections that are open
 }
 
+const chunkInterval = time.Millisecond
+
 // dial implements Options.Dial.
 func (s *endlessServer) dial(context.Context, string) (net.Conn, error) {
 	client, server := net.Pipe()
@@ -285,16 +286,32 @@
 			return
 		}
 		_, err := io.WriteString(server, s.head)
-		var sent int64
 		for chunk := make([]byte, 4096); err == nil; {
-			var n int
-			n, err = server.Write(chunk)
-			sent += int64(n)
-			s.peak.Store(max(s.peak.Load(), s.pending.Add(int64(n))))
+			time.Sleep(chunkInterval)
+			_, err = server.Write(chunk)
 		}
-		s.pending.Add(-sent)
 	}()
-	return client, nil
+	return &countedConn{Conn: client, held: &s.held}, nil
+}
+
+// countedConn counts the bytes that were read until it is closed.
+type countedConn struct {
+	net.Conn
+	held *atomic.Int64
+	read int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read += int64(n)
+	c.held.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Close() error {
+	c.held.Add(-c.read)
+	c.read = 0
+	return c.Conn.Close()
 }
 
 // Guards against a process that runs out of memory because a server answers many requests
@@ -302,22 +319,52 @@
 func TestEndlessBodiesAreBoundedTogether(t *testing.T) {
 	const exchanges = 50
 	const limit = 2 * maxBodyBytes
-	s := &endlessServer{head: "HTTP/1.1 200 OK\r\n\r\n"}
-	c := NewClient(Options{Dial: s.dial, MaxLargeBodyBytes: limit})
-	var wg sync.WaitGroup
-	for range exchanges {
-		wg.Go(func() {
-			_, err := c.Do(t.Context(), &Exchange{Addr: "a", Request: NewRequest("GET", "a", "a", "/", "", http.Header{})})
-			var failed *Error
-			if !errors.As(err, &failed) || failed.Kind != InvalidResponse {
-				t.Errorf("error %v", err)
+	const permitted = limit + exchanges*(smallBodyBytes+2*bufferBytes)
+	synctest.Test(t, func(t *testing.T) {
+		endless := &endlessServer{head: "HTTP/1.1 200 OK\r\n\r\n"}
+		small := &endlessServer{head: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"}
+		c := NewClient(Options{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			if addr == "small" {
+				return small.dial(ctx, addr)
 			}
-		})
-	}
-	wg.Wait()
-	if permitted := int64(limit + exchanges*(smallBodyBytes+2*bufferBytes)); s.peak.Load() > permitted {
-		t.Errorf("%d bytes were held at once, %d are permitted", s.peak.Load(), permitted)
-	}
+			return endless.dial(ctx, addr)
+		}, MaxLargeBodyBytes: limit})
+		get := func(addr string) error {
+			_, err := c.Do(t.Context(), &Exchange{Addr: addr, Request: NewRequest("GET", addr, "a", "/", "", http.Header{})})
+			return err
+		}
+		var open atomic.Int64
+		open.Store(exchanges)
+		for range exchanges {
+			go func() {
+				defer open.Add(-1)
+				var failed *Error
+				if err := get("endless"); !errors.As(err, &failed) || failed.Kind != InvalidResponse {
+					t.Errorf("error %v", err)
+				}
+			}()
+		}
+		peak, reachedLimit := int64(0), false
+		for open.Load() > 0 {
+			time.Sleep(chunkInterval)
+			synctest.Wait()
+			peak = max(peak, endless.held.Load())
+			if !reachedLimit && peak > limit {
+				reachedLimit = true
+				began := time.Now()
+				if err := get("small"); err != nil || time.Since(began) > 0 {
+					t.Errorf("small response beside large ones: error %v after %v", err, time.Since(began))
+				}
+			}
+		}
+		if peak > permitted {
+			t.Errorf("%d bytes were held at once, %d are permitted", peak, permitted)
+		}
+		if !reachedLimit {
+			t.Errorf("at most %d bytes were held at once, the limit of %d was not reached", peak, limit)
+		}
+		time.Sleep(2 * chunkInterval) // the servers notice the closed connections
+	})
 }
 
 // Guards against a large body that is changed, cut or taken for a complete one although it
