httpfront: refuse requests with unread bodies without ending the connection

Cause: full duplex was enabled for every request. net/http then does not read the rest of the body before the response; it does so after the handler has returned, and if it finds the end of the body there, it starts a background read and panics at its own next read ("invalid concurrent Body.Read call"). Every HTTP/1.1 request that was refused before its body was read lost its connection this way, with a stack trace in the log. A body that did not arrive held the connection without limit.

Change: the handler reads the rest of the body itself after it has flushed the response, for at most 500 ms, and aborts the connection if that fails. Full duplex is enabled for HTTP/1.1 requests with a body only.

--- a/httpfront/server.go
+++ b/httpfront/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -30,8 +31,11 @@
 		Respond(w, refusal, func(pipeline.Completion) {})
 		return
 	}
-	// A backend server may answer before it has read the complete body.
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	if req.Body != nil && r.ProtoMajor == 1 {
+		// A backend server may answer before it has read the complete body.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		defer discardBody(w, r.Body)
+	}
 	if req.Body != nil {
 		req.Body = &progressReader{body: req.Body, controller: http.NewResponseController(w)}
 	}
@@ -54,6 +58,25 @@
 	Respond(w, result, done)
 }
 
+// discardTimeout is how long an answered caller may take to send the rest of its body
+// before its connection is closed.
+const discardTimeout = 500 * time.Millisecond
+
+// discardBody reads the rest of a body after the response, or aborts the connection. With
+// full duplex enabled, net/http panics if it finds the end of the body after the handler
+// has returned.
+func discardBody(w http.ResponseWriter, body io.Reader) {
+	if p := recover(); p != nil {
+		panic(p) // net/http aborts the connection
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.Flush()
+	_ = controller.SetReadDeadline(time.Now().Add(discardTimeout))
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // ErrStopping is the cause with which the context of a server is canceled to end the
 // requests that a planned stop can't await.
 var ErrStopping = errors.New("the process is stopping")
