demo: print the codes of the requests that the leaving host lost

Cause: the check of the leaving host printed only a number, so a run on a busy machine did not show why requests failed.

Change: the check prints how often each code was the answer.

--- a/internal/demo/checks.go
+++ b/internal/demo/checks.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -231,5 +232,29 @@
 		"<= 2s", last <= 2*time.Second)
 	after := callsBetween(calls, d.timeline.leavingAt, time.Now(), isBackground)
 	lost := slices.DeleteFunc(slices.Clone(after), func(c callResult) bool { return c.ok() })
-	d.report.addInvariant("leaving host: requests cut off or refused", fmt.Sprintf("%d of %d", len(lost), len(after)), "0", len(lost) == 0)
+	d.report.addInvariant("leaving host: requests cut off or refused", fmt.Sprintf("%d of %d%s", len(lost), len(after), reasons(lost)), "0", len(lost) == 0)
+}
+
+// reasons returns how often each code was the answer of failed calls, as
+// " (CODE: COUNT, ...)", or "" if there are none.
+func reasons(failed []callResult) string {
+	counts := make(map[string]int)
+	for _, c := range failed {
+		switch {
+		case c.NoAnswer:
+			counts["no answer"]++
+		case c.Code != "":
+			counts[c.Code]++
+		default:
+			counts[fmt.Sprintf("status %d", c.Status)]++
+		}
+	}
+	if len(counts) == 0 {
+		return ""
+	}
+	parts := make([]string, 0, len(counts))
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s: %d", code, counts[code]))
+	}
+	return " (" + strings.Join(parts, ", ") + ")"
 }
