cmd/ragwortyard: show why a process under test is not ready

Cause: a process that did not become ready left no trace: its log was discarded. freePort could return the same port twice in one test run.

Change: the processes log to a file, whose end is printed together with the status if waitReady fails. No port is returned twice.

--- a/cmd/ragwortyard/process_test.go
+++ b/cmd/ragwortyard/process_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -28,6 +29,7 @@
 type process struct {
 	id, callersAddr, trafficAddr, controlAddr, operatorAddr string
 	cmd                                                     *exec.Cmd
+	logPath                                                 string
 	backend                                                 *fakes.Backend
 }
 
@@ -125,12 +127,18 @@
 	}
 }
 
+// returnedAddrs holds the addresses that freePort has returned.
+var returnedAddrs sync.Map
+
 // freePort returns an address with a free port below the ephemeral port range,
 // so that no outgoing connection takes the port before the process listens.
 func freePort(t *testing.T) string {
 	t.Helper()
 	for range 100 {
 		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
+		if _, returned := returnedAddrs.LoadOrStore(addr, true); returned {
+			continue
+		}
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			_ = l.Close()
 			return addr
@@ -152,6 +160,13 @@
 		"RAGWORTYARD_HOSTS_INTERVAL=200ms", "RAGWORTYARD_DRAIN_TIME=1s", "RAGWORTYARD_FLEET_PLAIN=true",
 	)
 	p.cmd.Env = append(p.cmd.Env, f.env...)
+	p.logPath = filepath.Join(filepath.Dir(f.binary), p.id+".log")
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer log.Close()
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		f.t.Fatal(err)
 	}
@@ -163,16 +178,47 @@
 
 func (f *processFleet) waitReady(p *process) {
 	f.t.Helper()
-	waitFor(f.t, 20*time.Second, p.id+" to become ready", func() bool {
-		resp, err := http.Get("http://" + p.operatorAddr + "/readyz")
-		if err != nil {
-			return false
+	ready := false
+	defer func() {
+		if !ready {
+			f.logNotReady(p)
 		}
-		defer resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
+	}()
+	waitFor(f.t, 20*time.Second, p.id+" to become ready", func() bool {
+		ready = getOperator(p, "/readyz").status == http.StatusOK
+		return ready
 	})
 }
 
+// operatorResponse is a response of the operator listener of a process.
+type operatorResponse struct {
+	status int
+	body   []byte
+	err    error
+}
+
+func getOperator(p *process, path string) operatorResponse {
+	resp, err := http.Get("http://" + p.operatorAddr + path)
+	if err != nil {
+		return operatorResponse{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return operatorResponse{resp.StatusCode, body, err}
+}
+
+// maxLogTail is the number of bytes printed from the end of the log of a process.
+const maxLogTail = 4 << 10
+
+// logNotReady prints the status of a process and the end of its log.
+func (f *processFleet) logNotReady(p *process) {
+	f.t.Helper()
+	status := getOperator(p, "/status")
+	log, err := os.ReadFile(p.logPath)
+	f.t.Logf("%s: status %d %s, error %v; end of its log (read error %v):\n%s",
+		p.id, status.status, status.body, status.err, err, log[max(0, len(log)-maxLogTail):])
+}
+
 // waitFor polls until a condition holds. The condition depends on other processes,
 // which a virtual clock cannot control.
 func waitFor(t *testing.T, limit time.Duration, what string, condition func() bool) {
