soak: each run claims addresses that no other run uses

Cause: the first run of every process used 127.20.0.0/16, so two processes that ran at the same time collided at 127.20.2.1:18102.

Change: a run claims the first free second octet by a listener that it holds until its end.

--- a/cmd/ragwortyard/soak.go
+++ b/cmd/ragwortyard/soak.go
@@ -28,10 +28,6 @@
 	Verbose     bool          `help:"Print the injected faults of every run."`
 }
 
-// firstLoopbackOctet is the second octet of the loopback addresses of the first run;
-// concurrent runs use the following numbers.
-const firstLoopbackOctet = 20
-
 // Run runs the seeds and returns an error if a run failed or violated an invariant.
 func (c *soakCommand) Run() error {
 	binary, err := c.programPath()
@@ -52,7 +48,10 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	failed := c.runAll(ctx, options)
+	failed, err := c.runAll(ctx, options)
+	if err != nil {
+		return err
+	}
 	fmt.Printf("%d seeds, %d failed; logs in %s\n", len(c.seeds()), failed, c.Logs)
 	if failed > 0 {
 		return eris.Errorf("%d of %d seeds failed", failed, len(c.seeds()))
@@ -70,15 +69,24 @@
 }
 
 // runAll runs all seeds, up to c.Parallel at a time, and returns how many failed.
-func (c *soakCommand) runAll(ctx context.Context, options soak.Options) int {
+func (c *soakCommand) runAll(ctx context.Context, options soak.Options) (int, error) {
+	var networks []*soak.Network
+	for range max(c.Parallel, 1) {
+		network, err := soak.ClaimNetwork()
+		if err != nil {
+			return 0, err
+		}
+		defer network.Release()
+		networks = append(networks, network)
+	}
 	seeds := make(chan uint64)
 	var mu sync.Mutex
 	failed := 0
 	var workers sync.WaitGroup
-	for i := range max(c.Parallel, 1) {
+	for _, network := range networks {
 		workers.Go(func() {
 			for seed := range seeds {
-				report, err := soak.Run(ctx, options, seed, firstLoopbackOctet+i)
+				report, err := soak.Run(ctx, options, seed, network)
 				mu.Lock()
 				if err != nil || len(report.Violations) > 0 {
 					failed++
@@ -96,7 +104,7 @@
 	}
 	close(seeds)
 	workers.Wait()
-	return failed
+	return failed, nil
 }
 
 func (c *soakCommand) seeds() []uint64 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -49,9 +49,9 @@
 // startTime is how long the processes get to start before traffic begins.
 const startTime = 3 * time.Second
 
-// Run executes the run of one seed. octet is the second octet of the loopback
-// addresses that it uses, 20 to 250; concurrent runs need different values.
-func Run(ctx context.Context, o Options, seed uint64, octet int) (*Report, error) {
+// Run executes the run of one seed on the addresses of a network. Concurrent runs need
+// different networks.
+func Run(ctx context.Context, o Options, seed uint64, network *Network) (*Report, error) {
 	if err := o.Validate(); err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	tb, err := newTestbed(ctx, o, seed, octet, dir)
+	tb, err := newTestbed(ctx, o, seed, network.octet, dir)
 	if tb != nil {
 		defer tb.close()
 	}
