--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -28,6 +28,8 @@
 	Put      []Server
 	Removed  []string
 	Source   ListSource
+	// Evacuations is the set of evacuated zones of the reader; nil if it sent none.
+	Evacuations *EvacuationsRead
 }
 
 // ControlEvent marks ServerListRead as an event.
@@ -164,6 +166,7 @@
 			change.Removed = append(change.Removed, id)
 		}
 	}
+	s.repeatWarmUps(ev, out)
 	first := !s.listKnown
 	s.listKnown = true
 	s.publishChange(now, &change, first, out)
@@ -217,17 +220,18 @@
 	}
 }
 
-// EncodeServerList encodes the list of backend servers of a store reader for
-// FetchServers. It returns nil if the process is no reader.
-func EncodeServerList(snap *Snapshot) ([]byte, error) {
+// EncodeServerList encodes the list of backend servers of a store reader, and its set of
+// evacuated zones, for FetchServers. It returns nil if the process is no reader.
+func EncodeServerList(now time.Time, snap *Snapshot) ([]byte, error) {
 	if !snap.StoreReader {
 		return nil, nil
 	}
 	list := notice.ServerListChange{Revision: snap.ListRevision}
 	for _, server := range snap.Listed {
+		server.WarmUpLeft = max(server.WarmUpLeft-now.Sub(snap.ListedAt), 0)
 		list.Put = append(list.Put, encodeServer(server))
 	}
-	return notice.Encode(notice.Message{ServerListChange: &list})
+	return notice.Encode(withEvacuations(notice.Message{ServerListChange: &list}, snap.Evacuations))
 }
 
 // DecodeServerList decodes the list of a store reader.
@@ -243,6 +247,10 @@
 	for _, entry := range message.ServerListChange.Put {
 		read.Put = append(read.Put, decodeServer(entry))
 	}
+	if message.Evacuations != nil {
+		evacuations := decodeEvacuations(&message)
+		read.Evacuations = &evacuations
+	}
 	return read, nil
 }
 
@@ -270,7 +278,7 @@
 		return false
 	}
 	fresh := old == nil || old.StartUnixMS != server.StartUnixMS || old.Host != server.Host
-	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) {
+	if !fresh && old.missingSince.IsZero() && equalForTraffic(old.Server, server) && !s.coldAgain(now, old, &server) {
 		return false
 	}
 	next := &serverRecord{Server: server, warmUpUntil: now.Add(server.WarmUpLeft)}
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,6 +15,17 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
+// MaxWaitingPerSlot limits the queue to about four service times.
+const MaxWaitingPerSlot = 4
+
+// While both wait, maxCallsInARow calls start before another request does, and the other
+// requests keep at least 1 in minOtherShare of the places in the queue. Otherwise a service
+// that is overloaded by calls would serve nothing else.
+const (
+	maxCallsInARow = 3
+	minOtherShare  = 4
+)
+
 // serviceTimeSmoothing is the number of requests in the moving average of the time
 // that a slot is held.
 const serviceTimeSmoothing = 16
@@ -29,7 +40,10 @@
 	ID       uint64
 	Rank     int // 0 is the most urgent
 	Deadline time.Time
-	Payload  any
+	// IsCall means that a backend server makes the request while another request holds a
+	// slot there. Calls go before all other requests, so that slots are not held in vain.
+	IsCall  bool
+	Payload any
 
 	sortTime time.Time // arrival plus DelayPerRank for each rank; the earliest goes first
 }
@@ -39,9 +53,16 @@
 	slots           int
 	maxWaiting      int // maximum number of waiting requests
 	running         int
-	items           []Item // sorted by sortTime
-	meanServiceTime time.Duration
-	startRate       startRate
+	items           []Item        // calls, then others, each in the order in which they are served
+	calls           int           // number of calls in items
+	callsInARow     int           // calls that started while other requests waited
+	meanServiceTime time.Duration // of all requests
+	// meanCallTime and meanRequestTime are the same for calls and for all others. Calls are
+	// often ten times as short.
+	meanCallTime, meanRequestTime time.Duration
+
+	startRate startRate // that the server accepts
+	coldRate  startRate // while the server is cold
 }
 
 // New returns a queue for a server that runs slots requests at once. At most
@@ -50,6 +71,15 @@
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
 }
 
+// serviceTime returns the mean service time of requests like the item, or 0 while it is
+// unknown.
+func (q *Queue) serviceTime(item Item) time.Duration {
+	if item.IsCall {
+		return q.meanCallTime
+	}
+	return q.meanRequestTime
+}
+
 // SetSlots changes the number of slots.
 func (q *Queue) SetSlots(slots int) { q.slots = max(slots, 1) }
 
@@ -59,6 +89,30 @@
 // AllowAllStarts removes the limit of LimitStarts.
 func (q *Queue) AllowAllStarts() { q.startRate.clear() }
 
+// SpaceStarts limits how many requests start per second, without a burst, until
+// StopSpacingStarts. It holds beside the limit of LimitStarts.
+func (q *Queue) SpaceStarts(now time.Time, perSecond float64) { q.coldRate.setSpaced(now, perSecond) }
+
+// StopSpacingStarts removes the limit of SpaceStarts.
+func (q *Queue) StopSpacingStarts() { q.coldRate.clear() }
+
+// waitToStart returns the time until the n-th of the next requests may start within the
+// limits of the rate.
+func (q *Queue) waitToStart(now time.Time, n int) time.Duration {
+	return max(q.startRate.wait(now, n), q.coldRate.wait(now, n))
+}
+
+// takeStart reports whether a request may start within the limits of the rate, and counts
+// it if so.
+func (q *Queue) takeStart(now time.Time) bool {
+	if q.waitToStart(now, 1) > 0 {
+		return false
+	}
+	q.startRate.take(now)
+	q.coldRate.take(now)
+	return true
+}
+
 // PushResult is the result of Push.
 type PushResult uint8
 
@@ -71,42 +125,101 @@
 )
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
-// that is expected to wait for longer than maxWait.
-func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) PushResult {
-	if q.running < q.slots && len(q.items) == 0 && q.startRate.take(now) {
+// that is expected to wait for longer than maxWait. If the queue is full, a request that
+// goes before the last one displaces it.
+func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
+	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.running++
-		return Granted
-	}
-	if maxWait <= 0 || len(q.items) >= q.maxWaiting {
-		return Refused
+		return Granted, nil
 	}
 	item.sortTime = now.Add(time.Duration(item.Rank) * DelayPerRank)
-	position, _ := slices.BinarySearchFunc(q.items, item.sortTime, func(other Item, sortTime time.Time) int {
-		if other.sortTime.After(sortTime) {
+	position, _ := slices.BinarySearchFunc(q.items, item, func(other, item Item) int {
+		if item.goesBefore(other) {
 			return 1
 		}
 		return -1
 	})
-	wait := q.estimatedWaitAt(now, position)
-	if wait > maxWait {
-		return Refused
+	victim := -1
+	if len(q.items) >= q.maxWaiting {
+		if victim = q.displacedBy(item); victim < position {
+			return Refused, nil
+		}
+	}
+	wait := q.estimatedWaitAt(now, q.startsBefore(item, position))
+	if maxWait <= 0 || wait > maxWait {
+		return Refused, nil
 	}
 	if q.cannotFinish(now.Add(wait), item) {
-		return MissesDeadline
+		return MissesDeadline, nil
+	}
+	if victim >= 0 {
+		displaced = append(displaced, q.removeAt(victim))
 	}
 	q.items = slices.Insert(q.items, position, item)
-	return Queued
+	if item.IsCall {
+		q.calls++
+	}
+	return Queued, displaced
+}
+
+// displacedBy returns the position in the full queue of the request that yields to an item,
+// which may be that of a request which goes before it: the last call if the other requests
+// have no more places than their share, else the last of all.
+func (q *Queue) displacedBy(item Item) int {
+	others := len(q.items) - q.calls
+	if !item.IsCall {
+		others++
+	}
+	if others <= q.maxWaiting/minOtherShare {
+		return q.calls - 1
+	}
+	return len(q.items) - 1
+}
+
+// startsBefore returns how many waiting requests start before an item that is inserted at a
+// position.
+func (q *Queue) startsBefore(item Item, position int) int {
+	if item.IsCall {
+		return position + min(position/maxCallsInARow, len(q.items)-q.calls)
+	}
+	others := position - q.calls
+	return others + min(q.calls, maxCallsInARow*(others+1))
+}
+
+// removeAt removes and returns the request at a position.
+func (q *Queue) removeAt(position int) Item {
+	item := q.items[position]
+	q.items = slices.Delete(q.items, position, position+1)
+	if item.IsCall {
+		q.calls--
+	}
+	return item
+}
+
+// goesBefore reports whether the item is served before another one that is already in
+// the queue.
+func (i Item) goesBefore(other Item) bool {
+	if i.IsCall != other.IsCall {
+		return i.IsCall
+	}
+	return i.sortTime.Before(other.sortTime)
 }
 
 // cannotFinish reports whether a request that starts at the given time is unlikely
 // to be answered before its deadline.
 func (q *Queue) cannotFinish(start time.Time, item Item) bool {
-	return start.Add(time.Duration(minServiceFraction * float64(q.meanServiceTime))).After(item.Deadline)
+	return start.After(q.lastStart(item))
+}
+
+// lastStart returns the latest start after which the item is unlikely to be answered
+// before its deadline.
+func (q *Queue) lastStart(item Item) time.Time {
+	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.serviceTime(item))))
 }
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
 func (q *Queue) estimatedWaitAt(now time.Time, position int) time.Duration {
-	wait := q.startRate.wait(now, position+1)
+	wait := q.waitToStart(now, position+1)
 	if q.running < q.slots {
 		return wait
 	}
@@ -116,26 +229,44 @@
 // Pop removes the first waiting request and gives it a slot. It reports false if no
 // request waits, no slot is free or none may start yet.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	if q.running >= q.slots || len(q.items) == 0 || !q.startRate.take(now) {
+	if q.running >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
 		return Item{}, false
 	}
-	item := q.items[0]
-	q.items = slices.Delete(q.items, 0, 1)
 	q.running++
-	return item, true
+	others := len(q.items) > q.calls
+	switch {
+	case q.calls > 0 && others && q.callsInARow >= maxCallsInARow:
+		q.callsInARow = 0
+		return q.removeAt(q.calls), true
+	case q.calls > 0 && others:
+		q.callsInARow++
+	default:
+		q.callsInARow = 0
+	}
+	return q.removeAt(0), true
 }
 
-// Release frees a slot. held is how long the request held it, or 0 if that is not
-// representative of the service time.
-func (q *Queue) Release(held time.Duration) {
+// Release frees the slot of an item. held is how long it held the slot, or 0 if that is
+// not representative of the service time.
+func (q *Queue) Release(item Item, held time.Duration) {
 	q.running--
 	if held <= 0 {
 		return
 	}
-	if q.meanServiceTime == 0 {
-		q.meanServiceTime = held
+	smooth(&q.meanServiceTime, held)
+	if item.IsCall {
+		smooth(&q.meanCallTime, held)
+	} else {
+		smooth(&q.meanRequestTime, held)
 	}
-	q.meanServiceTime += (held - q.meanServiceTime) / serviceTimeSmoothing
+}
+
+// smooth adds a value to a moving average, which is 0 before the first one.
+func smooth(mean *time.Duration, value time.Duration) {
+	if *mean == 0 {
+		*mean = value
+	}
+	*mean += (value - *mean) / serviceTimeSmoothing
 }
 
 // RemoveExpired removes and returns the requests that are unlikely to be answered
@@ -147,6 +278,9 @@
 			return false
 		}
 		expired = append(expired, item)
+		if item.IsCall {
+			q.calls--
+		}
 		return true
 	})
 	return expired
@@ -158,12 +292,12 @@
 func (q *Queue) NextEvent(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for i := range q.items {
-		expiry := q.items[i].Deadline.Add(-time.Duration(minServiceFraction * float64(q.meanServiceTime)))
+		expiry := q.lastStart(q.items[i])
 		if i == 0 || expiry.Before(next) {
 			next = expiry
 		}
 	}
-	if start := now.Add(q.startRate.wait(now, 1)); q.running < q.slots && start.Before(next) {
+	if start := now.Add(q.waitToStart(now, 1)); q.running < q.slots && start.Before(next) {
 		next = start
 	}
 	return next, len(q.items) > 0
@@ -176,18 +310,19 @@
 	if position < 0 {
 		return Item{}, false
 	}
-	item := q.items[position]
-	q.items = slices.Delete(q.items, position, position+1)
-	return item, true
+	return q.removeAt(position), true
 }
 
 // Clear removes and returns all waiting requests.
 func (q *Queue) Clear() []Item {
 	items := q.items
-	q.items = nil
+	q.items, q.calls = nil, 0
 	return items
 }
 
+// HasFreeSlot reports whether a slot is free.
+func (q *Queue) HasFreeSlot() bool { return q.running < q.slots }
+
 // Running returns the number of slots in use.
 func (q *Queue) Running() int { return q.running }
 
@@ -212,4 +347,4 @@
 
 // StartWait returns how long a request that arrives now would wait because of the rate of
 // starts.
-func (q *Queue) StartWait(now time.Time) time.Duration { return q.startRate.wait(now, len(q.items)+1) }
+func (q *Queue) StartWait(now time.Time) time.Duration { return q.waitToStart(now, len(q.items)+1) }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
@@ -25,8 +27,10 @@
 // Filter is the last filter of the entry chain.
 type Filter struct {
 	Snapshot func() *mesh.Snapshot
+	Zone     string // availability zone of this process
 	Sender   Sender
 	Budgets  *RetryBudgets
+	Sizes    ResponseSizes
 	NewID    func() string
 	// RetryProbability returns the probability that a call by the backend server of
 	// this host was made on behalf of a retried request. Such calls are charged to
@@ -37,7 +41,10 @@
 	// StopSchedule returns the schedule of the planned stop. It is called only after
 	// StopBegan has been closed.
 	StopSchedule func() shutdown.Schedule
-	Log          *zap.Logger
+	// EvacuationRefusals counts requests that were refused because all backend servers of
+	// their service are in evacuated availability zones.
+	EvacuationRefusals *metrics.Counter
+	Log                *zap.Logger
 }
 
 // Name returns "dispatch".
@@ -48,6 +55,9 @@
 	// for lack of a free slot before the request waits in a queue. Each refusal
 	// costs another transfer of the request.
 	maxQueueFullRefusals = 1
+	// maxQueuesTried is the number of exit proxies that may refuse a request for lack of
+	// room. When a service is overloaded, most others would refuse it, too.
+	maxQueuesTried = 3
 	// firstQueueWait is how long the first attempt may wait for a slot where the
 	// entry proxy expected a free one. It is not 0, since a second attempt costs
 	// another transfer of the request.
@@ -67,8 +77,9 @@
 	// defaultRetryAfter is the Retry-After if no backend server accepts the request.
 	// Slots become free after about one service time.
 	defaultRetryAfter = 500 * time.Millisecond
-	// typicalResponseBytes is the average size of a response including its header.
-	typicalResponseBytes = 2000
+	// evacuatedRetryAfter is the Retry-After if all servers of the service are evacuated.
+	// The end of an evacuation is known everywhere within a second.
+	evacuatedRetryAfter = time.Second
 )
 
 // requestState is the state of one request while its attempts are sent.
@@ -116,8 +127,8 @@
 		queueFull: make(map[string]bool),
 	}
 	r.budget.Deposit(time.Now())
-	if req.Principal.Team == "" {
-		r.budget.Charge(time.Now(), f.RetryProbability(req.ParentID))
+	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
+		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
 	}
 	if !r.send(ctx) {
 		return r.unservedResult()
@@ -243,7 +254,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return r.canSendAgain() && r.send(ctx)
+		return r.queueFullRefusals < maxQueuesTried && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
@@ -302,11 +313,23 @@
 func (r *requestState) unservedResult() *pipeline.Result {
 	result := r.lastRefusal
 	switch {
+	case r.allEvacuated():
+		r.filter.EvacuationRefusals.Inc()
+		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+		result.RetryAfter = evacuatedRetryAfter
+	case result != nil && result.Code == pipeline.CodeZoneEvacuated:
+		result = pipeline.Refuse(pipeline.CodeNoBackend, "") // this process does not know of the evacuation yet
 	case result != nil:
 	case r.isLastStartPast():
 		result = pipeline.Refuse(pipeline.CodeStopping, "")
 	default:
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
+		if r.timeUntilRoom() > 0 {
+			result = pipeline.Refuse(pipeline.CodeQueueFull, "")
+		}
+	}
+	if result.Code == pipeline.CodeQueueFull {
+		result.RetryAfter = r.timeUntilRoom()
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
@@ -315,6 +338,14 @@
 	return result
 }
 
+// allEvacuated reports whether the service has servers and all are in evacuated
+// availability zones.
+func (r *requestState) allEvacuated() bool {
+	targets := r.filter.Snapshot().Services[r.req.Service]
+	inUse := func(target *mesh.Target) bool { return !target.Evacuated }
+	return len(targets) > 0 && !slices.ContainsFunc(targets, inUse)
+}
+
 // finalResult returns the result of a request that can't be awaited any longer. If an
 // attempt is still open, the outcome is unknown and has the given code.
 func (r *requestState) finalResult(unknown pipeline.Code) *pipeline.Result {
--- a/pipeline/code.go
+++ b/pipeline/code.go
@@ -39,6 +39,7 @@
 	CodeDeadlineTooShort Code = 3003
 	CodeQuotaUnavailable Code = 3004
 	CodeShed             Code = 3005
+	CodeRetriesSpent     Code = 3006
 )
 
 // Codes for routing.
@@ -51,6 +52,7 @@
 	CodeBackendLeaving Code = 4006
 	CodeConnectFailed  Code = 4007
 	CodeNotReady       Code = 4008
+	CodeZoneEvacuated  Code = 4009
 )
 
 // Codes for idempotency keys and for quarantined requests.
@@ -134,6 +136,7 @@
 	{CodeDeadlineTooShort, "deadline-too-short", NotRun, 503, "The deadline cannot be met at the present load."},
 	{CodeQuotaUnavailable, "quota-unavailable", NotRun, 503, "No keeper of the team's rate answered in time."},
 	{CodeShed, "shed", NotRun, 503, "The backend server refused the request before running it, because of its load."},
+	{CodeRetriesSpent, "retries-spent", NotRun, 503, "The call belongs to a retried request, and the service's retry budget is spent."},
 	{CodeNoBackend, "no-backend", NotRun, 503, "No backend server of the service takes new work."},
 	{CodeStopping, "stopping", NotRun, 503, "The process is stopping and takes no new work."},
 	{CodeEjected, "ejected", NotRun, 503, "The backend server is ejected; used between processes."},
@@ -142,6 +145,7 @@
 	{CodeBackendLeaving, "backend-leaving", NotRun, 503, "The backend server is leaving; used between processes."},
 	{CodeConnectFailed, "connect-failed", NotRun, 502, "No connection to the backend server could be opened."},
 	{CodeNotReady, "not-ready", NotRun, 503, "The process has no configuration yet."},
+	{CodeZoneEvacuated, "zone-evacuated", NotRun, 503, "The availability zone of the backend server is evacuated; used between processes."},
 	{CodeInProgress, "in-progress", NotRun, 409, "A request with this idempotency key is running; this copy was not run."},
 	{CodeAlreadyRan, "already-ran", NotRun, 409, "A request with this idempotency key has run; its status is in Ragwort-First-Status; this copy was not run."},
 	{CodeEarlierSendPossible, "cannot-vouch", NotRun, 503, "Too few processes can rule out an earlier send of this idempotency key."},
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -41,6 +41,7 @@
 	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/internal/bootclock"
+	"github.com/ragwortyard/ragwortyard/internal/httpahead"
 	"github.com/ragwortyard/ragwortyard/internal/httpconn"
 	"github.com/ragwortyard/ragwortyard/internal/httpdrain"
 	"github.com/ragwortyard/ragwortyard/internal/httpsend"
@@ -65,8 +66,9 @@
 	defaultSlots = 4
 	// localRetryFraction is the fraction of Settings.RetryBudgetRatio that entry proxies
 	// use on their own, sharedRetryFraction that of Settings.RetryBudgetExtra that the
-	// fleet shares. The remainder covers the short times in which the shared retries of a
-	// service have two owners, and calls whose parent request is unknown.
+	// fleet shares. The remainder of the ratio covers the short times in which the shared
+	// retries of a service have two owners, and calls whose parent request is unknown; that
+	// of the fixed number is for calls of retried requests.
 	localRetryFraction  = 0.9
 	sharedRetryFraction = 0.75
 	// maxHeaderBytes is larger than any limit that operators may configure, so that the
@@ -76,6 +78,15 @@
 	// reuse connections that were idle for up to 12 s.
 	readHeaderTimeout = 5 * time.Second
 	callerIdleTimeout = 60 * time.Second
+	// maxRequestsAhead and the bounds in bytes limit the requests that callers send ahead on
+	// a connection. A request above maxRequestAheadBytes waits for its turn. An answer of the
+	// usual size, times maxRequestsAhead, fits into maxConnAheadBytes.
+	maxRequestsAhead     = 16
+	maxRequestAheadBytes = 16 << 10
+	maxConnAheadBytes    = 1 << 20
+	// aheadMemoryDivisor is the share of the memory, as a divisor, for requests that run
+	// ahead and their answers.
+	aheadMemoryDivisor = 16
 	// metricsPort must match deploy/system.toml.
 	metricsPort = "9464"
 )
@@ -97,6 +108,10 @@
 	openRequests     atomic.Int64 // requests from callers and peers that are not answered yet
 	refusingAttempts atomic.Bool  // attempts are refused because the process is stopping
 	stop             plannedStop
+	ahead            *httpahead.Layer // of callers' connections
+	// evacuationRefusals counts attempts that were refused because their backend server is
+	// in an evacuated availability zone, besides those that the queue refused.
+	evacuationRefusals atomic.Uint64
 }
 
 // New returns a Sidecar that is ready to run.
@@ -112,21 +127,28 @@
 	s.ids.prefix = strconv.FormatUint(uint64(rand.Uint32()), 36) + "-"
 	s.commands = newCommandExecutor(s.log, portOf(settings.DatagramAddr), s.metrics)
 	s.queue = slots.NewQueue(defaultSlots, s.post)
+	s.queue.SetLog(s.log)
+	s.commands.refreshQueue = s.queue.Refresh
 	s.loop = mesh.New(mesh.Options{
 		Identity: mesh.Identity{
 			Host: settings.IP, Zone: settings.Zone, Service: settings.Service,
 			BootID: rand.Uint32(), StartedAt: time.Now(),
 		},
-		FirstStart:       settings.FirstStart,
-		KeyTrustDuration: settings.KeyRevocationTime - keyTrustMargin,
-		DrainTime:        settings.DrainTime,
-		Tolerance:        settings.RateTolerance,
-		SharedRetries:    mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra},
-		Load:             s.queue.Load,
-		BootClock:        bootclock.Now,
+		FirstStart:        settings.FirstStart,
+		KeyTrustDuration:  settings.KeyRevocationTime - keyTrustMargin,
+		DrainTime:         settings.DrainTime,
+		FollowEvacuations: settings.EvacuationTime > 0,
+		Tolerance:         settings.RateTolerance,
+		SharedRetries:     mesh.SharedRetries{Window: settings.RetryBudgetWindow, MaxPerWindow: sharedRetryFraction * settings.RetryBudgetExtra, CallOverdraft: (1 - sharedRetryFraction) * settings.RetryBudgetExtra},
+		Load:              s.queue.Load,
+		BootClock:         bootclock.Now,
 	}, s.commands)
 	s.entry = s.entryChain()
 	s.exit = s.exitChain()
+	s.ahead = httpahead.New(httpahead.Options{
+		MayRunAhead: s.mayRunAhead, MaxRequests: maxRequestsAhead, MaxRequestBytes: maxRequestAheadBytes,
+		MaxConnBytes: maxConnAheadBytes, MaxBytes: settings.MemoryBytes / aheadMemoryDivisor,
+	})
 	s.registerMetrics()
 	return s
 }
@@ -158,15 +180,17 @@
 		&ratelimit.Filter{Snapshot: s.loop.Snapshot, Submit: s.loop.Submit, Metrics: s.metrics},
 		&dispatch.Filter{
 			Snapshot: s.loop.Snapshot,
+			Zone:     s.settings.Zone,
 			Sender:   s,
 			Budgets: &dispatch.RetryBudgets{
 				Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
 			},
-			NewID:            s.ids.next,
-			RetryProbability: s.queue.RetryProbability,
-			StopBegan:        s.stop.began,
-			StopSchedule:     func() shutdown.Schedule { return s.stop.schedule },
-			Log:              s.log,
+			NewID:              s.ids.next,
+			RetryProbability:   s.queue.RetryProbability,
+			StopBegan:          s.stop.began,
+			StopSchedule:       func() shutdown.Schedule { return s.stop.schedule },
+			EvacuationRefusals: s.metrics.NewCounter("ragwortyard_evacuation_refused_requests_total"),
+			Log:                s.log,
 		},
 	}
 }
@@ -225,7 +249,7 @@
 func (admission) Name() string { return "admission" }
 
 // Handle refuses attempts while the process stops, and attempts for a backend server
-// that is leaving or has left.
+// that is leaving, has left or is in an evacuated availability zone.
 func (a admission) Handle(_ context.Context, req *pipeline.Request) *pipeline.Result {
 	if a.sidecar.refusingAttempts.Load() {
 		return pipeline.Refuse(pipeline.CodeStopping, "")
@@ -235,6 +259,10 @@
 	if (target != nil && (target.Draining || target.Live.Leaving())) || snap.Delisted[req.Backend] {
 		return pipeline.Refuse(pipeline.CodeBackendLeaving, "")
 	}
+	if snap.Evacuated[a.sidecar.settings.Zone] || (target != nil && target.Evacuated) {
+		a.sidecar.evacuationRefusals.Add(1)
+		return pipeline.Refuse(pipeline.CodeZoneEvacuated, "")
+	}
 	return nil
 }
 
@@ -264,16 +292,26 @@
 	return hop.NotWithdrawn
 }
 
-// slotCount returns the number of slots of this host's backend server.
-func (s *Sidecar) slotCount() int {
-	n := 0
-	for _, target := range s.loop.Snapshot().Local {
-		n = max(n, target.Slots)
+// backend returns the state of this host's backend server.
+func (s *Sidecar) backend() slots.Backend {
+	snap := s.loop.Snapshot()
+	b := slots.Backend{Evacuated: snap.Evacuated[s.settings.Zone]}
+	service := s.settings.Service
+	for _, target := range snap.Local {
+		service = target.Service
+		b.Slots = max(b.Slots, target.Slots)
+		b.Evacuated = b.Evacuated || target.Evacuated
+		if target.WarmUpUntil.After(b.WarmUpUntil) {
+			b.WarmUpUntil = target.WarmUpUntil
+		}
+	}
+	if b.Slots == 0 {
+		b.Slots = defaultSlots
 	}
-	if n == 0 {
-		return defaultSlots
+	if snap.Table != nil {
+		b.WarmUpTime, b.WarmUpRate = snap.Table.WarmUp(service)
 	}
-	return n
+	return b
 }
 
 // requestEnded logs a completed request from a caller and records failed calls made by
@@ -347,7 +385,11 @@
 		if err != nil {
 			return eris.Wrapf(err, "cannot listen on %s", addr)
 		}
-		group.Go(func() error { return serve(server, listener) })
+		if server == callers {
+			group.Go(func() error { return ignoreClosed(s.ahead.Serve(callers, listener)) })
+			continue
+		}
+		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
 	}
 	s.startBackground(background, datagrams, reload)
 	s.log.Info("started", zap.String("zone", s.settings.Zone), zap.String("service", s.settings.Service))
@@ -360,9 +402,8 @@
 	return group.Wait()
 }
 
-// serve runs an HTTP server. It returns nil if the server was closed.
-func serve(server *httpdrain.Server, listener net.Listener) error {
-	err := server.Serve(listener)
+// ignoreClosed returns nil for the error of a server that was closed.
+func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -371,12 +412,15 @@
 
 func (s *Sidecar) startBackground(ctx context.Context, datagrams *net.UDPConn, reload <-chan struct{}) {
 	follower := platform.NewFollower(s.store, func() bool { return s.loop.Snapshot().StoreReader }, s.loop.Submit, s.log)
+	if s.settings.EvacuationTime > 0 {
+		follower.FollowEvacuations(s.settings.Zones)
+	}
 	s.commands.wakeFollower = follower.Wake
 	fetcher := newPeerFetcher(s.fetchFromPeer, s.loop.Submit, s.log)
 	s.commands.fetchConfig, s.commands.fetchServers = fetcher.requestConfig, fetcher.requestServers
 	go fetcher.run(ctx)
 	go s.loop.Run(ctx)
-	go s.queue.Run(ctx, s.slotCount)
+	go s.queue.Run(ctx, s.backend)
 	go s.commands.run(ctx)
 	go receive(ctx, datagrams, s.loop, s.log)
 	go follower.FollowConfig(ctx)
@@ -395,12 +439,28 @@
 			}
 			return 0
 		},
-		Closing:  func() bool { return s.loop.Snapshot().Stopping },
+		Closing:  func(r *http.Request) bool { return s.loop.Snapshot().Stopping && httpdrain.EndAfterAnswer(r) },
+		Arrived:  httpdrain.Arrived,
 		OnResult: s.requestEnded,
 		Log:      s.log,
 	}
 }
 
+// mayRunAhead reports whether a request that a caller sent ahead may run before the earlier
+// ones on its connection are answered. Such a request is canceled if an earlier answer
+// closes the connection, and the caller sends it again.
+func (s *Sidecar) mayRunAhead(r *http.Request) bool {
+	if s.stop.hasBegun() {
+		return false
+	}
+	table := s.loop.Snapshot().Table
+	if table == nil {
+		return false
+	}
+	route, ok := table.Match(r.Host, r.URL.EscapedPath())
+	return ok && route.Idempotent
+}
+
 func (s *Sidecar) newServer(handler http.Handler) *httpdrain.Server {
 	return httpdrain.NewServer(&http.Server{
 		Handler:           handler,
