selection, dispatch, lookup: the parts of a choice without its effects

Cause: why a request went to a server could be seen only after it was sent, and only for the chosen one.

Nothing is sent, counted or taken from a budget.

--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -108,9 +108,9 @@
 	return best
 }
 
-// sample returns the indexes of the candidates to compare.
-func sample(candidates []Candidate, random *rand.Rand) []int {
-	var local, remote []int
+// eligible returns the indexes of the candidates that are not excluded, in this zone and in
+// others.
+func eligible(candidates []Candidate) (local, remote []int) {
 	for i := range candidates {
 		switch c := &candidates[i]; {
 		case c.Excluded:
@@ -120,6 +120,12 @@
 			remote = append(remote, i)
 		}
 	}
+	return local, remote
+}
+
+// sample returns the indexes of the candidates to compare.
+func sample(candidates []Candidate, random *rand.Rand) []int {
+	local, remote := eligible(candidates)
 	if len(local)+len(remote) <= minSampled {
 		return append(local, remote...)
 	}
@@ -147,50 +153,96 @@
 	return lowest
 }
 
-// expectedCost returns the expected cost of sending a request to a candidate. known is
+// Cost holds the parts of the expected cost of sending a request to a candidate.
+type Cost struct {
+	Failure     float64
+	Exploration float64 // a bonus, so not positive
+	Load        float64
+	Wait        float64
+	WarmUp      float64
+	Stopping    float64
+	Path        float64
+	Leave       float64
+}
+
+// Total returns the sum of the parts.
+func (c Cost) Total() float64 {
+	return c.Failure + c.Exploration + c.Load + c.Wait + c.WarmUp + c.Stopping + c.Path + c.Leave
+}
+
+// Explanation is the basis of a choice.
+type Explanation struct {
+	Costs   []Cost // by candidate, without the random part; zero for excluded ones
+	Best    int    // the candidate with the lowest cost, or -1
+	Sampled bool   // Choose compares a random sample only
+}
+
+// Explain returns the costs on which Choose decides. If Choose compares a sample, the costs
+// are those that result if all candidates are compared.
+func Explain(r Request, candidates []Candidate) Explanation {
+	e := Explanation{Costs: make([]Cost, len(candidates)), Best: -1}
+	local, remote := eligible(candidates)
+	compared := append(local, remote...)
+	e.Sampled = len(compared) > minSampled
+	known := costWithoutRetry(r, candidates, compared)
+	for _, i := range compared {
+		e.Costs[i] = candidates[i].cost(r, known)
+		if e.Best < 0 || e.Costs[i].Total() < e.Costs[e.Best].Total() {
+			e.Best = i
+		}
+	}
+	return e
+}
+
+// expectedCost returns the sum of the parts of the cost.
+func (c *Candidate) expectedCost(r Request, known float64) float64 { return c.cost(r, known).Total() }
+
+// cost returns the parts of the expected cost of sending a request to a candidate. known is
 // the result of costWithoutRetry.
-func (c *Candidate) expectedCost(r Request, known float64) float64 {
-	cost := c.failureCost(r, known) + c.loadCost(r)
+func (c *Candidate) cost(r Request, known float64) Cost {
+	cost := Cost{Leave: c.LeaveCost}
+	cost.Failure, cost.Exploration = c.failureCost(r, known)
+	cost.Load, cost.Wait = c.loadCost(r)
 	if c.WarmUpLeft > 0 {
-		cost += costWarmUp
+		cost.WarmUp = costWarmUp
 	}
 	if c.Stopping {
-		cost += costStopping
+		cost.Stopping = costStopping
 	}
 	if c.PathSuspect {
-		cost += costSuspectPath
+		cost.Path = costSuspectPath
 	}
-	return cost + c.LeaveCost
+	return cost
 }
 
-func (c *Candidate) failureCost(r Request, known float64) float64 {
+func (c *Candidate) failureCost(r Request, known float64) (failure, exploration float64) {
 	probability := max(c.GrayFailureProbability, minFailureProbability)
 	if !r.Idempotent || !r.Retryable {
-		return costFailure * probability
+		return costFailure * probability, 0
 	}
 	age := min(c.EvidenceAge, explorationAge)
-	exploration := max(explorationBonus, known) * float64(age) / float64(explorationAge)
-	return min(costRetry+known, costFailure+costRetryTaken)*probability - exploration
+	exploration = max(explorationBonus, known) * float64(age) / float64(explorationAge)
+	return min(costRetry+known, costFailure+costRetryTaken) * probability, -exploration
 }
 
 // loadCost grows with the fraction of busy slots and, if none is free, with the
 // estimated wait for one. A request that would start too late counts as failed.
-func (c *Candidate) loadCost(r Request) float64 {
+func (c *Candidate) loadCost(r Request) (load, wait float64) {
 	slots := max(c.Slots, 1)
 	busy := min(c.Running, slots)
 	if c.RateLimited {
 		busy = slots // it is near its limit, whatever the number of its slots
 	}
-	cost := costBusySlots * float64(busy) / float64(slots)
-	wait := c.EstimatedWait()
+	load = costBusySlots * float64(busy) / float64(slots)
+	expected := c.EstimatedWait()
 	switch {
-	case wait <= 0:
-	case wait+c.MeanServiceTime/2 > r.TimeLeft:
-		cost += costFailure
+	case expected <= 0:
+	case expected+c.MeanServiceTime/2 > r.TimeLeft:
+		wait = costFailure
 	default:
-		cost += min(costWaitPerTarget*float64(wait)/float64(max(r.TargetLatency, time.Millisecond)), costMaxWait)
+		wait = min(costWaitPerTarget*float64(expected)/float64(max(r.TargetLatency, time.Millisecond)), costMaxWait)
 	}
-	return cost
+	return load, wait
 }
 
 // EstimatedWait estimates how long a further request would wait for a slot and for the
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -55,28 +55,39 @@
 // is left. Servers that refused for lack of a free slot are excluded only until the
 // request may wait in a queue.
 func (r *requestState) choose() (*mesh.Target, selection.Candidate) {
+	now := time.Now()
+	targets, candidates := r.candidates(now)
+	properties := r.properties(now)
+	index := selection.Choose(properties, candidates, newRand())
+	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
+		r.queueFullRefusals = maxQueueFullRefusals
+		return r.choose()
+	}
+	if index < 0 {
+		return nil, selection.Candidate{}
+	}
+	return targets[index], candidates[index]
+}
+
+// candidates describes the backend servers of the service for the selection.
+func (r *requestState) candidates(now time.Time) ([]*mesh.Target, []selection.Candidate) {
 	snap := r.filter.Snapshot()
 	targets := snap.Services[r.req.Service]
-	now := time.Now()
 	candidates := make([]selection.Candidate, len(targets))
 	for i, target := range targets {
 		candidates[i] = r.candidate(now, snap, target)
 	}
-	properties := selection.Request{
+	return targets, candidates
+}
+
+// properties describes the next attempt for the selection.
+func (r *requestState) properties(now time.Time) selection.Request {
+	return selection.Request{
 		Idempotent:    r.req.Class.Idempotent,
 		TargetLatency: r.req.Class.TargetLatency,
 		TimeLeft:      time.Until(r.req.Deadline),
 		Retryable:     r.possiblyExecuted+1 < r.req.MaxAttempts && r.budget.retryLikelyAvailable(now),
 	}
-	index := selection.Choose(properties, candidates, newRand())
-	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
-		r.queueFullRefusals = maxQueueFullRefusals
-		return r.choose()
-	}
-	if index < 0 {
-		return nil, selection.Candidate{}
-	}
-	return targets[index], candidates[index]
 }
 
 // leaveCost returns what the request has to gain by leaving the zone for a server.
@@ -86,7 +97,7 @@
 	}
 	service := r.req.Service
 	return room.LeaveCost(snap.Rooms.Utilization(service, r.filter.Zone), snap.Rooms.Utilization(service, target.Zone),
-		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
+		r.requestBytes+r.filter.Sizes.Expected(r.req.Route))
 }
 
 // isFull reports whether the queue of a server's exit proxy was full when it last reported.
@@ -139,7 +150,37 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Evacuated || isFull(target, waiting) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
-			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
+		Excluded:               r.exclusion(target, &health, waiting) != notExcluded,
+	}
+}
+
+// exclusion is why a backend server is not a candidate for a request.
+type exclusion string
+
+const (
+	notExcluded     exclusion = ""
+	zoneEvacuated   exclusion = "zone evacuated"
+	queueIsFull     exclusion = "queue full"
+	draining        exclusion = "draining"
+	leaving         exclusion = "leaving"
+	refusesAttempts exclusion = "refuses attempts"
+	alreadyTried    exclusion = "already tried"
+)
+
+func (r *requestState) exclusion(target *mesh.Target, health *mesh.Health, waiting int) exclusion {
+	switch {
+	case target.Evacuated:
+		return zoneEvacuated
+	case target.Draining:
+		return draining
+	case target.Live.Leaving():
+		return leaving
+	case health.RefusesAttempts:
+		return refusesAttempts
+	case isFull(target, waiting), r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals:
+		return queueIsFull
+	case r.excluded[target.ID]:
+		return alreadyTried
 	}
+	return notExcluded
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -86,6 +86,7 @@
 type requestState struct {
 	filter            *Filter
 	req               *pipeline.Request
+	requestBytes      int // size of the body
 	budget            *retryBudget
 	results           chan attemptResult
 	open              map[string]openAttempt // attempts without a result, by identifier
@@ -117,15 +118,7 @@
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &requestState{
-		filter:    f,
-		req:       req,
-		budget:    f.Budgets.forService(req.Service),
-		results:   make(chan attemptResult, 2*maxAttemptsSent), // an attempt has a second result if it is withdrawn
-		open:      make(map[string]openAttempt),
-		excluded:  make(map[string]bool),
-		queueFull: make(map[string]bool),
-	}
+	r := f.newRequestState(req)
 	r.budget.Deposit(time.Now())
 	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
 		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
@@ -136,6 +129,20 @@
 	return r.awaitResult(ctx)
 }
 
+// newRequestState returns the state of a request without attempts.
+func (f *Filter) newRequestState(req *pipeline.Request) *requestState {
+	return &requestState{
+		filter:       f,
+		req:          req,
+		requestBytes: len(req.Payload),
+		budget:       f.Budgets.forService(req.Service),
+		results:      make(chan attemptResult, 2*maxAttemptsSent), // an attempt has a second result if it is withdrawn
+		open:         make(map[string]openAttempt),
+		excluded:     make(map[string]bool),
+		queueFull:    make(map[string]bool),
+	}
+}
+
 func (r *requestState) awaitResult(ctx context.Context) *pipeline.Result {
 	end := time.NewTimer(time.Until(r.req.Deadline) + responseGrace)
 	defer end.Stop()
@@ -311,10 +318,17 @@
 // unservedResult returns the result of a request that did not run and for which no
 // backend server is left.
 func (r *requestState) unservedResult() *pipeline.Result {
+	if r.allEvacuated() {
+		r.filter.EvacuationRefusals.Inc()
+	}
+	return r.unservedRefusal()
+}
+
+// unservedRefusal is unservedResult without counting it.
+func (r *requestState) unservedRefusal() *pipeline.Result {
 	result := r.lastRefusal
 	switch {
 	case r.allEvacuated():
-		r.filter.EvacuationRefusals.Inc()
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
 		result.RetryAfter = evacuatedRetryAfter
 	case result != nil && result.Code == pipeline.CodeZoneEvacuated:
--- a/filters/lookup/lookup.go
+++ b/filters/lookup/lookup.go
@@ -46,39 +46,66 @@
 	if !ok {
 		return pipeline.Refuse(pipeline.CodeUnknownRoute, "")
 	}
-	if refusal := f.authenticate(snap, route, req); refusal != nil {
+	keys := req.Credentials
+	req.Credentials = nil
+	refusal := authorize(snap, route, req, len(keys), func() (*routing.Team, bool) { return snap.Table.TeamByKey(keys[0]) })
+	if refusal != nil {
 		return refusal
 	}
-	req.Route = route.Name
+	f.apply(route, req)
 	req.Service = route.PickService(rand.Float64())
+	return nil
+}
+
+// Describe sets what Handle sets for a request with a key of a team, except the service. An
+// empty name means a request without a key. The team must exist.
+func (f *Filter) Describe(team string, req *pipeline.Request) (*routing.Route, *pipeline.Result) {
+	snap := f.Snapshot()
+	if snap.Table == nil {
+		return nil, pipeline.Refuse(pipeline.CodeNotReady, "")
+	}
+	route, ok := snap.Table.Match(req.Host, req.Path)
+	if !ok {
+		return nil, pipeline.Refuse(pipeline.CodeUnknownRoute, "")
+	}
+	keys := 0
+	if team != "" {
+		keys = 1
+	}
+	refusal := authorize(snap, route, req, keys, func() (*routing.Team, bool) { return snap.Table.TeamByName(team) })
+	f.apply(route, req)
+	return route, refusal
+}
+
+// apply sets the properties that follow from the route.
+func (f *Filter) apply(route *routing.Route, req *pipeline.Request) {
+	req.Route = route.Name
 	req.CallerService = f.CallerService
 	req.MaxAttempts = max(route.MaxAttempts, 1)
 	req.Class = pipeline.Class{Name: route.Name, Idempotent: route.Idempotent, TargetLatency: route.TargetLatency}
 	limitDeadline(req, route.Timeout)
-	return nil
 }
 
-// authenticate sets the team that owns the key and the rank of the request. It
-// returns a refusal if the route requires a key and the request has no valid one.
-func (f *Filter) authenticate(snap *mesh.Snapshot, route *routing.Route, req *pipeline.Request) *pipeline.Result {
-	keys := req.Credentials
-	req.Credentials = nil
+// authorize sets the team that owns the key and the rank of the request. It returns a
+// refusal if the route requires a key and the request has no valid one. findTeam returns
+// the team of the key of a request with one key.
+func authorize(snap *mesh.Snapshot, route *routing.Route, req *pipeline.Request, keys int, findTeam func() (*routing.Team, bool)) *pipeline.Result {
 	req.Rank = min(route.Priority, leastUrgentRank)
 	if route.AllowAnonymous || !snap.Table.RequiresKeys() {
-		if len(keys) == 0 {
+		if keys == 0 {
 			req.Rank = backendCallRank
 		}
 		return nil
 	}
 	switch {
-	case len(keys) == 0:
+	case keys == 0:
 		return pipeline.Refuse(pipeline.CodeKeyMissing, "")
-	case len(keys) > 1:
+	case keys > 1:
 		return pipeline.Refuse(pipeline.CodeKeyAmbiguous, "")
 	case !snap.KeysValid(bootclock.Now()):
 		return pipeline.Refuse(pipeline.CodeKeysUnconfirmed, "")
 	}
-	team, ok := snap.Table.TeamByKey(keys[0])
+	team, ok := findTeam()
 	if !ok {
 		return pipeline.Refuse(pipeline.CodeKeyUnknown, "")
 	}
