sidecar, cmd/ragwortyard: explain where a request would go

Cause: operators could see why a request had gone to a server only afterwards, from the log of its attempts, and not what spoke against the others.

Change: GET /explain on the operator's address answers with the route, the services and, for each, where the first attempt would go, whether it would wait or be refused, and all backend servers with the parts of their cost, their room and what excludes them. The command explain prints it as text or JSON. The decision is that of the filters lookup and dispatch. The team is given by name; unknown parameters are refused without repeating their values.

Tests: the explained server and refusal are those of the request; no event, no log line, no attempt, no deposit and no counted refusal.

--- a/cmd/ragwortyard/main.go
+++ b/cmd/ragwortyard/main.go
@@ -28,6 +28,7 @@
 	Sidecar  sidecarCommand  `cmd:"" help:"Run the proxy on a platform that manages the configuration; settings come from the platform's settings file."`
 	Check    checkCommand    `cmd:"" help:"Validate a configuration before it is published."`
 	Status   statusCommand   `cmd:"" help:"Print the status of a running proxy."`
+	Explain  explainCommand  `cmd:"" help:"Print where a running sidecar would send a request now, and why; nothing is sent."`
 	Demo     demoCommand     `cmd:"" help:"Run a small fleet on loopback, inject failures and compare what callers observed with the targets."`
 	Measure  measureCommand  `cmd:"" help:"Run the measurements in virtual time and print the results beside simple baselines."`
 	Capacity capacityCommand `cmd:"" help:"Measure the resource use of a process at growing sizes; the full size is loaded into memory."`
--- a/decide/routing/routing.go
+++ b/decide/routing/routing.go
@@ -220,6 +220,17 @@
 	return sum
 }
 
+// Shares returns the services that requests are sent to, with weights whose sum is 1.
+func (r *Route) Shares() []WeightedService {
+	var shares []WeightedService
+	for _, weighted := range r.WeightedServices {
+		if weighted.Weight > 0 {
+			shares = append(shares, WeightedService{weighted.Service, weighted.Weight / r.totalWeight()})
+		}
+	}
+	return shares
+}
+
 // PickService returns the service for a request. If u is uniformly distributed in
 // [0, 1), the requests are divided in proportion to the weights.
 func (r *Route) PickService(u float64) string {
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -147,3 +147,32 @@
 		t.Errorf("estimated wait %v, want %v", wait, limited.StartWait)
 	}
 }
+
+// Guards against an explanation that differs from the choice: the chosen candidate costs at
+// most maxJitter more than the best one, and excluded ones are never the best.
+func TestExplanationAgreesWithTheChoice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := make([]Candidate, rapid.IntRange(0, minSampled).Draw(t, "candidates"))
+		for i := range candidates {
+			candidates[i] = Candidate{
+				GrayFailureProbability: rapid.Float64Range(0, 1).Draw(t, "gray"),
+				EvidenceAge:            time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond,
+				Running:                rapid.IntRange(0, 9).Draw(t, "running"),
+				QueuedAhead:            rapid.IntRange(0, 9).Draw(t, "queued"),
+				Slots:                  rapid.IntRange(1, 7).Draw(t, "slots"),
+				SameZone:               rapid.Bool().Draw(t, "same zone"),
+				LeaveCost:              rapid.Float64Range(0, 0.3).Draw(t, "leave"),
+				PathSuspect:            rapid.Bool().Draw(t, "path"),
+				Excluded:               rapid.Bool().Draw(t, "excluded"),
+			}
+		}
+		r := Request{Idempotent: rapid.Bool().Draw(t, "idempotent"), Retryable: rapid.Bool().Draw(t, "retryable"), TargetLatency: time.Second, TimeLeft: 2 * time.Second}
+		e, chosen := Explain(r, candidates), Choose(r, candidates, newRand())
+		if e.Sampled || (e.Best < 0) != (chosen < 0) {
+			t.Fatalf("best %d, chosen %d, sampled %t", e.Best, chosen, e.Sampled)
+		}
+		if chosen >= 0 && (candidates[e.Best].Excluded || e.Costs[chosen].Total() > e.Costs[e.Best].Total()+maxJitter) {
+			t.Fatalf("best %d costs %v, chosen %d costs %v", e.Best, e.Costs[e.Best], chosen, e.Costs[chosen])
+		}
+	})
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/ragwortyard/ragwortyard/internal/bootclock"
+	"github.com/ragwortyard/ragwortyard/sidecar/explain"
 )
 
 // registerMetrics registers the gauges of the process.
@@ -58,12 +59,13 @@
 	s.metrics.NewGauge("ragwortyard_log_lines_dropped_total", func() float64 { return float64(dropped()) })
 }
 
-// metricsHandler serves the metrics of the process.
-func (s *Sidecar) metricsHandler() http.Handler {
+// operatorHandler serves the metrics of the process and explanations of its choices.
+func (s *Sidecar) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	mux.HandleFunc("GET "+explain.Path, s.serveExplain)
 	return mux
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -99,6 +99,8 @@
 	store            *platform.Store
 	loop             *control.Loop[mesh.Snapshot]
 	queue            *slots.Queue
+	lookup           *lookup.Filter
+	dispatch         *dispatch.Filter
 	entry            pipeline.Chain
 	exit             pipeline.Chain
 	peers            *hop.Client
@@ -170,28 +172,34 @@
 }
 
 func (s *Sidecar) entryChain() pipeline.Chain {
+	s.lookup = &lookup.Filter{Snapshot: s.loop.Snapshot, CallerService: s.settings.Service}
+	s.dispatch = s.newDispatch()
 	return pipeline.Chain{
 		observe.New(s.metrics),
 		intake{s},
-		&lookup.Filter{Snapshot: s.loop.Snapshot, CallerService: s.settings.Service},
+		s.lookup,
 		continuation.New(),
 		fingerprint.Filter{},
 		&blocked.Filter{Snapshot: s.loop.Snapshot},
 		&ratelimit.Filter{Snapshot: s.loop.Snapshot, Submit: s.loop.Submit, Metrics: s.metrics},
-		&dispatch.Filter{
-			Snapshot: s.loop.Snapshot,
-			Zone:     s.settings.Zone,
-			Sender:   s,
-			Budgets: &dispatch.RetryBudgets{
-				Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
-			},
-			NewID:              s.ids.next,
-			RetryProbability:   s.queue.RetryProbability,
-			StopBegan:          s.stop.began,
-			StopSchedule:       func() shutdown.Schedule { return s.stop.schedule },
-			EvacuationRefusals: s.metrics.NewCounter("ragwortyard_evacuation_refused_requests_total"),
-			Log:                s.log,
+		s.dispatch,
+	}
+}
+
+func (s *Sidecar) newDispatch() *dispatch.Filter {
+	return &dispatch.Filter{
+		Snapshot: s.loop.Snapshot,
+		Zone:     s.settings.Zone,
+		Sender:   s,
+		Budgets: &dispatch.RetryBudgets{
+			Window: s.settings.RetryBudgetWindow, RetriesPerRequest: localRetryFraction * s.settings.RetryBudgetRatio, Submit: s.loop.Submit,
 		},
+		NewID:              s.ids.next,
+		RetryProbability:   s.queue.RetryProbability,
+		StopBegan:          s.stop.began,
+		StopSchedule:       func() shutdown.Schedule { return s.stop.schedule },
+		EvacuationRefusals: s.metrics.NewCounter("ragwortyard_evacuation_refused_requests_total"),
+		Log:                s.log,
 	}
 }
 
@@ -373,7 +381,7 @@
 	callers := s.newServer(s.countOpenRequests(s.callerHandler()))
 	peers := s.newServer(s.countOpenRequests(&hop.Handler{Chain: s.exit, Load: s.load, Withdraw: s.queue.Withdraw, Documents: s.documents(), Log: s.log}))
 	ready := s.newServer(platform.ReadinessHandler(s.ready))
-	operator := s.newServer(s.metricsHandler())
+	operator := s.newServer(s.operatorHandler())
 	group, groupCtx := errgroup.WithContext(ctx)
 	for addr, server := range map[string]*httpdrain.Server{
 		s.settings.CallersAddr:   callers,
