cmd/ragwortyard: addresses of test processes on random loopback addresses

Cause: freePort closes the port that it found, and another program on 127.0.0.1 may take it before the process listens.

Change: each listener gets a random loopback address and port, instead of no port being returned twice.

Whether a taken port was the cause of the start that failed once is not known.

--- a/cmd/ragwortyard/process_test.go
+++ b/cmd/ragwortyard/process_test.go
@@ -13,7 +13,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -127,18 +126,13 @@
 	}
 }
 
-// returnedAddrs holds the addresses that freePort has returned.
-var returnedAddrs sync.Map
-
 // freePort returns an address with a free port below the ephemeral port range,
-// so that no outgoing connection takes the port before the process listens.
+// so that no outgoing connection takes the port before the process listens. The random
+// loopback address makes it unlikely that another program does.
 func freePort(t *testing.T) string {
 	t.Helper()
 	for range 100 {
-		addr := fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))
-		if _, returned := returnedAddrs.LoadOrStore(addr, true); returned {
-			continue
-		}
+		addr := fmt.Sprintf("127.%d.%d.%d:%d", 100+rand.IntN(100), rand.IntN(256), 1+rand.IntN(254), 10_000+rand.IntN(20_000))
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			_ = l.Close()
 			return addr
