--- a/control/mesh/assemble.go
+++ b/control/mesh/assemble.go
@@ -61,14 +61,18 @@
 		returnedAt:          make(map[string]time.Time),
 	}
 	config := &configStage{state: st, keyTrustDuration: o.KeyTrustDuration}
+	servers := &serversStage{
+		state: st, drainTime: o.DrainTime,
+		storeReturn: storeReturn{removed: make(map[string]removedServer)},
+	}
 	stages := []control.Stage{
 		&stopStage{state: st},
 		&relayStage{state: st},
 		config,
 		&evacuationStage{state: st, since: make(map[string]time.Time)},
-		&serversStage{state: st, drainTime: o.DrainTime},
+		servers,
 		&storeStage{
-			state: st, config: config, bootClock: o.BootClock, firstStart: o.FirstStart,
+			state: st, config: config, servers: servers, bootClock: o.BootClock, firstStart: o.FirstStart,
 			pending: make(map[uint32]storeQuery), missedAnswers: make(map[string]int), excludedUntil: make(map[string]time.Time),
 		},
 		&healthStage{state: st, load: o.Load, estimates: make(map[string]belief.Estimate)},
@@ -127,9 +131,13 @@
 		Stopping:    s.stopping,
 		PeerTimeout: s.scaledPeerTimeout(),
 		Evacuated:   s.evacuated,
+
+		ListPosition: s.listPosition,
+		ListComplete: !s.listIncomplete,
+		HeldEntries:  s.heldEntries,
 	}
-	if s.storeReader {
-		snap.ListRevision, snap.ListedAt, snap.Evacuations = s.listRevision, now, s.evacuations
+	if s.storeReader && snap.ListComplete {
+		snap.ListedAt, snap.Evacuations = now, s.evacuations
 		for _, server := range s.servers {
 			if server.missingSince.IsZero() {
 				listed := server.Server
@@ -143,7 +151,7 @@
 	}
 	newest := s.newestAtAddress()
 	for id, server := range s.servers {
-		if server.CreateRevision < newest[server.Addr] {
+		if compareAge(server.Server, newest[server.Addr]) < 0 {
 			continue
 		}
 		target := &Target{
--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -27,14 +27,18 @@
 	Zone           string
 	Host           string // IP address of its host
 	Addr           string // "ip:port", reachable from its host only
-	CreateRevision uint64 // increases with each entry that the platform creates
-	Revision       uint64 // increases with each change of an entry
+	CreateRevision uint64 // increases with each entry that the platform creates in an era
+	Era            uint64 // of the store when the entry was read
+	Revision       uint64 // increases with each change of an entry in an era
 	Slots          int
 	Draining       bool
 	WarmUpLeft     time.Duration // remaining warm-up time when the entry was read
 	StartUnixMS    int64         // start in Unix milliseconds; 0 when unknown
 }
 
+// Position returns the position of the entry.
+func (s Server) Position() StorePosition { return StorePosition{Era: s.Era, Revision: s.Revision} }
+
 // Health is the last known health of a backend server.
 type Health struct {
 	BadProbability  float64 // probability of a gray failure at LastOutcomeAt
@@ -51,6 +55,7 @@
 	running         atomic.Int32 // as its exit proxy last reported in a status or a response
 	waiting         atomic.Int32
 	urgent          atomic.Int32
+	loadReportedAt  atomic.Int64 // in nanoseconds since timeBase
 	inFlight        atomic.Int32
 	limit           atomic.Pointer[observedLimit]
 	leaving         atomic.Bool  // an answer of the server said that it is leaving
@@ -65,7 +70,8 @@
 func (l *LiveState) Health() Health { return *l.health.Load() }
 
 // SetLoad records the load that the server's exit proxy reported.
-func (l *LiveState) SetLoad(load *pipeline.Load) {
+func (l *LiveState) SetLoad(now time.Time, load *pipeline.Load) {
+	l.loadReportedAt.Store(int64(now.Sub(timeBase)))
 	l.running.Store(int32(load.Running))
 	l.waiting.Store(int32(load.Waiting))
 	l.urgent.Store(int32(load.Urgent))
@@ -78,6 +84,11 @@
 	return max(int(l.running.Load()), l.InFlight()), int(l.waiting.Load()), int(l.urgent.Load())
 }
 
+// LoadReportedWithin reports whether the exit proxy reported its load within the last d.
+func (l *LiveState) LoadReportedWithin(now time.Time, d time.Duration) bool {
+	return now.Sub(timeBase.Add(time.Duration(l.loadReportedAt.Load()))) < d
+}
+
 // observedLimit is the rate limit of a backend server as its exit proxy last reported it.
 type observedLimit struct {
 	limit     pipeline.RateLimit
@@ -165,10 +176,13 @@
 	Blocked     map[crashcount.Fingerprint]time.Time
 	Hosts       int  // number of hosts of the fleet, including this one
 	StoreReader bool // this process reads the platform's store for its peers
-	// Listed and ListRevision are the list of a store reader and the revision of the
-	// store that it reflects, for peers whose lists differ.
+	// Listed and ListPosition are the list of a store reader and the position of the store
+	// that it reflects, for peers whose lists differ. ListComplete is false until the whole
+	// list of the era has been read.
 	Listed       []Server
-	ListRevision uint64
+	ListPosition StorePosition
+	ListComplete bool
+	HeldEntries  uint64           // number of entries that were held back since the start
 	ListedAt     time.Time        // when the warm-up times in Listed were right
 	Evacuations  *EvacuationsRead // of a store reader, for its peers; nil if unknown
 	Evacuated    map[string]bool  // evacuated availability zones
@@ -240,11 +254,18 @@
 	hostsByZone      map[string][]string     // hosts of peers, sorted
 	liveStatesByHost map[string][]*LiveState // of the servers on each host
 	delisted         map[string]bool         // backend servers of this host that were removed from the list
-	listRevision     uint64                  // highest revision of the store whose changes are in the list
+	listPosition     StorePosition           // highest position of the store whose changes are in the list
+	listIncomplete   bool                    // the whole list of the era of listPosition has not been read yet
+	heldEntries      uint64                  // number of entries that were held back
 	listConfirmed    bool                    // the list is no old copy; also written by the store stage
 
 	rooms *Rooms // written by the rooms stage
 
+	// Written by the configuration and the servers stage, through noteEra.
+	era          uint64    // newest known era of the store
+	eraKnown     bool      // era was read or announced at least once
+	eraChangedAt time.Time // when era last rose; zero if it did not
+
 	nextRelay int // rotation counter of pickRelays; written by broadcast
 
 	// Written by the store stage.
--- a/control/mesh/warmup.go
+++ b/control/mesh/warmup.go
@@ -50,10 +50,14 @@
 		return
 	}
 	for _, server := range read.Put {
+		known := s.state.servers[server.ID]
+		if known == nil || contradicts(server, known.Server, false) {
+			continue // held back
+		}
 		_, limited := s.state.warmUp(server.Service)
 		if limited && server.WarmUpLeft >= minWarmUpExtension && s.state.peers[server.Host] != nil {
 			change := notice.ServerListChange{Revision: read.Revision, Put: []notice.Server{encodeServer(server)}}
-			out.Emit(SendMessage{Hosts: []string{server.Host}, Message: notice.Message{ServerListChange: &change}})
+			out.Emit(SendMessage{Hosts: []string{server.Host}, Message: notice.Message{ServerListChange: &change, Era: read.Era}})
 		}
 	}
 }
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -15,15 +15,17 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
-// MaxWaitingPerSlot limits the queue to about four service times.
-const MaxWaitingPerSlot = 4
+// MaxWaiting is the maximum number of requests that wait for the slots of a server.
+const MaxWaiting = 16
 
-// While both wait, maxCallsInARow calls start before another request does, and the other
-// requests keep at least 1 in minOtherShare of the places in the queue. Otherwise a service
-// that is overloaded by calls would serve nothing else.
+// While both wait, calls get callTimeShare times as much slot time as other requests, which keep
+// at least 1 in minOtherShare of the places in the queue. Otherwise a service that is
+// overloaded by calls would serve nothing else.
 const (
-	maxCallsInARow = 3
-	minOtherShare  = 4
+	callTimeShare = 4
+	minOtherShare = 4
+	// MinOthers is that number of places in a queue of MaxWaiting.
+	MinOthers = MaxWaiting / minOtherShare
 )
 
 // serviceTimeSmoothing is the number of requests in the moving average of the time
@@ -141,7 +143,7 @@
 	})
 	victim := -1
 	if len(q.items) >= q.maxWaiting {
-		if victim = q.displacedBy(item); victim < position {
+		if victim = q.displacedBy(item, position); victim < 0 {
 			return Refused, nil
 		}
 	}
@@ -154,6 +156,9 @@
 	}
 	if victim >= 0 {
 		displaced = append(displaced, q.removeAt(victim))
+		if victim < position {
+			position--
+		}
 	}
 	q.items = slices.Insert(q.items, position, item)
 	if item.IsCall {
@@ -162,28 +167,40 @@
 	return Queued, displaced
 }
 
-// displacedBy returns the position in the full queue of the request that yields to an item,
-// which may be that of a request which goes before it: the last call if the other requests
+// displacedBy returns the position in the full queue of the request that yields to an item
+// at the given position, or -1 if the item itself does: the last call if the other requests
 // have no more places than their share, else the last of all.
-func (q *Queue) displacedBy(item Item) int {
+func (q *Queue) displacedBy(item Item, position int) int {
 	others := len(q.items) - q.calls
 	if !item.IsCall {
 		others++
 	}
+	last, yields := len(q.items)-1, position == len(q.items)
 	if others <= q.maxWaiting/minOtherShare {
-		return q.calls - 1
+		last, yields = q.calls-1, item.IsCall && position == q.calls
+	}
+	if yields {
+		return -1
 	}
-	return len(q.items) - 1
+	return last
 }
 
 // startsBefore returns how many waiting requests start before an item that is inserted at a
 // position.
 func (q *Queue) startsBefore(item Item, position int) int {
 	if item.IsCall {
-		return position + min(position/maxCallsInARow, len(q.items)-q.calls)
+		return position + min(position/q.callsPerOther(), len(q.items)-q.calls)
 	}
 	others := position - q.calls
-	return others + min(q.calls, maxCallsInARow*(others+1))
+	return others + min(q.calls, q.callsPerOther()*(others+1))
+}
+
+// callsPerOther returns how many calls start before another request does while both wait.
+func (q *Queue) callsPerOther() int {
+	if q.meanCallTime <= 0 || q.meanRequestTime <= 0 {
+		return callTimeShare
+	}
+	return max(int(callTimeShare*q.meanRequestTime/q.meanCallTime), 1)
 }
 
 // removeAt removes and returns the request at a position.
@@ -235,7 +252,7 @@
 	q.running++
 	others := len(q.items) > q.calls
 	switch {
-	case q.calls > 0 && others && q.callsInARow >= maxCallsInARow:
+	case q.calls > 0 && others && q.callsInARow >= q.callsPerOther():
 		q.callsInARow = 0
 		return q.removeAt(q.calls), true
 	case q.calls > 0 && others:
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -31,7 +31,7 @@
 		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
 	}
 	if answer.HasLoad {
-		target.Live.SetLoad(&answer.Load)
+		target.Live.SetLoad(time.Now(), &answer.Load)
 		target.Live.SetLimit(time.Now(), &answer.Load)
 		if answer.Load.Leaving {
 			target.Live.MarkLeaving()
@@ -55,8 +55,8 @@
 // is left. Servers that refused for lack of a free slot are excluded only until the
 // request may wait in a queue.
 func (r *requestState) choose() (*mesh.Target, selection.Candidate) {
-	now := time.Now()
-	targets, candidates := r.candidates(now)
+	now, snap := time.Now(), r.filter.Snapshot()
+	targets, candidates := r.candidates(now, snap)
 	properties := r.properties(now)
 	index := selection.Choose(properties, candidates, newRand())
 	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
@@ -70,8 +70,7 @@
 }
 
 // candidates describes the backend servers of the service for the selection.
-func (r *requestState) candidates(now time.Time) ([]*mesh.Target, []selection.Candidate) {
-	snap := r.filter.Snapshot()
+func (r *requestState) candidates(now time.Time, snap *mesh.Snapshot) ([]*mesh.Target, []selection.Candidate) {
 	targets := snap.Services[r.req.Service]
 	candidates := make([]selection.Candidate, len(targets))
 	for i, target := range targets {
@@ -100,12 +99,26 @@
 		r.requestBytes+r.filter.Sizes.Expected(r.req.Route))
 }
 
-// isFull reports whether the queue of a server's exit proxy was full when it last reported.
-// waiting is the number of waiting requests that a request would not go before.
-func isFull(target *mesh.Target, waiting int) bool {
-	return waiting >= slotqueue.MaxWaitingPerSlot*target.Slots
+// isFull reports whether the queue of a server's exit proxy had no place for the request when
+// it last reported. Less urgent requests have places of their own. An old report does not count: if
+// no further one arrives, only an answer tells that there is room again.
+func (r *requestState) isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target) bool {
+	return r.queueRoom(target) <= 0 && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
 }
 
+// queueRoom returns how many places for requests of this urgency the queue of a server's exit
+// proxy had when it last reported.
+func (r *requestState) queueRoom(target *mesh.Target) int {
+	_, waiting, urgent := target.Live.Load()
+	if r.req.Rank <= pipeline.MaxUrgentRank {
+		return slotqueue.MaxWaiting - urgent
+	}
+	return max(slotqueue.MaxWaiting-waiting, slotqueue.MinOthers-(waiting-urgent))
+}
+
+// isCall reports whether a backend server makes the request while another one holds a slot.
+func (r *requestState) isCall() bool { return r.req.Principal.Team == "" && r.req.ParentID != "" }
+
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
 // that it may be sent to. It is jittered by a quarter, so that refused requests do not all
 // return at the same time. It returns 0 if no server accepts requests at all.
@@ -125,6 +138,34 @@
 	return time.Duration((0.75 + 0.5*rand.Float64()) * float64(shortest))
 }
 
+// logNoRoom logs the refusal of a request for lack of room, with what was known of it.
+func (r *requestState) logNoRoom(result *pipeline.Result) {
+	snap, now := r.filter.Snapshot(), time.Now()
+	servers, full := 0, 0
+	for _, target := range snap.Services[r.req.Service] {
+		servers++
+		if r.isFull(now, snap, target) {
+			full++
+		}
+	}
+	r.filter.Log.Info("request refused: no server has room",
+		zap.String("request", r.req.ID), zap.String("service", r.req.Service), zap.Int("rank", r.req.Rank),
+		zap.Int("attempts", r.attemptsSent), zap.Int("servers", servers), zap.Int("full", full),
+		zap.Float64("zone_utilization", snap.Rooms.Utilization(r.req.Service, r.filter.Zone)),
+		zap.Int64("retry_after_ms", result.RetryAfter.Milliseconds()))
+}
+
+// countZone counts an attempt by the zone of its backend server.
+func (r *requestState) countZone(target *mesh.Target) {
+	counter := r.filter.AttemptsLeavingZone
+	if target.SameZone {
+		counter = r.filter.AttemptsInZone
+	}
+	if counter != nil {
+		counter.Inc()
+	}
+}
+
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // candidate describes a backend server for the selection.
@@ -150,7 +191,7 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded:               r.exclusion(target, &health, waiting) != notExcluded,
+		Excluded:               r.exclusion(now, snap, target, &health) != notExcluded,
 	}
 }
 
@@ -167,7 +208,7 @@
 	alreadyTried    exclusion = "already tried"
 )
 
-func (r *requestState) exclusion(target *mesh.Target, health *mesh.Health, waiting int) exclusion {
+func (r *requestState) exclusion(now time.Time, snap *mesh.Snapshot, target *mesh.Target, health *mesh.Health) exclusion {
 	switch {
 	case target.Evacuated:
 		return zoneEvacuated
@@ -177,7 +218,7 @@
 		return leaving
 	case health.RefusesAttempts:
 		return refusesAttempts
-	case isFull(target, waiting), r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals:
+	case r.isFull(now, snap, target), r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals:
 		return queueIsFull
 	case r.excluded[target.ID]:
 		return alreadyTried
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -44,7 +44,10 @@
 	// EvacuationRefusals counts requests that were refused because all backend servers of
 	// their service are in evacuated availability zones.
 	EvacuationRefusals *metrics.Counter
-	Log                *zap.Logger
+	// AttemptsInZone and AttemptsLeavingZone count attempts by the zone of their backend
+	// server: that of this process, or another one. They may be nil.
+	AttemptsInZone, AttemptsLeavingZone *metrics.Counter
+	Log                                 *zap.Logger
 }
 
 // Name returns "dispatch".
@@ -56,7 +59,8 @@
 	// costs another transfer of the request.
 	maxQueueFullRefusals = 1
 	// maxQueuesTried is the number of exit proxies that may refuse a request for lack of
-	// room. When a service is overloaded, most others would refuse it, too.
+	// room. When a service is overloaded, most others would refuse it, too. Calls are sent
+	// on, since the request that makes them fails with them.
 	maxQueuesTried = 3
 	// firstQueueWait is how long the first attempt may wait for a slot where the
 	// entry proxy expected a free one. It is not 0, since a second attempt costs
@@ -120,7 +124,7 @@
 	defer cancel()
 	r := f.newRequestState(req)
 	r.budget.Deposit(time.Now())
-	if req.Principal.Team == "" && !f.Budgets.chargeCall(ctx, r.budget, req.Service, f.RetryProbability(req.ParentID)) {
+	if req.Principal.Team == "" && !r.chargeCall(ctx) {
 		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
 	}
 	if !r.send(ctx) {
@@ -143,6 +147,18 @@
 	}
 }
 
+// chargeCall charges a request without a team to the retry budget, since a call of a retried
+// request is a retry, too. It reports false if the call has to be refused. A request that
+// names no parent may be a caller's, where requests need no key, and is never refused.
+func (r *requestState) chargeCall(ctx context.Context) bool {
+	probability := r.filter.RetryProbability(r.req.ParentID)
+	if r.req.ParentID == "" {
+		r.budget.Charge(time.Now(), probability)
+		return true
+	}
+	return r.filter.Budgets.chargeCall(ctx, r.budget, r.req.Service, probability)
+}
+
 func (r *requestState) awaitResult(ctx context.Context) *pipeline.Result {
 	end := time.NewTimer(time.Until(r.req.Deadline) + responseGrace)
 	defer end.Stop()
@@ -261,7 +277,7 @@
 	case pipeline.CodeQueueFull:
 		r.queueFullRefusals++
 		r.queueFull[e.target.ID] = true
-		return r.queueFullRefusals < maxQueuesTried && r.canSendAgain() && r.send(ctx)
+		return (r.isCall() || r.queueFullRefusals < maxQueuesTried) && r.canSendAgain() && r.send(ctx)
 	case pipeline.CodeShed, pipeline.CodeWrongExit:
 		r.excluded[e.target.ID] = true
 		return r.canRetryInTime() && r.withdrawRetry(ctx) && r.send(ctx)
@@ -302,6 +318,7 @@
 	}
 	r.open[attempt.ID] = openAttempt{target, time.Now()}
 	r.attemptsSent++
+	r.countZone(target)
 	r.possiblyExecuted++
 	target.Live.AttemptStarted()
 	go func() {
@@ -321,10 +338,14 @@
 	if r.allEvacuated() {
 		r.filter.EvacuationRefusals.Inc()
 	}
-	return r.unservedRefusal()
+	result := r.unservedRefusal()
+	if result.Code == pipeline.CodeQueueFull {
+		r.logNoRoom(result)
+	}
+	return result
 }
 
-// unservedRefusal is unservedResult without counting it.
+// unservedRefusal is unservedResult without counting and logging it.
 func (r *requestState) unservedRefusal() *pipeline.Result {
 	result := r.lastRefusal
 	switch {
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -169,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		snap := snapshot()
 		for _, target := range snap.Services["roster"] {
-			target.Live.SetLoad(&pipeline.Load{Running: 7, Waiting: 60, Urgent: 0, Slots: 7})
+			target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: 60, Urgent: 0, Slots: 7})
 		}
 		for rank, waiting := range map[int]int{pipeline.MaxUrgentRank: 0, pipeline.MaxUrgentRank + 1: 60} {
 			req := request(true)
@@ -249,6 +250,11 @@
 		if len(sender.sent) != 3 || result.Code != pipeline.CodeQueueFull || result.Outcome != pipeline.NotRun || result.RetryAfter <= 0 {
 			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
 		}
+		call := request(true)
+		call.Principal.Team, call.ParentID = "", "parent"
+		if _, sender = handle(t, call, func(int, *pipeline.Request) hop.Answer { return refused(pipeline.CodeQueueFull) }); len(sender.sent) < 4 {
+			t.Errorf("call sent %d times, want to each of four servers", len(sender.sent))
+		}
 	})
 }
 
@@ -259,7 +265,7 @@
 		snap := snapshot()
 		full := pipeline.Load{Running: 7, Waiting: 28, Urgent: 28, Slots: 7}
 		for _, target := range snap.Services["roster"][1:] {
-			target.Live.SetLoad(&full)
+			target.Live.SetLoad(time.Now(), &full)
 		}
 		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
 		f := &Filter{
@@ -274,7 +280,7 @@
 				t.Fatalf("a server with a full queue was asked")
 			}
 		}
-		snap.Services["roster"][0].Live.SetLoad(&full)
+		snap.Services["roster"][0].Live.SetLoad(time.Now(), &full)
 		start, sent := time.Now(), len(sender.sent)
 		result := f.Handle(t.Context(), request(true))
 		if len(sender.sent) != sent || time.Since(start) > 0 || result.Code != pipeline.CodeQueueFull || result.RetryAfter < time.Second {
@@ -282,3 +288,92 @@
 		}
 	})
 }
+
+// Guards against entry proxies that judge by another limit than the exit proxy's whether a queue is full.
+func TestFullQueueHasTheSizeOfTheExitProxysQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, slots := range []int{2, 4, 5, 8} {
+			for waiting, want := range map[int]int{slotqueue.MaxWaiting - 1: 1, slotqueue.MaxWaiting: 0} {
+				snap := snapshot()
+				for _, target := range snap.Services["roster"] {
+					target.Slots = slots
+					target.Live.SetLoad(time.Now(), &pipeline.Load{Running: slots, Waiting: waiting, Urgent: waiting, Slots: slots})
+				}
+				sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+				f := &Filter{
+					Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+					Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+				}
+				f.Handle(t.Context(), request(true))
+				if len(sender.sent) != want {
+					t.Errorf("%d slots, %d requests wait: sent %d times, want %d", slots, waiting, len(sender.sent), want)
+				}
+			}
+		}
+	})
+}
+
+// Guards against servers that are never asked again because their last report, of a full queue, was followed by none.
+func TestServerIsAskedAgainIfItsReportOfAFullQueueIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		for _, target := range snap.Services["roster"] {
+			target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: slotqueue.MaxWaiting, Urgent: slotqueue.MaxWaiting, Slots: 7})
+		}
+		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+		f := &Filter{
+			Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+			Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+		}
+		time.Sleep(snap.PeerTimeout)
+		if result := f.Handle(t.Context(), request(true)); len(sender.sent) != 1 || result.Status != 200 {
+			t.Errorf("sent %d times, result %+v", len(sender.sent), result)
+		}
+	})
+}
+
+// Guards against requests without a key that are refused as calls of a retried request although no backend server made them.
+func TestCallerWithoutKeyIsNotRefusedForTheRetriesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		snap := snapshot()
+		sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+		f := &Filter{
+			Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+			Budgets:          &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)},
+			RetryProbability: func(string) float64 { return 1 }, // all requests at the server of this host are retries
+			Log:              zap.NewNop(),
+		}
+		req := request(true)
+		req.Principal = pipeline.Principal{}
+		if result := f.Handle(t.Context(), req); result.Code != pipeline.CodeOK {
+			t.Errorf("without a parent: %+v", result)
+		}
+		req.ParentID = "parent"
+		if result := f.Handle(t.Context(), req); result.Code != pipeline.CodeRetriesSpent {
+			t.Errorf("of a retried parent: %+v", result)
+		}
+	})
+}
+
+// Guards against requests that are not sent to a queue full of calls, although the exit proxy has places for them.
+func TestQueueFullOfCallsIsNotFullForOtherRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for others, want := range map[int]int{slotqueue.MinOthers - 1: 1, slotqueue.MinOthers: 0} {
+			snap := snapshot()
+			for _, target := range snap.Services["roster"] {
+				target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 7, Waiting: slotqueue.MaxWaiting, Urgent: slotqueue.MaxWaiting - others, Slots: 7})
+			}
+			sender := &exitProxies{answers: func(int, *pipeline.Request) hop.Answer { return status(200) }}
+			f := &Filter{
+				Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
+				Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
+			}
+			req := request(true)
+			req.Rank = pipeline.MaxUrgentRank + 1
+			f.Handle(t.Context(), req)
+			if len(sender.sent) != want {
+				t.Errorf("%d others wait: sent %d times, want %d", others, len(sender.sent), want)
+			}
+		}
+	})
+}
--- a/filters/dispatch/explain.go
+++ b/filters/dispatch/explain.go
@@ -5,7 +5,6 @@
 
 	"github.com/ragwortyard/ragwortyard/control/mesh"
 	"github.com/ragwortyard/ragwortyard/decide/selection"
-	"github.com/ragwortyard/ragwortyard/decide/slotqueue"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -33,19 +32,19 @@
 // Explain returns where the first attempt of a request with a body of the given size would
 // be sent now. It sends nothing and takes nothing from any budget.
 func (f *Filter) Explain(req *pipeline.Request, requestBytes int) Explanation {
-	now := time.Now()
+	now, snap := time.Now(), f.Snapshot()
 	r := f.newRequestState(req)
 	r.requestBytes = requestBytes
-	targets, candidates := r.candidates(now)
+	targets, candidates := r.candidates(now, snap)
 	choice := selection.Explain(r.properties(now), candidates)
 	e := Explanation{Servers: make([]ExplainedServer, len(targets)), Sampled: choice.Sampled}
 	for i, target := range targets {
 		health, candidate := target.Live.Health(), candidates[i]
 		e.Servers[i] = ExplainedServer{
 			Target: target, Candidate: candidate, Cost: choice.Costs[i],
-			Exclusion: string(r.exclusion(target, &health, candidate.QueuedAhead)),
+			Exclusion: string(r.exclusion(now, snap, target, &health)),
 			Wait:      candidate.EstimatedWait(),
-			QueueRoom: max(slotqueue.MaxWaitingPerSlot*target.Slots-candidate.QueuedAhead, 0),
+			QueueRoom: max(r.queueRoom(target), 0),
 		}
 	}
 	if choice.Best < 0 || r.isLastStartPast() {
--- a/filters/dispatch/explain_test.go
+++ b/filters/dispatch/explain_test.go
@@ -5,6 +5,9 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
@@ -18,7 +21,7 @@
 		targets := e.Snapshot().Services["roster"]
 		for i, target := range targets {
 			if i != 1 {
-				target.Live.SetLoad(&pipeline.Load{Running: target.Slots, Waiting: 5})
+				target.Live.SetLoad(time.Now(), &pipeline.Load{Running: target.Slots, Waiting: 5})
 			}
 		}
 		explained := e.Explain(request(true), 0)
@@ -32,6 +35,16 @@
 			t.Errorf("sent to %s, explained as %s", sender.sent[0].Backend, explained.Best.ID)
 		}
 
+		core, logs := observer.New(zap.DebugLevel)
+		e.Log = zap.New(core)
+		for _, target := range targets {
+			target.Live.SetLoad(time.Now(), &pipeline.Load{Running: 4, Waiting: 1000, Urgent: 1000})
+		}
+		explained = e.Explain(request(true), 0)
+		if logs.Len() > 0 || explained.Refusal == nil || explained.Refusal.Code != pipeline.CodeQueueFull || explained.Servers[0].Exclusion != string(queueIsFull) {
+			t.Errorf("full queues: %+v, %d log lines", explained, logs.Len())
+		}
+
 		e.evacuate("a", "b", "c", "d")
 		explained = e.Explain(request(true), 0)
 		if e.EvacuationRefusals.Get() != 0 {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,6 +43,10 @@
 		"ragwortyard_ahead_bytes":                  func() float64 { return float64(s.ahead.Stats().Bytes) },
 		"ragwortyard_ahead_connections_at_a_bound": func() float64 { return float64(s.ahead.Stats().AtBound) },
 		"ragwortyard_zones_evacuated":              func() float64 { return float64(len(s.loop.Snapshot().Evacuated)) },
+		"ragwortyard_store_era":                    func() float64 { return float64(s.loop.Snapshot().ListPosition.Era) },
+		"ragwortyard_store_entries_held_total": func() float64 {
+			return float64(s.loop.Snapshot().HeldEntries)
+		},
 		"ragwortyard_evacuation_refused_attempts_total": func() float64 {
 			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
 		},
@@ -64,6 +69,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.metrics.WritePrometheus(w)
+		s.loop.Snapshot().Rooms.Each(func(service, zone string, utilization float64) {
+			metrics.WriteGaugeFloat64(w, fmt.Sprintf(`ragwortyard_room_utilization{service=%q,zone=%q}`, service, zone), utilization)
+		})
 		metrics.WriteProcessMetrics(w)
 	})
 	mux.HandleFunc("GET "+explain.Path, s.serveExplain)
