--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -55,28 +55,38 @@
 // is left. Servers that refused for lack of a free slot are excluded only until the
 // request may wait in a queue.
 func (r *requestState) choose() (*mesh.Target, selection.Candidate) {
-	snap := r.filter.Snapshot()
+	now, snap := time.Now(), r.filter.Snapshot()
+	targets, candidates := r.candidates(now, snap)
+	properties := r.properties(now)
+	index := selection.Choose(properties, candidates, newRand())
+	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
+		r.queueFullRefusals = maxQueueFullRefusals
+		return r.choose()
+	}
+	if index < 0 {
+		return nil, selection.Candidate{}
+	}
+	return targets[index], candidates[index]
+}
+
+// candidates describes the backend servers of the service for the selection.
+func (r *requestState) candidates(now time.Time, snap *mesh.Snapshot) ([]*mesh.Target, []selection.Candidate) {
 	targets := snap.Services[r.req.Service]
-	now := time.Now()
 	candidates := make([]selection.Candidate, len(targets))
 	for i, target := range targets {
 		candidates[i] = r.candidate(now, snap, target)
 	}
-	properties := selection.Request{
+	return targets, candidates
+}
+
+// properties describes the next attempt for the selection.
+func (r *requestState) properties(now time.Time) selection.Request {
+	return selection.Request{
 		Idempotent:    r.req.Class.Idempotent,
 		TargetLatency: r.req.Class.TargetLatency,
 		TimeLeft:      time.Until(r.req.Deadline),
 		Retryable:     r.possiblyExecuted+1 < r.req.MaxAttempts && r.budget.retryLikelyAvailable(now),
 	}
-	index := selection.Choose(properties, candidates, newRand())
-	if index < 0 && len(r.queueFull) > 0 && r.queueFullRefusals < maxQueueFullRefusals {
-		r.queueFullRefusals = maxQueueFullRefusals
-		return r.choose()
-	}
-	if index < 0 {
-		return nil, selection.Candidate{}
-	}
-	return targets[index], candidates[index]
 }
 
 // leaveCost returns what the request has to gain by leaving the zone for a server.
@@ -86,19 +96,24 @@
 	}
 	service := r.req.Service
 	return room.LeaveCost(snap.Rooms.Utilization(service, r.filter.Zone), snap.Rooms.Utilization(service, target.Zone),
-		len(r.req.Payload)+r.filter.Sizes.Expected(r.req.Route))
+		r.requestBytes+r.filter.Sizes.Expected(r.req.Route))
 }
 
 // isFull reports whether the queue of a server's exit proxy had no place for the request when
 // it last reported. Less urgent requests have places of their own. An old report does not count: if
 // no further one arrives, only an answer tells that there is room again.
 func (r *requestState) isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target) bool {
+	return r.queueRoom(target) <= 0 && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
+}
+
+// queueRoom returns how many places for requests of this urgency the queue of a server's exit
+// proxy had when it last reported.
+func (r *requestState) queueRoom(target *mesh.Target) int {
 	_, waiting, urgent := target.Live.Load()
-	full := urgent >= slotqueue.MaxWaiting
-	if r.req.Rank > pipeline.MaxUrgentRank {
-		full = waiting >= slotqueue.MaxWaiting && waiting-urgent >= slotqueue.MinOthers
+	if r.req.Rank <= pipeline.MaxUrgentRank {
+		return slotqueue.MaxWaiting - urgent
 	}
-	return full && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
+	return max(slotqueue.MaxWaiting-waiting, slotqueue.MinOthers-(waiting-urgent))
 }
 
 // timeUntilRoom estimates when a server can accept the request: the shortest wait at those
@@ -173,7 +188,37 @@
 		LeaveCost:              r.leaveCost(snap, target),
 		Stopping:               health.Stopping,
 		PathSuspect:            target.Live.PathFailedWithin(now, pathSuspectDuration) || (!target.Local && !target.Live.HeardDirectlyWithin(now, snap.PeerTimeout)),
-		Excluded: target.Evacuated || r.isFull(now, snap, target) || target.Draining || target.Live.Leaving() || health.RefusesAttempts || r.excluded[target.ID] ||
-			(r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals),
+		Excluded:               r.exclusion(now, snap, target, &health) != notExcluded,
+	}
+}
+
+// exclusion is why a backend server is not a candidate for a request.
+type exclusion string
+
+const (
+	notExcluded     exclusion = ""
+	zoneEvacuated   exclusion = "zone evacuated"
+	queueIsFull     exclusion = "queue full"
+	draining        exclusion = "draining"
+	leaving         exclusion = "leaving"
+	refusesAttempts exclusion = "refuses attempts"
+	alreadyTried    exclusion = "already tried"
+)
+
+func (r *requestState) exclusion(now time.Time, snap *mesh.Snapshot, target *mesh.Target, health *mesh.Health) exclusion {
+	switch {
+	case target.Evacuated:
+		return zoneEvacuated
+	case target.Draining:
+		return draining
+	case target.Live.Leaving():
+		return leaving
+	case health.RefusesAttempts:
+		return refusesAttempts
+	case r.isFull(now, snap, target), r.queueFull[target.ID] && r.queueFullRefusals < maxQueueFullRefusals:
+		return queueIsFull
+	case r.excluded[target.ID]:
+		return alreadyTried
 	}
+	return notExcluded
 }
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 type requestState struct {
 	filter            *Filter
 	req               *pipeline.Request
+	requestBytes      int // size of the body
 	budget            *retryBudget
 	results           chan attemptResult
 	open              map[string]openAttempt // attempts without a result, by identifier
@@ -121,15 +122,7 @@
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	r := &requestState{
-		filter:    f,
-		req:       req,
-		budget:    f.Budgets.forService(req.Service),
-		results:   make(chan attemptResult, 2*maxAttemptsSent), // an attempt has a second result if it is withdrawn
-		open:      make(map[string]openAttempt),
-		excluded:  make(map[string]bool),
-		queueFull: make(map[string]bool),
-	}
+	r := f.newRequestState(req)
 	r.budget.Deposit(time.Now())
 	if req.Principal.Team == "" && !r.chargeCall(ctx) {
 		return pipeline.Refuse(pipeline.CodeRetriesSpent, "")
@@ -140,6 +133,20 @@
 	return r.awaitResult(ctx)
 }
 
+// newRequestState returns the state of a request without attempts.
+func (f *Filter) newRequestState(req *pipeline.Request) *requestState {
+	return &requestState{
+		filter:       f,
+		req:          req,
+		requestBytes: len(req.Payload),
+		budget:       f.Budgets.forService(req.Service),
+		results:      make(chan attemptResult, 2*maxAttemptsSent), // an attempt has a second result if it is withdrawn
+		open:         make(map[string]openAttempt),
+		excluded:     make(map[string]bool),
+		queueFull:    make(map[string]bool),
+	}
+}
+
 // chargeCall charges a request without a team to the retry budget, since a call of a retried
 // request is a retry, too. It reports false if the call has to be refused. A request that
 // names no parent may be a caller's, where requests need no key, and is never refused.
@@ -328,10 +335,21 @@
 // unservedResult returns the result of a request that did not run and for which no
 // backend server is left.
 func (r *requestState) unservedResult() *pipeline.Result {
+	if r.allEvacuated() {
+		r.filter.EvacuationRefusals.Inc()
+	}
+	result := r.unservedRefusal()
+	if result.Code == pipeline.CodeQueueFull {
+		r.logNoRoom(result)
+	}
+	return result
+}
+
+// unservedRefusal is unservedResult without counting and logging it.
+func (r *requestState) unservedRefusal() *pipeline.Result {
 	result := r.lastRefusal
 	switch {
 	case r.allEvacuated():
-		r.filter.EvacuationRefusals.Inc()
 		result = pipeline.Refuse(pipeline.CodeNoBackend, "")
 		result.RetryAfter = evacuatedRetryAfter
 	case result != nil && result.Code == pipeline.CodeZoneEvacuated:
@@ -346,11 +364,8 @@
 			result.RetryAfter = wait
 		}
 	}
-	if result.Code == pipeline.CodeQueueFull {
-		if result == r.lastRefusal {
-			result.RetryAfter = r.timeUntilRoom()
-		}
-		r.logNoRoom(result)
+	if result.Code == pipeline.CodeQueueFull && result == r.lastRefusal {
+		result.RetryAfter = r.timeUntilRoom()
 	}
 	if result.RetryAfter <= 0 {
 		result.RetryAfter = defaultRetryAfter
