--- /dev/null
+++ b/review/bed/links_test.go
@@ -0,0 +1,114 @@
+//go:build review
+
+package bed
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+)
+
+// links carries what the processes send each other, between the addresses that the platform
+// lists and those on which the processes listen.
+type links struct {
+	mu      sync.Mutex
+	open    map[*link]bool
+	sockets map[string]*net.UDPConn // by the private address of the host
+}
+
+// link is one channel between two machines.
+type link struct {
+	client, server net.Conn
+	silent         atomic.Bool
+}
+
+// interpose gives each host a private address for its channels and datagrams.
+func (b *bed) interpose() {
+	b.links = &links{open: make(map[*link]bool), sockets: make(map[string]*net.UDPConn)}
+	for i, h := range b.hosts {
+		h.private = fmt.Sprintf("127.%d.2.%d", b.octet, i+1)
+		listener, err := net.Listen("tcp", net.JoinHostPort(h.ip, strconv.Itoa(b.peersPort)))
+		must(err)
+		go b.links.accept(listener, net.JoinHostPort(h.private, strconv.Itoa(b.peersPort)))
+		socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(h.ip), Port: b.datagramPort})
+		must(err)
+		b.links.sockets[h.private] = socket
+	}
+	for _, h := range b.hosts {
+		target := &net.UDPAddr{IP: net.ParseIP(h.private), Port: b.datagramPort}
+		go b.links.relay(b.links.sockets[h.private], target)
+	}
+}
+
+// relay passes the datagrams to a host on, from the listed address of their sender.
+func (l *links) relay(socket *net.UDPConn, target *net.UDPAddr) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, from, err := socket.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		if sender := l.sockets[from.IP.String()]; sender != nil {
+			_, _ = sender.WriteToUDP(buf[:n], target)
+		}
+	}
+}
+
+func (l *links) accept(listener net.Listener, target string) {
+	for {
+		client, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			server, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = client.(*net.TCPConn).SetLinger(0)
+				_ = client.Close()
+				return
+			}
+			channel := &link{client: client, server: server}
+			l.mu.Lock()
+			l.open[channel] = true
+			l.mu.Unlock()
+			go channel.copy(server, client)
+			channel.copy(client, server)
+			l.mu.Lock()
+			delete(l.open, channel)
+			l.mu.Unlock()
+		}()
+	}
+}
+
+// copy passes bytes on until one side closes. A silent channel loses them.
+func (c *link) copy(to, from net.Conn) {
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !c.silent.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+		if err != nil {
+			if !c.silent.Load() {
+				if err != io.EOF {
+					_ = to.(*net.TCPConn).SetLinger(0)
+				}
+				_ = to.Close()
+			}
+			return
+		}
+	}
+}
+
+// silence makes all open channels go silent for good; new ones work.
+func (l *links) silence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for channel := range l.open {
+		channel.silent.Store(true)
+	}
+	return len(l.open)
+}
