--- /dev/null
+++ b/review/bed/poison_test.go
@@ -0,0 +1,115 @@
+//go:build review
+
+package bed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { scenarios["poison"] = poison }
+
+// poison has a request that crashes each backend server that begins to run it. It comes again
+// every second, at any machine that is ready, also while the processes are stopped and
+// started in turn.
+func poison(b *bed, trouble bool) []string {
+	const (
+		hosts   = 8
+		before  = 12 * time.Second // until the first stop
+		after   = 20 * time.Second // from the last start to the end
+		gap     = 1300 * time.Millisecond
+		pause   = time.Second
+		noRolls = 30 * time.Second // instead of the stops
+	)
+	b.addService("bookings", hosts, 7, 200*time.Millisecond)
+	b.config.Hosts = []map[string]any{{"host": "depot.example", "paths": []any{
+		route("r-depot", "/swaps/", "non_idempotent", "bookings", 5*time.Second, 2),
+	}}}
+	for _, h := range b.hosts {
+		h.backend.crashes = func(r *run) bool { return strings.HasPrefix(r.target, "/swaps/poison") }
+	}
+	b.publish()
+	b.start()
+	var mu sync.Mutex
+	stoppedAt := make(map[*host]time.Time) // last SIGTERM or start
+	type sending struct {
+		at      time.Time
+		attempt string
+		inTouch bool
+	}
+	var sent []sending
+	end := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { // the consumers of the poison
+		random := rand.New(rand.NewPCG(46, 9))
+		for n := 0; ; n++ {
+			select {
+			case <-end:
+				return
+			case <-time.After(pause):
+			}
+			for _, i := range random.Perm(len(b.hosts)) {
+				entry := b.hosts[i]
+				if !entry.ready() {
+					continue
+				}
+				mu.Lock()
+				inTouch := time.Since(stoppedAt[entry]) > contact
+				mu.Unlock()
+				r := &request{"POST", "/swaps/poison", "depot.example", "key-a", fmt.Sprintf("poison-%02d", n), 12 * time.Second, []byte("visit")}
+				sent = append(sent, sending{time.Now(), r.attempt, inTouch})
+				b.record.printf("%s: consumer sends %s (machine in touch: %v)", entry.name, r.attempt, inTouch)
+				b.record.printf("%s: consumer got for %s: %v", entry.name, r.attempt, exchange(entry.callersAddr(), r))
+				break
+			}
+		}
+	})
+	time.Sleep(before)
+	if trouble {
+		for _, h := range b.hosts {
+			mu.Lock()
+			stoppedAt[h] = time.Now().Add(grace)
+			mu.Unlock()
+			h.restart()
+			mu.Lock()
+			stoppedAt[h] = time.Now()
+			mu.Unlock()
+			time.Sleep(gap)
+		}
+	} else {
+		time.Sleep(noRolls)
+	}
+	time.Sleep(after)
+	close(end)
+	group.Wait()
+	var crashes []run
+	for _, run := range b.allRuns() {
+		if strings.HasPrefix(run.target, "/swaps/poison") {
+			crashes = append(crashes, run)
+		}
+	}
+	slices.SortFunc(crashes, func(a, b run) int { return a.at.Compare(b.at) })
+	b.record.printf("%d runs of the poison", len(crashes))
+	if len(crashes) < 3 {
+		return nil
+	}
+	ran := make(map[string]bool)
+	for _, run := range crashes {
+		ran[run.attempt] = true
+	}
+	var late []string
+	for _, s := range sent {
+		if s.inTouch && ran[s.attempt] && s.at.Sub(crashes[2].at) > contact {
+			late = append(late, s.attempt)
+		}
+	}
+	b.record.printf("retries by machines in touch that reached backend servers later than %v after the third crash: %v", contact, late)
+	if len(late) > 3 {
+		return []string{fmt.Sprintf("BUDGET: %d retries of a request that had crashed three backend servers reached more of them: %v", len(late), late)}
+	}
+	return nil
+}
