--- a/review/bed/backend_test.go
+++ b/review/bed/backend_test.go
@@ -36,6 +36,7 @@
 	running  int
 	listener net.Listener
 	conns    map[net.Conn]bool
+	leaving  bool // it has left the list and serves on
 	changed  chan struct{}
 	runs     []run
 }
@@ -107,6 +108,20 @@
 	return b.id, b.born, b.listener != nil
 }
 
+// leave makes the server leave without a notice, and returns its identifier. It serves on.
+func (b *backend) leave() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+	return b.id
+}
+
+func (b *backend) left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaving
+}
+
 // crash ends the server as a crash does, and starts it again later.
 func (b *backend) crash() {
 	b.mu.Lock()
