--- a/review/bed/links_test.go
+++ b/review/bed/links_test.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	open    map[*link]bool
 	sockets map[string]*net.UDPConn // by the private address of the host
+	mute    atomic.Pointer[host]    // the machine whose datagrams are lost
 	deaf    atomic.Pointer[host]    // the machine to which datagrams are lost
 	watches chan struct{}           // receives a value when a process asks the store for changes of backend servers
 }
@@ -59,7 +60,7 @@
 		if err != nil {
 			return
 		}
-		if sender := l.sockets[from.IP.String()]; sender != nil && l.deaf.Load() != to {
+		if sender := l.sockets[from.IP.String()]; sender != nil && l.deaf.Load() != to && !l.isMute(from) {
 			_, _ = sender.WriteToUDP(buf[:n], target)
 		}
 	}
@@ -136,3 +137,9 @@
 		}
 	}
 }
+
+// isMute reports whether the datagrams of a sender are lost.
+func (l *links) isMute(from *net.UDPAddr) bool {
+	mute := l.mute.Load()
+	return mute != nil && mute.private == from.IP.String()
+}
