--- a/review/bed/poison_test.go
+++ b/review/bed/poison_test.go
@@ -18,14 +18,16 @@
 // started in turn.
 func poison(b *bed, trouble bool) []string {
 	const (
-		hosts   = 8
-		before  = 12 * time.Second // until the first stop
-		after   = 20 * time.Second // from the last start to the end
-		gap     = 1300 * time.Millisecond
-		pause   = time.Second
-		noRolls = 30 * time.Second // instead of the stops
+		hosts     = 8
+		work      = 600 * time.Millisecond
+		consumers = 10
+		before    = 12 * time.Second // until the first stop
+		after     = 20 * time.Second // from the last start to the end
+		gap       = 1300 * time.Millisecond
+		pause     = time.Second
+		noRolls   = 30 * time.Second // instead of the stops
 	)
-	b.addService("bookings", hosts, 7, 200*time.Millisecond)
+	b.addService("bookings", hosts, 7, work)
 	b.config.Hosts = []map[string]any{{"host": "depot.example", "paths": []any{
 		route("r-depot", "/swaps/", "non_idempotent", "bookings", 5*time.Second, 2),
 	}}}
@@ -68,6 +70,26 @@
 			}
 		}
 	})
+	failed := make(map[string]bool) // other bookings without a success
+	for i := range consumers {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-end:
+					return
+				case <-time.After(pause / 2):
+				}
+				entry := b.hosts[(i+n)%len(b.hosts)]
+				r := &request{"POST", "/swaps/mat", "depot.example", "key-a", fmt.Sprintf("visit-%d-%03d", i, n), 12 * time.Second, []byte("visit")}
+				if a := exchange(entry.callersAddr(), r); a.err != nil || a.status != 200 {
+					b.record.printf("%s: consumer got for %s: %v", entry.name, r.attempt, a)
+					mu.Lock()
+					failed[r.attempt] = true
+					mu.Unlock()
+				}
+			}
+		})
+	}
 	time.Sleep(before)
 	if trouble {
 		for _, h := range b.hosts {
@@ -101,6 +123,15 @@
 	for _, run := range crashes {
 		ran[run.attempt] = true
 	}
+	lost := 0 // other bookings that ran at a server when it crashed once more
+	for _, run := range b.allRuns() {
+		for _, crash := range crashes[3:] {
+			if failed[run.attempt] && run.backend == crash.backend && !run.at.After(crash.at) && crash.at.Sub(run.at) <= work {
+				lost++
+			}
+		}
+	}
+	b.record.printf("%d other bookings ran at servers that crashed after the third crash and were lost", lost)
 	var late []string
 	for _, s := range sent {
 		if s.inTouch && ran[s.attempt] && s.at.Sub(crashes[2].at) > contact {
@@ -109,7 +140,7 @@
 	}
 	b.record.printf("retries by machines in touch that reached backend servers later than %v after the third crash: %v", contact, late)
 	if len(late) > 3 {
-		return []string{fmt.Sprintf("BUDGET: %d retries of a request that had crashed three backend servers reached more of them: %v", len(late), late)}
+		return []string{fmt.Sprintf("BUDGET: %d retries of a request that had crashed three backend servers reached more of them: %v; %d other bookings that ran there were lost", len(late), late, lost)}
 	}
 	return nil
 }
