--- a/review/bed/poison_test.go
+++ b/review/bed/poison_test.go
@@ -18,7 +18,7 @@
 // started in turn.
 func poison(b *bed, trouble bool) []string {
 	const (
-		hosts     = 8
+		hosts     = 10
 		work      = 600 * time.Millisecond
 		consumers = 10
 		before    = 12 * time.Second // until the first stop
