httpconn: a reset during an upload does not end a response

Callers saw: part of an answer without a length as the whole answer, with its status 200, when the backend server answered a long upload early, sent part of the body and reset the connection while the upload was being written.

Cause: the kernel reports a reset to one system call only. The client writes the request and then reads the response; the failed write got the reset, and the next reads got the bytes that had arrived and then an orderly end, which ends a body that has neither a length nor chunks.

Evidence: TestResetDuringAnUploadDoesNotEndAnAnswer on the code before, 5 of 5 runs: "status 200, outcome answered, body "part"" for a reset and for a server that ends its side and closes the connection, both without a length. A part with a length or in chunks was refused before. Trials with plain sockets: the write fails with ECONNRESET after a reset, with EPIPE if the server had ended its side first, the read reports an orderly end in both cases (15 of 15 each); EPIPE is also what a server process gives that is killed while it reads (15 of 15), so EPIPE is no sign of a whole answer.

Change: once the request could not be sent completely, a response whose end is marked only by the end of the connection counts as a lost connection. The outcome is unknown (502, code 6001); only requests that may run more than once are repeated. This covers the client of backend servers and the one between processes, which share the code. Responses with a length or chunks show their own end, so whole ones are delivered as before, also after a reset.

After: both tests pass in 20 of 20 runs with the race detector. TestWholeAnswersBeforeTheEndOfAnUploadAreDelivered passed before, too, and keeps early answers with a length, in chunks, or ended in an orderly way while the upload is read.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -127,6 +127,7 @@
 	reader        *bufio.Reader
 	headerLimit   *limitedReader
 	largeBodies   *semaphore.Weighted
+	sendErr       error     // why the current request was not sent completely
 	reused        bool      // the connection carried an earlier request
 	reusableUntil time.Time // not reused from then on
 	idleSince     time.Time
@@ -253,15 +254,15 @@
 // exchange sends the request and reads its response. It reports whether the
 // connection may be reused.
 func (c *conn) exchange(ctx context.Context, x *Exchange) (*Response, bool, error) {
-	sendErr := c.send(x)
-	if sendErr != nil {
+	c.sendErr = c.send(x)
+	if c.sendErr != nil {
 		_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
 	}
 	resp, reusable, err := c.receive(ctx, x)
-	if err != nil && sendErr != nil {
-		return nil, false, &Error{ConnectionLost, sendErr}
+	if err != nil && c.sendErr != nil {
+		return nil, false, &Error{ConnectionLost, c.sendErr}
 	}
-	return resp, reusable && sendErr == nil, err
+	return resp, reusable && c.sendErr == nil, err
 }
 
 func (c *conn) send(x *Exchange) error {
@@ -315,6 +316,9 @@
 	switch {
 	case h.Chunked:
 		return c.readChunked(read)
+	case h.length < 0 && c.sendErr != nil:
+		// The kernel reports a reset only once. If a write got it, reads report an orderly end.
+		return nil, c.sendErr
 	case h.length < 0:
 		return read(c.reader)
 	case h.length > maxBodyBytes:
