send: a trailer with a malformed name cuts the answer

Callers of the own interface saw: a whole answer that lacked a trailer field, when the backend server had sent its name with a space, also before the colon; a name announced with a space in Trailer was announced to the caller.

Cause: net/textproto accepts spaces in names. The filter checked the names of the head only, and net/http drops such a field when it writes the trailer.

Tabs and control bytes in trailers, and in names of the head, were refused by net/http before.

The check is the one that internal/httpconn makes.

--- a/filters/send/send.go
+++ b/filters/send/send.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -94,6 +95,9 @@
 		ContentLength: resp.ContentLength,
 	}
 	httpsend.SetResultBody(result, resp)
+	if result.Body != nil {
+		result.Body = checkedBody{result.Body, resp}
+	}
 	invalid := checkResponse(resp)
 	req.OnComplete(func(c pipeline.Completion) {
 		if invalid == nil && ctx.Err() == nil {
@@ -150,12 +154,34 @@
 func checkResponse(resp *http.Response) error {
 	chunked := len(resp.TransferEncoding) > 0
 	err := httpconn.Head{Version: resp.Proto, Status: resp.StatusCode, Header: resp.Header, Chunked: chunked}.Check()
+	if err == nil {
+		err = httpconn.CheckNames(resp.Trailer) // the announced names
+	}
 	if err == nil && resp.ContentLength < 0 && !chunked && resp.Body != http.NoBody && !resp.Uncompressed {
 		return errNoLength
 	}
 	return err
 }
 
+// checkedBody is the body of a response. Its end is an error if the trailer is malformed, so that
+// the answer does not look complete without the fields that the server sent.
+type checkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	if invalid := httpconn.CheckNames(b.resp.Trailer); invalid != nil {
+		return n, invalid
+	}
+	return n, io.EOF
+}
+
 // responseHeader returns the response header without hop-by-hop fields and fields
 // reserved for the fleet.
 func responseHeader(h http.Header) pipeline.Header {
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -30,7 +30,7 @@
 	case h.Status == http.StatusSwitchingProtocols:
 		return errors.New("unrequested switch of the protocol")
 	}
-	if err := checkNames(h.Header); err != nil {
+	if err := CheckNames(h.Header); err != nil {
 		return err
 	}
 	if h.Status >= 200 && h.Status != http.StatusNoContent {
@@ -43,9 +43,9 @@
 	return nil
 }
 
-// checkNames returns an error if a field name contains a space. net/textproto accepts it, so
-// that "Content-Length : 1" would be a field of unknown meaning.
-func checkNames(header map[string][]string) error {
+// CheckNames returns an error if the name of a header or trailer field contains a space.
+// net/textproto accepts it, so that "Content-Length : 1" would be a field of unknown meaning.
+func CheckNames(header http.Header) error {
 	for name := range header {
 		if strings.Contains(name, " ") {
 			return fmt.Errorf("space in the header field name %q", name)
@@ -178,5 +178,5 @@
 	if c.reader.Buffered() == 0 {
 		c.reader = before
 	}
-	return body, checkNames(resp.Trailer)
+	return body, CheckNames(resp.Trailer)
 }
