fleet, hop: resets during an upload between two processes (tests)

Cause: an entry proxy also reads answers, from exit proxies, and uses the client that took part of an answer for the whole (platform) or HTTP/2 (own interface).

An exit proxy always states a length, so callers could not see this.

--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -182,3 +183,26 @@
 		t.Errorf("attempt that may have run: %+v", r)
 	}
 }
+
+// Guards against part of an answer taken for the whole, because the reset that cut it failed the
+// write of the upload and is not seen by the next read.
+func TestResetDuringAnUploadDoesNotEndAnAnswer(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		result := encodeResult("a-7", &pipeline.Result{}, pipeline.Load{})
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", headerResult, result)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}))
+	defer server.Close()
+	req := newAttempt("a-7")
+	req.Payload = make([]byte, 16<<20) // more than socket buffers hold
+	answer := NewClient(0).Do(t.Context(), strings.TrimPrefix(server.URL, "http://"), req)
+	if r := answer.Result; r.Outcome != pipeline.Unknown {
+		t.Errorf("%+v", r)
+	}
+}
