--- a/node/broken_answer_test.go
+++ b/node/broken_answer_test.go
@@ -11,7 +11,8 @@
 	"github.com/ragwortyard/ragwortyard/source"
 )
 
-// Guards against a broken answer taken for an answer, with or without the line that broke it.
+// Guards against the use of a malformed or cut answer of a backend server's health endpoint or of
+// the configuration service.
 func TestBrokenAnswersOfThePlatformAreErrors(t *testing.T) {
 	const whole = `{"status":"ok"}`
 	for name, answer := range map[string]string{
