httpconn: field names that are no tokens are malformed

Callers of the own interface saw: a name in Trailer that holds a tab or a byte above 0x7f, as the backend server had announced it.

Cause: CheckNames looked for spaces only, because net/textproto refuses all other bytes in the names of fields. Names that Trailer announces are the value of a field, where these bytes are permitted, and net/http does not check them.

Evidence: two announced names, with a tab and with a byte above 0x7f, added to TestInvalidResponsesAreFailures: both answered on the code before.

Change: a name has to be a token (RFC 9110, section 5.6.2). For fields that are sent, this refuses what net/textproto or the check for spaces refused before.

--- a/filters/send/send_test.go
+++ b/filters/send/send_test.go
@@ -73,6 +73,8 @@
 		"tab in a name":                  "HTTP/1.1 200 OK\r\nContent\tLength: 1\r\n" + twoBytes,
 		"control byte in a name":         "HTTP/1.1 200 OK\r\nContent-Length\x01: 1\r\n" + twoBytes,
 		"announced trailer with a space": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X Y\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"announced trailer with a tab":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\tY\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"announced trailer above 0x7f":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X\xa0Y\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 		"body of 204":                    "HTTP/1.1 204 No Content\r\n" + twoBytes,
 		"chunks of 204":                  "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 		"interim responses without end":  strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 10000),
@@ -95,8 +97,7 @@
 	}
 }
 
-// Guards against a whole answer whose trailer is malformed: a line of it is lost, or announced to
-// the caller under its malformed name.
+// Guards against an answer that ends as whole although a line of its trailer is malformed and lost.
 func TestMalformedTrailersCutTheAnswer(t *testing.T) {
 	for _, line := range []string{"X Y: 1", "X-Y : 1", "X\tY: 1", "X\x01Y: 1", "X"} {
 		req, result, outcomes := handle(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Y\r\n\r\n2\r\nab\r\n0\r\n"+line+"\r\n\r\n")
--- a/internal/httpconn/response.go
+++ b/internal/httpconn/response.go
@@ -53,17 +53,26 @@
 	return CheckNames(resp.Trailer)
 }
 
-// CheckNames returns an error if the name of a header or trailer field contains a space.
-// net/textproto accepts it, so that "Content-Length : 1" would be a field of unknown meaning.
+// CheckNames returns an error if the name of a header or trailer field is not a token (RFC 9110,
+// section 5.6.2). net/textproto accepts spaces, so that "Content-Length : 1" would be a field of
+// unknown meaning, and net/http accepts any name that a Trailer field announces.
 func CheckNames(header http.Header) error {
 	for name := range header {
-		if strings.Contains(name, " ") {
-			return fmt.Errorf("space in the header field name %q", name)
+		if name == "" || strings.ContainsFunc(name, isNoTokenChar) {
+			return fmt.Errorf("malformed field name %q", name)
 		}
 	}
 	return nil
 }
 
+func isNoTokenChar(r rune) bool {
+	switch {
+	case 'a' <= r && r <= 'z', 'A' <= r && r <= 'Z', '0' <= r && r <= '9', r == '-':
+		return false
+	}
+	return !strings.ContainsRune("!#$%&'*+.^_`|~", r)
+}
+
 // IsFinal reports whether a status is that of a final response.
 func IsFinal(status int) bool { return status >= 200 && status <= 599 }
 
