filters/slots: an attempt that was forgotten is not taken for one that never ran

Cause: an exit remembered an attempt for 30 s after its end, whatever its deadline, and confirmed the withdrawal of every attempt that it did not know. Time budgets come from routes and from Deadline-Ms, and nothing limits them to 30 s. A request is open that long if its connection went silent after the acknowledgement.

Change: the memory of attempts knows since when it is complete. A withdrawal of an unknown attempt that was sent before that is denied, so forgetting can cost a refusal but not a second run. Attempts are remembered until after their deadline, at most 32768 of them. A metric counts what was denied for this reason.

--- /dev/null
+++ b/filters/slots/memory.go
@@ -0,0 +1,68 @@
+package slots
+
+import "time"
+
+const (
+	// maxExecutedAttempts limits the memory of attempts that held a slot.
+	maxExecutedAttempts = 32768
+	// minExecutedRetention is the minimum time for which an attempt that held a slot is
+	// remembered. One with a later deadline is remembered until then, since its entry
+	// proxy may withdraw it for as long as it waits for the answer.
+	minExecutedRetention = 30 * time.Second
+	// deadlineMargin is added to the deadline. It covers the time for which an entry proxy
+	// still waits after it.
+	deadlineMargin = 5 * time.Second
+	// withdrawnRetention is how long a withdrawn attempt is refused if it arrives late. A
+	// connection with unacknowledged data is closed after 2 s.
+	withdrawnRetention = 30 * time.Second
+)
+
+// executedAttempts remembers the attempts that held a slot. It is bounded in number, and
+// knows how far back it is complete.
+type executedAttempts struct {
+	limit  int // of the number of attempts
+	expiry map[string]time.Time
+	order  []executedAttempt // by the time of the end
+	// completeSince is the time since which no attempt that ended was forgotten.
+	completeSince time.Time
+}
+
+type executedAttempt struct {
+	id    string
+	ended time.Time
+}
+
+// newExecutedAttempts returns a memory that begins now.
+func newExecutedAttempts(now time.Time) executedAttempts {
+	return executedAttempts{limit: maxExecutedAttempts, expiry: make(map[string]time.Time), completeSince: now}
+}
+
+// add adds an attempt that ended now and whose request has a deadline. It forgets the oldest
+// attempts if they have expired or if there are too many.
+func (m *executedAttempts) add(now time.Time, id string, deadline time.Time) {
+	for len(m.order) > 0 && (len(m.order) >= m.limit || now.After(m.expiry[m.order[0].id])) {
+		m.completeSince = m.order[0].ended
+		delete(m.expiry, m.order[0].id)
+		m.order = m.order[1:]
+	}
+	expiry := now.Add(minExecutedRetention)
+	if end := deadline.Add(deadlineMargin); end.After(expiry) {
+		expiry = end
+	}
+	if !m.contains(id) {
+		m.order = append(m.order, executedAttempt{id, now})
+	}
+	m.expiry[id] = expiry
+}
+
+// contains reports whether an attempt is remembered.
+func (m *executedAttempts) contains(id string) bool {
+	_, ok := m.expiry[id]
+	return ok
+}
+
+// excludes reports whether an attempt, which was sent the duration age ago at least, certainly
+// did not end: it is not remembered, and was sent after the last one that was forgotten ended.
+func (m *executedAttempts) excludes(now time.Time, id string, age time.Duration) bool {
+	return !m.contains(id) && now.Add(-age).After(m.completeSince)
+}
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -22,11 +22,6 @@
 	// channelCapacity is large enough that sending to the queue's goroutine normally
 	// does not block.
 	channelCapacity = 64
-	// attemptRetention is how long a withdrawn attempt is refused if it arrives
-	// late, and how long the withdrawal of an attempt that has run is denied. A
-	// connection with unacknowledged data is closed after 2 s, and no attempt
-	// outlives the deadline of its request.
-	attemptRetention = 30 * time.Second
 	// minLoggedWait distinguishes attempts that waited from those refused on arrival.
 	minLoggedWait = 5 * time.Millisecond
 	// crashWindow is the time within which lost connections count as one crash.
@@ -44,8 +39,7 @@
 	limits             chan observedLimit
 	tickets            map[uint64]*ticket // tickets that wait or hold a slot, by ID
 	withdrawn          expiringSet
-	executed           expiringSet // attempts that held a slot
-	started            time.Time
+	executed           executedAttempts // attempts that held a slot
 	load               atomic.Pointer[pipeline.Load]
 	retries            atomic.Pointer[retrySnapshot]
 	lastID             atomic.Uint64
@@ -56,6 +50,7 @@
 	evacuated          bool // by the last update of backend
 	cold               coldStarts
 	evacuationRefusals atomic.Uint64
+	undecided          atomic.Uint64
 	postEvent          func(control.Event) bool
 	lastCrashAt        time.Time
 	closed             bool          // no slot is granted any more
@@ -120,7 +115,7 @@
 		withdrawals:   make(chan withdrawal),
 		limits:        make(chan observedLimit, channelCapacity),
 		tickets:       make(map[uint64]*ticket),
-		started:       time.Now(),
+		executed:      newExecutedAttempts(time.Now()),
 		refresh:       make(chan struct{}, 1),
 		cold:          coldStarts{log: zap.NewNop()},
 		postEvent:     postEvent,
@@ -152,6 +147,10 @@
 // evacuation.
 func (q *Queue) EvacuationRefusals() uint64 { return q.evacuationRefusals.Load() }
 
+// UndecidedWithdrawals returns the number of withdrawals that were denied because the memory
+// of attempts does not reach back to the sending of the attempt.
+func (q *Queue) UndecidedWithdrawals() uint64 { return q.undecided.Load() }
+
 // Load returns the load after the last event.
 func (q *Queue) Load() pipeline.Load { return *q.load.Load() }
 
@@ -322,7 +321,7 @@
 	case dep.reached:
 		q.cold.warmUp.Reached(now, dep.granted, q.backend().WarmUpTime)
 	}
-	q.executed.add(now, t.attemptID, attemptRetention)
+	q.executed.add(now, t.attemptID, t.item.Deadline)
 	delete(q.tickets, dep.id)
 	q.queue.Release(t.item, dep.held)
 }
@@ -379,10 +378,10 @@
 	t.decision <- code
 }
 
-// withdraw ensures that an attempt never runs. It reports false if the attempt
-// holds a slot or may have held one, possibly before this process was started.
+// withdraw ensures that an attempt never runs. It reports false if the attempt holds a slot,
+// or may have held one that is no longer remembered, possibly before this process was started.
 func (q *Queue) withdraw(now time.Time, w withdrawal) bool {
-	if q.executed.contains(now, w.attemptID) || now.Sub(q.started) <= w.age {
+	if q.executed.contains(w.attemptID) {
 		return false
 	}
 	for id, t := range q.tickets {
@@ -395,7 +394,11 @@
 		}
 		return waiting
 	}
-	q.withdrawn.add(now, w.attemptID, attemptRetention)
+	if !q.executed.excludes(now, w.attemptID, w.age) {
+		q.undecided.Add(1)
+		return false
+	}
+	q.withdrawn.add(now, w.attemptID, withdrawnRetention)
 	return true
 }
 
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -134,7 +134,7 @@
 			other.Complete(pipeline.Completion{Outcome: pipeline.Answered})
 		}
 		synctest.Wait()
-		if n := len(f.Queue.executed.expiry); n > int(attemptRetention/time.Second)+2 {
+		if n := len(f.Queue.executed.expiry); n > int(minExecutedRetention/time.Second)+2 {
 			t.Errorf("%d attempts are retained, want expired ones removed", n)
 		}
 	})
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -51,6 +51,7 @@
 			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
 		},
 		"ragwortyard_cold_refused_attempts_total": func() float64 { return float64(s.queue.ColdRefusals()) },
+		"ragwortyard_undecided_withdrawals_total": func() float64 { return float64(s.queue.UndecidedWithdrawals()) },
 		"ragwortyard_hosts":                       func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
 	for name, read := range gauges {
