filters/slots: a withdrawn attempt is refused after a pause of the process, too

A caller could be told that its request never runs, or have it sent elsewhere, and it ran later: the exit confirmed a withdrawal, paused for more than 30 s, and read the attempt from its connection when it went on. Found by reading; not seen in a run of processes.

Cause: the memory of withdrawals expired with the clock, which goes on during a pause.

Change: withdrawn attempts are forgotten only to make room, and only 30 s after their withdrawal. If there is no room, the withdrawal is denied. There are few withdrawals, so that 8192 last for long.

--- a/filters/slots/memory.go
+++ b/filters/slots/memory.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// maxExecutedAttempts limits the memory of attempts that held a slot.
-	maxExecutedAttempts = 32768
+	// maxExecutedAttempts and maxWithdrawnAttempts limit the memory of attempts, to about
+	// 4 MB and 1 MB.
+	maxExecutedAttempts  = 32768
+	maxWithdrawnAttempts = 8192
 	// minExecutedRetention is the minimum time for which an attempt that held a slot is
 	// remembered. One with a later deadline is remembered until then, since its entry
 	// proxy may withdraw it for as long as it waits for the answer.
@@ -12,9 +14,9 @@
 	// deadlineMargin is added to the deadline. It covers the time for which an entry proxy
 	// still waits after it.
 	deadlineMargin = 5 * time.Second
-	// withdrawnRetention is how long a withdrawn attempt is refused if it arrives late. A
-	// connection with unacknowledged data is closed after 2 s.
-	withdrawnRetention = 30 * time.Second
+	// minWithdrawnRetention is the minimum time for which a withdrawn attempt is refused if
+	// it arrives late. A connection with unacknowledged data is closed after 2 s.
+	minWithdrawnRetention = 30 * time.Second
 )
 
 // executedAttempts remembers the attempts that held a slot. It is bounded in number, and
@@ -66,3 +68,42 @@
 func (m *executedAttempts) excludes(now time.Time, id string, age time.Duration) bool {
 	return !m.contains(id) && now.Add(-age).After(m.completeSince)
 }
+
+// withdrawnAttempts remembers the attempts that were withdrawn before they arrived. They are
+// forgotten only to make room, so that a pause of the process expires none that is still to
+// be read from a connection.
+type withdrawnAttempts struct {
+	limit int // of the number of attempts
+	known map[string]bool
+	order []withdrawnAttempt // by the time of the withdrawal
+}
+
+type withdrawnAttempt struct {
+	id string
+	at time.Time
+}
+
+// newWithdrawnAttempts returns an empty memory.
+func newWithdrawnAttempts() withdrawnAttempts {
+	return withdrawnAttempts{limit: maxWithdrawnAttempts, known: make(map[string]bool)}
+}
+
+// add adds an attempt. It reports false if there is no room.
+func (m *withdrawnAttempts) add(now time.Time, id string) bool {
+	if m.known[id] {
+		return true
+	}
+	if len(m.order) >= m.limit {
+		if now.Sub(m.order[0].at) < minWithdrawnRetention {
+			return false
+		}
+		delete(m.known, m.order[0].id)
+		m.order = m.order[1:]
+	}
+	m.known[id] = true
+	m.order = append(m.order, withdrawnAttempt{id, now})
+	return true
+}
+
+// contains reports whether an attempt was withdrawn.
+func (m *withdrawnAttempts) contains(id string) bool { return m.known[id] }
--- a/filters/slots/memory_test.go
+++ b/filters/slots/memory_test.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// Guards against an attempt that runs after its withdrawal was confirmed, because the process
+// paused before it read the attempt.
+func TestWithdrawnAttemptNeverRunsAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 1, discardEvent)
+		defer stop()
+		<-time.After(time.Second)
+		if !f.Queue.Withdraw(t.Context(), "late", 10*time.Millisecond) {
+			t.Fatal("the withdrawal was denied")
+		}
+		<-time.After(2 * time.Minute)
+		if !f.Queue.Withdraw(t.Context(), "other", time.Second) {
+			t.Fatal("the second withdrawal was denied")
+		}
+		if r := f.Handle(t.Context(), request("late", 0)); r == nil || r.Code != pipeline.CodeDuplicateSend {
+			t.Errorf("got %+v, want a refusal", r)
+		}
+	})
+}
+
 // Guards against an attempt that ran and is taken for one that did not, whatever the time
 // budgets and the number of attempts, and against a memory that grows.
 func TestForgottenAttemptsAreNotTakenForAbsentOnes(t *testing.T) {
@@ -90,3 +110,19 @@
 		})
 	})
 }
+
+// Guards against a withdrawn attempt that is forgotten while it may still arrive.
+func TestWithdrawalIsDeniedWhileTheMemoryIsFull(t *testing.T) {
+	now := time.Now()
+	memory := newWithdrawnAttempts()
+	memory.limit = 2
+	if !memory.add(now, "first") || !memory.add(now, "second") {
+		t.Fatal("denied while there was room")
+	}
+	if memory.add(now.Add(minWithdrawnRetention-1), "third") {
+		t.Error("an attempt was forgotten that may still arrive")
+	}
+	if !memory.add(now.Add(minWithdrawnRetention), "third") || len(memory.order) != 2 || len(memory.known) != 2 {
+		t.Errorf("no room was made: %d attempts", len(memory.order))
+	}
+}
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -38,7 +38,7 @@
 	withdrawals        chan withdrawal
 	limits             chan observedLimit
 	tickets            map[uint64]*ticket // tickets that wait or hold a slot, by ID
-	withdrawn          expiringSet
+	withdrawn          withdrawnAttempts
 	executed           executedAttempts // attempts that held a slot
 	load               atomic.Pointer[pipeline.Load]
 	retries            atomic.Pointer[retrySnapshot]
@@ -115,6 +115,7 @@
 		withdrawals:   make(chan withdrawal),
 		limits:        make(chan observedLimit, channelCapacity),
 		tickets:       make(map[uint64]*ticket),
+		withdrawn:     newWithdrawnAttempts(),
 		executed:      newExecutedAttempts(time.Now()),
 		refresh:       make(chan struct{}, 1),
 		cold:          coldStarts{log: zap.NewNop()},
@@ -148,7 +149,7 @@
 func (q *Queue) EvacuationRefusals() uint64 { return q.evacuationRefusals.Load() }
 
 // UndecidedWithdrawals returns the number of withdrawals that were denied because the memory
-// of attempts does not reach back to the sending of the attempt.
+// of attempts does not reach back to the sending of the attempt or is full.
 func (q *Queue) UndecidedWithdrawals() uint64 { return q.undecided.Load() }
 
 // Load returns the load after the last event.
@@ -269,7 +270,7 @@
 }
 
 func (q *Queue) handleArrival(now time.Time, t *ticket) {
-	if q.withdrawn.contains(now, t.attemptID) {
+	if q.withdrawn.contains(t.attemptID) {
 		t.decision <- pipeline.CodeDuplicateSend
 		return
 	}
@@ -394,11 +395,10 @@
 		}
 		return waiting
 	}
-	if !q.executed.excludes(now, w.attemptID, w.age) {
+	if !q.executed.excludes(now, w.attemptID, w.age) || !q.withdrawn.add(now, w.attemptID) {
 		q.undecided.Add(1)
 		return false
 	}
-	q.withdrawn.add(now, w.attemptID, withdrawnRetention)
 	return true
 }
 
