fleet/hop: the age of a withdrawn attempt covers the transit of the withdrawal

An exit that was killed and started again could confirm that an attempt never ran which its earlier process had run; the caller is told so, or the request goes elsewhere. Found by reading; not seen in a run of processes.

Cause: an exit confirms no attempt that was sent before its own start, by the age that the withdrawal states. The age was taken when the withdrawal was sent, without its transit of up to 700 ms, and an entry that had paused could still take the answer later.

Change: the exit adds the maximum transit; the entry ignores an answer that it reads later.

Measured: TestAgeOfAWithdrawnAttemptCoversTheTransit failed 3 of 3 before ("age 301ms, want 1s at least") and passes 3 of 3 under the race detector. The pause of the entry has no test.

--- a/filters/slots/memory.go
+++ b/filters/slots/memory.go
@@ -4,7 +4,7 @@
 
 const (
 	// maxExecutedAttempts and maxWithdrawnAttempts limit the memory of attempts, to about
-	// 4 MB and 1 MB.
+	// 6 MB and 1 MB.
 	maxExecutedAttempts  = 32768
 	maxWithdrawnAttempts = 8192
 	// minExecutedRetention is the minimum time for which an attempt that held a slot is
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -196,18 +196,19 @@
 
 // Withdraw asks the exit proxy at addr, over a new connection, not to run an attempt.
 func (c *Client) Withdraw(ctx context.Context, addr, id string, sent time.Time) WithdrawResult {
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, withdrawTimeout)
 	defer cancel()
 	// The age is rounded up, because an exit proxy that started after the attempt was
 	// sent cannot confirm the withdrawal.
-	age := time.Since(sent).Milliseconds() + 1
+	age := began.Sub(sent).Milliseconds() + 1
 	query := url.Values{keyID: {id}, keyAge: {strconv.FormatInt(age, 10)}}.Encode()
 	out := newRequest(&pipeline.Request{Method: http.MethodPost, Path: withdrawPath, RawQuery: query, Host: addr}, addr)
 	fresh := httpconn.NewClient(httpconn.Options{Dial: httpsend.Dial})
 	defer fresh.Close()
 	answer, err := fresh.Do(ctx, &httpconn.Exchange{Addr: addr, Request: out})
 	switch {
-	case err != nil:
+	case err != nil, time.Since(began) > withdrawTimeout: // late after a pause of this process
 		return Unanswered
 	case answer.Status == http.StatusOK:
 		return Withdrawn
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -184,6 +184,25 @@
 	}
 }
 
+// Guards against the withdrawal of an attempt that an earlier process of the exit ran, confirmed
+// because the process that gets it was started while it was in transit.
+func TestAgeOfAWithdrawnAttemptCoversTheTransit(t *testing.T) {
+	ages := make(chan time.Duration, 1)
+	handler := &Handler{
+		Withdraw: func(_ context.Context, _ string, age time.Duration) bool { ages <- age; return true },
+		Log:      zap.NewNop(),
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	const age = 300 * time.Millisecond
+	if r := NewClient(0).Withdraw(t.Context(), strings.TrimPrefix(server.URL, "http://"), "a-8", time.Now().Add(-age)); r != Withdrawn {
+		t.Fatalf("result %v", r)
+	}
+	if got := <-ages; got < age+withdrawTimeout {
+		t.Errorf("age %v, want %v at least", got, age+withdrawTimeout)
+	}
+}
+
 // Guards against part of an answer taken for the whole, because the reset that cut it failed the
 // write of the upload and is not seen by the next read.
 func TestResetDuringAnUploadDoesNotEndAnAnswer(t *testing.T) {
--- a/fleet/hop/server.go
+++ b/fleet/hop/server.go
@@ -17,8 +17,8 @@
 type Handler struct {
 	Chain pipeline.Chain
 	Load  func() pipeline.Load
-	// Withdraw ensures that an attempt, which was sent the duration age ago, never
-	// runs. It returns false if the attempt may have been sent to the backend server.
+	// Withdraw ensures that an attempt, which was sent the duration age ago at most,
+	// never runs. It returns false if the attempt may have been sent to the backend server.
 	Withdraw func(ctx context.Context, id string, age time.Duration) bool
 	// Documents returns, by path, the documents that this process offers to others; nil
 	// means that it has none.
@@ -67,7 +67,8 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if h.Withdraw(r.Context(), id, time.Duration(age)*time.Millisecond) {
+	// The stated age does not include the transit of the withdrawal.
+	if h.Withdraw(r.Context(), id, time.Duration(age)*time.Millisecond+withdrawTimeout) {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
