control/mesh: an answer of a store reader ends an outage of the store

Cause: a process whose reads of the store fail keeps servers that are missing from the list, and only a successful read of its own ended that. A process that is no store reader does not read again once a reader answers it. Missing servers are left out of the digest, so the comparison with the readers showed no difference any more.

Change: a reader's answer ends the outage if the reader read the store after the outage began, by the maximum age of its list. The test fleet reports failed reads as the follower does, which it left out before.

--- a/control/mesh/fleet_test.go
+++ b/control/mesh/fleet_test.go
@@ -57,6 +57,7 @@
 	loop    *control.Loop[Snapshot]
 	started time.Time
 	wakeAt  time.Time // time of the tick on the agenda
+	failing bool      // its last reads of the store failed
 	replies []chan TokenDecision
 }
 
@@ -269,11 +270,15 @@
 	const interval = 400 * time.Millisecond
 	for _, host := range f.hosts {
 		p := f.processes[host]
-		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] || f.storeDown {
+		if p == nil || !p.loop.Snapshot().StoreReader || f.cut[host] {
+			continue
+		}
+		if f.storeDown {
+			p.storeRefused()
 			continue
 		}
 		f.postEvacuations(p)
-		p.post(f.readServers())
+		p.storeAnswered(f.readServers())
 		if f.storeTable != nil {
 			p.post(TableRead{Table: f.storeTable})
 			p.post(TableConfirmed{BootTime: p.bootClock(), Era: f.storeEra})
@@ -319,10 +324,35 @@
 	})
 }
 
-// answerRead answers a read of the store with what it holds at that time.
+// storeRefused reports to a process that its reads of the store have failed.
+func (p *fleetProcess) storeRefused() {
+	p.failing = true
+	p.post(StoreUnavailable{})
+}
+
+// storeAnswered posts a list that a process read from the store.
+func (p *fleetProcess) storeAnswered(list ServerListRead) {
+	p.post(list)
+	if p.failing {
+		p.failing = false
+		p.post(StoreAvailable{})
+	}
+}
+
+// answerRead answers a read of the store with what it holds at that time. While the store is
+// away, the reads fail.
 func (f *testFleet) answerRead(p *fleetProcess, read ReadStore) {
 	delay := f.between(4*time.Millisecond, 60*time.Millisecond)
 	if f.storeDown {
+		if read.Servers {
+			f.after(4*delay, func() {
+				if f.storeDown {
+					p.storeRefused()
+				} else {
+					f.answerRead(p, read)
+				}
+			})
+		}
 		return
 	}
 	if read.Config {
@@ -346,7 +376,7 @@
 	} else {
 		f.listReads++
 	}
-	f.after(delay, func() { p.post(list) })
+	f.after(delay, func() { p.storeAnswered(list) })
 }
 
 // answerConfigFetch answers a fetch from a peer with the configuration that the peer
--- a/control/mesh/servers.go
+++ b/control/mesh/servers.go
@@ -44,7 +44,7 @@
 func (ServerListRead) ControlEvent() {}
 
 // StoreUnavailable and StoreAvailable report that the platform's store stopped
-// answering or answers again.
+// answering this process or answers it again.
 type (
 	StoreUnavailable struct{}
 	StoreAvailable   struct{}
@@ -74,7 +74,7 @@
 	// drainTime is how long a server that was removed from the list may still
 	// receive requests.
 	drainTime      time.Duration
-	storeDown      bool      // the store does not answer
+	storeDown      bool      // the store answers neither this process nor a store reader
 	storeDownSince time.Time // when the store last stopped answering
 	storeUpSince   time.Time // when the store last began to answer again
 	entriesExpired bool      // the last outage was long enough for entries to expire
@@ -132,11 +132,7 @@
 		}
 		s.storeDown = true
 	case StoreAvailable:
-		if s.storeDown {
-			emitLog(out, "platform store available again", map[string]any{"away_ms": now.Sub(s.storeDownSince).Milliseconds()})
-			s.storeUpSince, s.entriesExpired = now, now.Sub(s.storeDownSince) >= minExpiryOutage
-		}
-		s.storeDown = false
+		s.endOutage(now, "read by this process", out)
 	case control.Tick:
 		s.removeMissing(now, out)
 		s.removeSilentPeers(now)
@@ -144,6 +140,24 @@
 	}
 }
 
+// readerAnswered ends an outage if the store answered a store reader after it began; readSince
+// is before the reader's last read. This process may not read the store itself again.
+func (s *serversStage) readerAnswered(now, readSince time.Time, out *control.Output) {
+	if readSince.After(s.storeDownSince) {
+		s.endOutage(now, "answer of a store reader", out)
+	}
+}
+
+// endOutage records that the store answers again.
+func (s *serversStage) endOutage(now time.Time, after string, out *control.Output) {
+	if !s.storeDown {
+		return
+	}
+	away := now.Sub(s.storeDownSince)
+	emitLog(out, "platform store available again", map[string]any{"away_ms": away.Milliseconds(), "after": after})
+	s.storeDown, s.storeUpSince, s.entriesExpired = false, now, away >= minExpiryOutage
+}
+
 // applyRead applies a change that this process read from the store, or the list of a
 // reader. An older list than the known one would bring back servers that have left.
 func (s *serversStage) applyRead(now time.Time, ev ServerListRead, out *control.Output) {
--- a/control/mesh/store.go
+++ b/control/mesh/store.go
@@ -398,6 +398,9 @@
 		s.config.confirm(confirmedAt)
 	}
 	s.lastAnswerAt = now
+	if era >= s.state.listPosition.Era {
+		s.servers.readerAnswered(now, query.sentAt.Add(-maxReaderListAge), out)
+	}
 	switch {
 	case era < s.state.listPosition.Era:
 	case state.Digest != s.digest():
