--- a/control/mesh/mesh_test.go
+++ b/control/mesh/mesh_test.go
@@ -478,7 +478,7 @@
 func startNonReader(t *testing.T) *testProcess {
 	t.Helper()
 	for _, self := range []string{"10.0.1.1", "10.0.1.2", "10.0.1.3", "10.0.1.4", "10.0.1.5"} {
-		p := startInFleet(t, self, "10.0.0.2", "10.0.0.3", "10.0.0.4", "10.0.0.5", "10.0.0.6", "10.0.0.7", "10.0.0.8")
+		p := startInFleet(t, self, fleetHosts...)
 		p.advance(storeQueryInterval + time.Millisecond)
 		if !p.loop.Snapshot().StoreReader {
 			return p
--- a/filters/slots/memory.go
+++ b/filters/slots/memory.go
@@ -19,13 +19,13 @@
 	minWithdrawnRetention = 30 * time.Second
 )
 
-// executedAttempts remembers the attempts that held a slot. It is bounded in number, and
-// knows how far back it is complete.
+// executedAttempts remembers the attempts that held a slot and ended. It is bounded in number,
+// and knows how far back it is complete.
 type executedAttempts struct {
 	limit  int // of the number of attempts
 	expiry map[string]time.Time
 	order  []executedAttempt // by the time of the end
-	// completeSince is the time since which no attempt that ended was forgotten.
+	// completeSince is when the newest forgotten attempt ended; at first, when the memory began.
 	completeSince time.Time
 }
 
@@ -63,9 +63,9 @@
 	return ok
 }
 
-// excludes reports whether an attempt, which was sent the duration age ago at least, certainly
-// did not end: it is not remembered, and was sent after the last one that was forgotten ended.
-func (m *executedAttempts) excludes(now time.Time, id string, age time.Duration) bool {
+// rulesOut reports whether an attempt that was sent the duration age ago at most cannot have
+// ended: it is not remembered, and was sent after the end of every forgotten one.
+func (m *executedAttempts) rulesOut(now time.Time, id string, age time.Duration) bool {
 	return !m.contains(id) && now.Add(-age).After(m.completeSince)
 }
 
--- a/filters/slots/memory_test.go
+++ b/filters/slots/memory_test.go
@@ -96,12 +96,12 @@
 			},
 			"": func(t *rapid.T) {
 				for _, a := range ended {
-					if memory.excludes(now, a.id, now.Sub(a.sent)) {
+					if memory.rulesOut(now, a.id, now.Sub(a.sent)) {
 						t.Fatalf("attempt %s, sent %v ago, ran", a.id, now.Sub(a.sent))
 					}
 				}
-				if !memory.excludes(now, "lost", -time.Microsecond) {
-					t.Fatal("an attempt that was sent just now is not excluded")
+				if !memory.rulesOut(now, "lost", -time.Microsecond) {
+					t.Fatal("an attempt that was sent just now is not ruled out")
 				}
 				if len(memory.order) > limit || len(memory.expiry) > limit {
 					t.Fatalf("%d attempts in order, %d expiries, want at most %d", len(memory.order), len(memory.expiry), limit)
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -395,7 +395,7 @@
 		}
 		return waiting
 	}
-	if !q.executed.excludes(now, w.attemptID, w.age) || !q.withdrawn.add(now, w.attemptID) {
+	if !q.executed.rulesOut(now, w.attemptID, w.age) || !q.withdrawn.add(now, w.attemptID) {
 		q.undecided.Add(1)
 		return false
 	}
