filters/slots: refusals for lack of time name the data that decided them

Cause: in the incident of refused requests on added routes the logs could not tell whether a request was refused because of the wait or because of the service time that was expected of it, and refusals on arrival had no line at the exit at all.

Change: the exit logs each attempt that cannot meet its deadline, with the time left, the expected service time, the mean of all requests and the load, and counts them by arrival and wait (ragwortyard_deadline_refused_attempts_total). Decisions are unchanged.

Tests of decide, filters and sidecar pass.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -73,9 +73,9 @@
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
 }
 
-// serviceTime returns the mean service time of requests like the item, or 0 while it is
+// ServiceTime returns the mean service time of requests like the item, or 0 while it is
 // unknown.
-func (q *Queue) serviceTime(item Item) time.Duration {
+func (q *Queue) ServiceTime(item Item) time.Duration {
 	if item.IsCall {
 		return q.meanCallTime
 	}
@@ -231,7 +231,7 @@
 // lastStart returns the latest start after which the item is unlikely to be answered
 // before its deadline.
 func (q *Queue) lastStart(item Item) time.Time {
-	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.serviceTime(item))))
+	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.ServiceTime(item))))
 }
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -51,6 +51,8 @@
 	cold               coldStarts
 	evacuationRefusals atomic.Uint64
 	undecided          atomic.Uint64
+	deadlineRefusals   deadlineRefusals
+	log                *zap.Logger
 	postEvent          func(control.Event) bool
 	lastCrashAt        time.Time
 	closed             bool          // no slot is granted any more
@@ -68,6 +70,12 @@
 	WarmUpRate  float64       // requests per second that it accepts while it is cold; 0 for no limit
 }
 
+// deadlineRefusals counts attempts that were refused because they could not be answered
+// before their deadline.
+type deadlineRefusals struct {
+	onArrival, afterWait atomic.Uint64
+}
+
 // ticket is one request for a slot.
 type ticket struct {
 	item        slotqueue.Item
@@ -78,6 +86,7 @@
 	fingerprint crashcount.Fingerprint
 	maxWait     time.Duration
 	isRetry     bool
+	arrived     time.Time
 	decision    chan pipeline.Code
 }
 
@@ -119,6 +128,7 @@
 		executed:      newExecutedAttempts(time.Now()),
 		refresh:       make(chan struct{}, 1),
 		cold:          coldStarts{log: zap.NewNop()},
+		log:           zap.NewNop(),
 		postEvent:     postEvent,
 		closing:       make(chan struct{}),
 		stopped:       make(chan struct{}),
@@ -130,7 +140,7 @@
 }
 
 // SetLog sets the logger. It must be called before Run.
-func (q *Queue) SetLog(log *zap.Logger) { q.cold.log = log }
+func (q *Queue) SetLog(log *zap.Logger) { q.log, q.cold.log = log, log }
 
 // Refresh requests an update of the state of the backend server, without waiting.
 func (q *Queue) Refresh() {
@@ -152,6 +162,12 @@
 // of attempts does not reach back to the sending of the attempt or is full.
 func (q *Queue) UndecidedWithdrawals() uint64 { return q.undecided.Load() }
 
+// DeadlineRefusals returns the numbers of attempts that were refused on arrival and after a
+// wait because they could not be answered before their deadline.
+func (q *Queue) DeadlineRefusals() (onArrival, afterWait uint64) {
+	return q.deadlineRefusals.onArrival.Load(), q.deadlineRefusals.afterWait.Load()
+}
+
 // Load returns the load after the last event.
 func (q *Queue) Load() pipeline.Load { return *q.load.Load() }
 
@@ -304,10 +320,21 @@
 		t.decision <- pipeline.CodeQueueFull
 	case slotqueue.MissesDeadline:
 		q.cold.countRefusal(q.queue)
+		q.deadlineRefusals.onArrival.Add(1)
+		q.logDeadlineRefusal(now, t)
 		t.decision <- pipeline.CodeDeadlineTooShort
 	}
 }
 
+// logDeadlineRefusal logs that an attempt cannot be answered before its deadline, with the
+// data on which this was decided.
+func (q *Queue) logDeadlineRefusal(now time.Time, t *ticket) {
+	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend),
+		zap.Int64("waited_ms", now.Sub(t.arrived).Milliseconds()), zap.Int64("left_ms", t.item.Deadline.Sub(now).Milliseconds()),
+		zap.Int64("service_ms", q.queue.ServiceTime(t.item).Milliseconds()), zap.Int64("mean_service_ms", q.queue.MeanServiceTime().Milliseconds()),
+		zap.Int("running", q.queue.Running()), zap.Int("waiting", q.queue.Waiting()), zap.Int("rank", t.item.Rank))
+}
+
 func (q *Queue) handleDeparture(now time.Time, dep departure) {
 	t := q.tickets[dep.id]
 	if t == nil {
@@ -406,6 +433,8 @@
 func (q *Queue) grantSlots(now time.Time) {
 	for _, item := range q.queue.RemoveExpired(now) {
 		q.cold.countRefusal(q.queue)
+		q.deadlineRefusals.afterWait.Add(1)
+		q.logDeadlineRefusal(now, item.Payload.(*ticket))
 		q.refuse(item, pipeline.CodeDeadlineTooShort)
 	}
 	for {
@@ -465,6 +494,7 @@
 		fingerprint: crashcount.Fingerprint(req.Fingerprint),
 		maxWait:     req.MaxQueueWait,
 		isRetry:     req.ReachedBackend,
+		arrived:     time.Now(),
 		decision:    make(chan pipeline.Code, 1),
 	}
 	t.item.Payload = t
@@ -473,9 +503,8 @@
 	case <-q.stopped:
 		return pipeline.Refuse(pipeline.CodeStopping, "")
 	}
-	arrived := time.Now()
 	if code := q.await(ctx, t); code != pipeline.CodeOK {
-		f.logRefusal(req, code, time.Since(arrived))
+		f.logRefusal(req, code, time.Since(t.arrived))
 		result := pipeline.Refuse(code, "")
 		result.RetryAfter = q.retryAfter()
 		return result
@@ -497,9 +526,9 @@
 }
 
 // logRefusal logs that an attempt got no slot. Attempts that are refused on arrival are
-// logged by their entry proxy.
+// logged by their entry proxy, those that cannot meet their deadline by the queue.
 func (f *Filter) logRefusal(req *pipeline.Request, code pipeline.Code, waited time.Duration) {
-	if waited < minLoggedWait {
+	if waited < minLoggedWait || code == pipeline.CodeDeadlineTooShort {
 		return
 	}
 	f.Log.Info("attempt got no slot", zap.String("attempt", req.ID), zap.String("backend", req.Backend),
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -51,6 +51,14 @@
 			return float64(s.evacuationRefusals.Load() + s.queue.EvacuationRefusals())
 		},
 		"ragwortyard_cold_refused_attempts_total": func() float64 { return float64(s.queue.ColdRefusals()) },
+		`ragwortyard_deadline_refused_attempts_total{when="arrival"}`: func() float64 {
+			onArrival, _ := s.queue.DeadlineRefusals()
+			return float64(onArrival)
+		},
+		`ragwortyard_deadline_refused_attempts_total{when="wait"}`: func() float64 {
+			_, afterWait := s.queue.DeadlineRefusals()
+			return float64(afterWait)
+		},
 		"ragwortyard_undecided_withdrawals_total": func() float64 { return float64(s.queue.UndecidedWithdrawals()) },
 		"ragwortyard_hosts":                       func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
