decide/servicetime: a request's time is judged by its own route

Cause: the queue of a backend server refused a request if half of the mean service time of all requests but calls did not fit into the time left. Beside requests of one to two seconds, one of some ten milliseconds with 0.9 s left counted as hopeless. Requests that are refused do not run, so that the mean never showed how short they are.

Change: service times are estimated by route, and apart for calls. A route that is not known is not refused for its service time, and an estimate expires 3 s after the last run of its route, since refusals do not correct it. At most 256 kinds are remembered. An attempt names its route to the exit.

Why it works: what a request needs is taken from requests of the same route only, and a wrong estimate ends by itself.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/servicetime"
 )
 
 // DelayPerRank is the priority aging: a request goes before a request that is one
@@ -28,11 +30,7 @@
 	MinOthers = MaxWaiting / minOtherShare
 )
 
-// serviceTimeSmoothing is the number of requests in the moving average of the time
-// that a slot is held.
-const serviceTimeSmoothing = 16
-
-// minServiceFraction is the fraction of the mean service time that must be left
+// minServiceFraction is the fraction of the mean service time of its kind that must be left
 // before the deadline when a request starts. With less time, it is unlikely to be
 // answered before the deadline.
 const minServiceFraction = 0.5
@@ -40,7 +38,8 @@
 // Item is a request that needs a slot.
 type Item struct {
 	ID       uint64
-	Rank     int // 0 is the most urgent
+	Route    string // its requests take about the same time
+	Rank     int    // 0 is the most urgent
 	Deadline time.Time
 	// IsCall means that a backend server makes the request while another request holds a
 	// slot there. Calls go before all other requests, so that slots are not held in vain.
@@ -50,6 +49,14 @@
 	sortTime time.Time // arrival plus DelayPerRank for each rank; the earliest goes first
 }
 
+// kind identifies requests that take about the same time.
+type kind struct {
+	route  string
+	isCall bool
+}
+
+func (i Item) kind() kind { return kind{i.Route, i.IsCall} }
+
 // Queue grants a limited number of slots.
 type Queue struct {
 	slots           int
@@ -62,6 +69,7 @@
 	// meanCallTime and meanRequestTime are the same for calls and for all others. Calls are
 	// often ten times as short.
 	meanCallTime, meanRequestTime time.Duration
+	serviceTimes                  *servicetime.Estimates[kind]
 
 	startRate startRate // that the server accepts
 	coldRate  startRate // while the server is cold
@@ -70,16 +78,13 @@
 // New returns a queue for a server that runs slots requests at once. At most
 // maxWaiting requests wait.
 func New(slots, maxWaiting int) *Queue {
-	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting}
+	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, serviceTimes: servicetime.New[kind]()}
 }
 
-// ServiceTime returns the mean service time of requests like the item, or 0 while it is
+// ServiceTime returns the mean service time of requests of the item's kind, or 0 while it is
 // unknown.
-func (q *Queue) ServiceTime(item Item) time.Duration {
-	if item.IsCall {
-		return q.meanCallTime
-	}
-	return q.meanRequestTime
+func (q *Queue) ServiceTime(now time.Time, item Item) time.Duration {
+	return q.serviceTimes.Expected(now, item.kind())
 }
 
 // SetSlots changes the number of slots.
@@ -151,7 +156,7 @@
 	if maxWait <= 0 || wait > maxWait {
 		return Refused, nil
 	}
-	if q.cannotFinish(now.Add(wait), item) {
+	if q.cannotFinish(now, now.Add(wait), item) {
 		return MissesDeadline, nil
 	}
 	if victim >= 0 {
@@ -224,14 +229,14 @@
 
 // cannotFinish reports whether a request that starts at the given time is unlikely
 // to be answered before its deadline.
-func (q *Queue) cannotFinish(start time.Time, item Item) bool {
-	return start.After(q.lastStart(item))
+func (q *Queue) cannotFinish(now, start time.Time, item Item) bool {
+	return start.After(q.lastStart(now, item))
 }
 
 // lastStart returns the latest start after which the item is unlikely to be answered
 // before its deadline.
-func (q *Queue) lastStart(item Item) time.Time {
-	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.ServiceTime(item))))
+func (q *Queue) lastStart(now time.Time, item Item) time.Time {
+	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.ServiceTime(now, item))))
 }
 
 // estimatedWaitAt estimates how long the request at a position of the queue waits.
@@ -265,25 +270,18 @@
 
 // Release frees the slot of an item. held is how long it held the slot, or 0 if that is
 // not representative of the service time.
-func (q *Queue) Release(item Item, held time.Duration) {
+func (q *Queue) Release(now time.Time, item Item, held time.Duration) {
 	q.running--
 	if held <= 0 {
 		return
 	}
-	smooth(&q.meanServiceTime, held)
+	q.serviceTimes.Observe(now, item.kind(), held)
+	q.meanServiceTime = servicetime.Smooth(q.meanServiceTime, held)
 	if item.IsCall {
-		smooth(&q.meanCallTime, held)
+		q.meanCallTime = servicetime.Smooth(q.meanCallTime, held)
 	} else {
-		smooth(&q.meanRequestTime, held)
-	}
-}
-
-// smooth adds a value to a moving average, which is 0 before the first one.
-func smooth(mean *time.Duration, value time.Duration) {
-	if *mean == 0 {
-		*mean = value
+		q.meanRequestTime = servicetime.Smooth(q.meanRequestTime, held)
 	}
-	*mean += (value - *mean) / serviceTimeSmoothing
 }
 
 // RemoveExpired removes and returns the requests that are unlikely to be answered
@@ -291,7 +289,7 @@
 func (q *Queue) RemoveExpired(now time.Time) []Item {
 	var expired []Item
 	q.items = slices.DeleteFunc(q.items, func(item Item) bool {
-		if !q.cannotFinish(now, item) {
+		if !q.cannotFinish(now, now, item) {
 			return false
 		}
 		expired = append(expired, item)
@@ -309,7 +307,7 @@
 func (q *Queue) NextEvent(now time.Time) (time.Time, bool) {
 	var next time.Time
 	for i := range q.items {
-		expiry := q.lastStart(q.items[i])
+		expiry := q.lastStart(now, q.items[i])
 		if i == 0 || expiry.Before(next) {
 			next = expiry
 		}
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -41,7 +41,7 @@
 			case 1:
 				if running > 0 {
 					running--
-					q.Release(Item{}, 100*time.Millisecond)
+					q.Release(now, Item{}, 100*time.Millisecond)
 				}
 			case 2:
 				for _, item := range q.RemoveExpired(now) {
@@ -75,7 +75,7 @@
 	q.Push(start.Add(time.Millisecond), Item{ID: 3, Deadline: deadline}, time.Hour)
 	q.Push(start.Add(3*DelayPerRank), Item{ID: 4, Deadline: deadline}, time.Hour)
 	for _, want := range []uint64{3, 2, 4} {
-		q.Release(Item{}, 0)
+		q.Release(start, Item{}, 0)
 		if item, _ := q.Pop(start.Add(3 * DelayPerRank)); item.ID != want {
 			t.Fatalf("got %d, want %d", item.ID, want)
 		}
@@ -87,7 +87,7 @@
 func TestRequestsThatMissTheirDeadlineAreRefused(t *testing.T) {
 	q := New(1, 10)
 	q.Push(start, Item{ID: 1, Deadline: start.Add(time.Minute)}, time.Hour)
-	q.Release(Item{}, 2*time.Second)
+	q.Release(start, Item{}, 2*time.Second)
 	q.Push(start, Item{ID: 2, Deadline: start.Add(time.Minute)}, time.Hour)
 	if v, _ := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, time.Hour); v != MissesDeadline {
 		t.Errorf("result %d for a request that cannot start in time", v)
@@ -103,7 +103,7 @@
 	q := New(1, 10)
 	deadline := start.Add(time.Minute)
 	q.Push(start, Item{ID: 1, Deadline: deadline}, time.Hour)
-	q.Release(Item{}, 100*time.Millisecond)
+	q.Release(start, Item{}, 100*time.Millisecond)
 	q.Push(start, Item{ID: 2, Deadline: deadline}, time.Hour)
 	if v, _ := q.Push(start, Item{ID: 3, Deadline: deadline}, 150*time.Millisecond); v != Queued {
 		t.Errorf("result %d for an expected wait of one service time", v)
@@ -128,7 +128,7 @@
 	if result, _ := q.Push(start.Add(time.Minute/2), Item{ID: 4, Deadline: deadline}, time.Hour); result != Refused {
 		t.Errorf("result %d for a request at the end of a full queue", result)
 	}
-	q.Release(Item{}, 0)
+	q.Release(start, Item{}, 0)
 	if item, _ := q.Pop(start.Add(time.Minute / 2)); item.ID != 3 {
 		t.Errorf("request %d goes before the call", item.ID)
 	}
@@ -155,7 +155,7 @@
 		}
 		held[item.IsCall] += took
 		now = now.Add(took)
-		q.Release(item, took)
+		q.Release(now, item, took)
 		q.RemoveExpired(now)
 	}
 	share := float64(held[false]) / float64(held[false]+held[true])
@@ -185,7 +185,7 @@
 	}
 	var order []uint64
 	for range 16 {
-		q.Release(Item{}, 0)
+		q.Release(start, Item{}, 0)
 		item, _ := q.Pop(start)
 		order = append(order, item.ID)
 	}
@@ -200,13 +200,13 @@
 	q := New(1, 10)
 	long, call := Item{ID: 1, Deadline: start.Add(time.Minute)}, Item{ID: 2, IsCall: true, Deadline: start.Add(300 * time.Millisecond)}
 	q.Push(start, long, time.Hour)
-	q.Release(long, time.Second)
+	q.Release(start, long, time.Second)
 	q.Push(start, call, time.Hour)
-	q.Release(call, 100*time.Millisecond)
+	q.Release(start, call, 100*time.Millisecond)
 	if result, _ := q.Push(start, call, time.Hour); result != Granted {
 		t.Fatalf("result %d", result)
 	}
-	q.Release(call, 0)
+	q.Release(start, call, 0)
 	q.Push(start, long, time.Hour)
 	if result, _ := q.Push(start.Add(-time.Second), Item{ID: 3, IsCall: true, Deadline: start.Add(200 * time.Millisecond)}, time.Hour); result != Queued {
 		t.Errorf("result %d for a call of 100 ms with 1.2 s left", result)
@@ -239,7 +239,7 @@
 				starts = append(starts, now)
 			}
 			for q.Running() > 40 {
-				q.Release(Item{}, 0)
+				q.Release(now, Item{}, 0)
 			}
 		}
 		for i := range starts {
@@ -304,7 +304,7 @@
 				starts = append(starts, now)
 			}
 			for q.Running() > 0 {
-				q.Release(Item{}, 0)
+				q.Release(now, Item{}, 0)
 			}
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 		}
--- a/filters/dispatch/evacuation_test.go
+++ b/filters/dispatch/evacuation_test.go
@@ -156,20 +156,19 @@
 	})
 }
 
-// exitsWithQueues are exit proxies whose servers take serviceTime for a request.
+// exitsWithQueues are exit proxies whose servers take serviceTime for a request, by its route.
 type exitsWithQueues struct {
-	filters map[string]*slots.Filter
+	filters     map[string]*slots.Filter
+	serviceTime map[string]time.Duration
 }
 
-const serviceTime = 100 * time.Millisecond
-
 // Do implements Sender.
 func (e *exitsWithQueues) Do(ctx context.Context, host string, req *pipeline.Request) hop.Answer {
 	filter := e.filters[host]
 	if result := filter.Handle(ctx, req); result != nil {
 		return hop.Answer{Result: result, Reached: true, HasLoad: true, Load: filter.Queue.Load()}
 	}
-	<-time.After(serviceTime)
+	<-time.After(e.serviceTime[req.Route])
 	req.Complete(pipeline.Completion{Outcome: pipeline.Answered, Status: 200})
 	answer := status(200)
 	answer.HasLoad, answer.Load = true, filter.Queue.Load()
@@ -187,7 +186,7 @@
 func TestRemainingZonesTakeTheWorkOfAnEvacuatedOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		exits := &exitsWithQueues{filters: make(map[string]*slots.Filter)}
+		exits := &exitsWithQueues{filters: make(map[string]*slots.Filter), serviceTime: map[string]time.Duration{"": 100 * time.Millisecond}}
 		for i := range 12 {
 			queue := slots.NewQueue(4, func(control.Event) bool { return true })
 			go queue.Run(ctx, func() slots.Backend { return slots.Backend{Slots: 4} })
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -329,9 +329,9 @@
 // logDeadlineRefusal logs that an attempt cannot be answered before its deadline, with the
 // data on which this was decided.
 func (q *Queue) logDeadlineRefusal(now time.Time, t *ticket) {
-	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend),
+	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend), zap.String("route", t.item.Route),
 		zap.Int64("waited_ms", now.Sub(t.arrived).Milliseconds()), zap.Int64("left_ms", t.item.Deadline.Sub(now).Milliseconds()),
-		zap.Int64("service_ms", q.queue.ServiceTime(t.item).Milliseconds()), zap.Int64("mean_service_ms", q.queue.MeanServiceTime().Milliseconds()),
+		zap.Int64("service_ms", q.queue.ServiceTime(now, t.item).Milliseconds()), zap.Int64("mean_service_ms", q.queue.MeanServiceTime().Milliseconds()),
 		zap.Int("running", q.queue.Running()), zap.Int("waiting", q.queue.Waiting()), zap.Int("rank", t.item.Rank))
 }
 
@@ -351,7 +351,7 @@
 	}
 	q.executed.add(now, t.attemptID, t.item.Deadline)
 	delete(q.tickets, dep.id)
-	q.queue.Release(t.item, dep.held)
+	q.queue.Release(now, t.item, dep.held)
 }
 
 // ObserveLimit takes over the rate limit that a backend server named in an answer, or that
@@ -486,7 +486,7 @@
 func (f *Filter) Handle(ctx context.Context, req *pipeline.Request) *pipeline.Result {
 	q := f.Queue
 	t := &ticket{
-		item:        slotqueue.Item{ID: q.lastID.Add(1), Rank: req.Rank, IsCall: req.IsCall, Deadline: req.Deadline},
+		item:        slotqueue.Item{ID: q.lastID.Add(1), Route: req.Route, Rank: req.Rank, IsCall: req.IsCall, Deadline: req.Deadline},
 		attemptID:   req.ID,
 		originalID:  f.OriginalID(req),
 		backend:     req.Backend,
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/servicetime"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -220,3 +221,76 @@
 		}
 	})
 }
+
+// holdSlots lets requests of a route take all slots and returns the function that ends one of them.
+func holdSlots(t *testing.T, f *Filter, slots int, route string) (end func()) {
+	t.Helper()
+	var held []*pipeline.Request
+	for i := range slots {
+		req := request(fmt.Sprint(route, i), 0)
+		req.Route = route
+		if r := f.Handle(t.Context(), req); r != nil {
+			t.Fatal(r)
+		}
+		held = append(held, req)
+	}
+	return func() {
+		held[0].Complete(pipeline.Completion{Outcome: pipeline.Answered})
+		held = held[1:]
+	}
+}
+
+// handleShort sends a request of the route "short" that has 900 ms left and may wait.
+func handleShort(t *testing.T, f *Filter, id string) <-chan *pipeline.Result {
+	req := request(id, 900*time.Millisecond)
+	req.Route, req.Deadline = "short", time.Now().Add(900*time.Millisecond)
+	result := make(chan *pipeline.Result, 1)
+	go func() { result <- f.Handle(t.Context(), req) }()
+	return result
+}
+
+// Guards against refusing a request for lack of time because requests of other routes take long.
+func TestDeadlineIsNotJudgedByRequestsOfOtherRoutes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 7, discardEvent)
+		defer stop()
+		end := holdSlots(t, f, 7, "long")
+		<-time.After(2 * time.Second)
+		for range 7 {
+			end()
+		}
+		synctest.Wait()
+		end = holdSlots(t, f, 7, "long")
+		result := handleShort(t, f, "short")
+		<-time.After(300 * time.Millisecond)
+		end()
+		if r := <-result; r != nil {
+			t.Errorf("%+v for a request with 600 ms left when a slot became free", r)
+		}
+	})
+}
+
+// Guards against refusing all requests of a route for good because the server was slow once.
+func TestRouteThatWasSlowIsTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 7, discardEvent)
+		defer stop()
+		end := holdSlots(t, f, 7, "short")
+		<-time.After(2 * time.Second)
+		for range 7 {
+			end()
+		}
+		synctest.Wait()
+		end = holdSlots(t, f, 7, "long")
+		if r := <-handleShort(t, f, "slow"); r == nil || r.Outcome != pipeline.NotRun {
+			t.Errorf("%+v for a request of a route that takes 2 s", r)
+		}
+		<-time.After(servicetime.MaxAge + 3*time.Second)
+		result := handleShort(t, f, "again")
+		<-time.After(300 * time.Millisecond)
+		end()
+		if r := <-result; r != nil {
+			t.Errorf("%+v for a request of a route that has not run for %v", r, servicetime.MaxAge)
+		}
+	})
+}
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -40,6 +40,7 @@
 	keyCallerService   = "c"
 	keyTeam            = "t"
 	keyService         = "s"
+	keyRoute           = "n"
 	keyRank            = "r"
 	keyMaxQueueWait    = "w"
 	keyIdempotent      = "e"
@@ -69,6 +70,9 @@
 	v.Set(keyTimeLeft, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	v.Set(keyCallerService, req.CallerService)
 	v.Set(keyService, req.Service)
+	if req.Route != "" {
+		v.Set(keyRoute, req.Route)
+	}
 	v.Set(keyFingerprint, strconv.FormatUint(req.Fingerprint, 36))
 	if req.Principal.Team != "" {
 		v.Set(keyTeam, req.Principal.Team)
@@ -145,6 +149,7 @@
 		Deadline:       now.Add(time.Duration(left) * time.Millisecond),
 		Principal:      pipeline.Principal{Team: v.Get(keyTeam)},
 		Service:        v.Get(keyService),
+		Route:          v.Get(keyRoute),
 		Class:          pipeline.Class{Idempotent: v.Get(keyIdempotent) == "1", TargetLatency: time.Duration(target) * time.Millisecond},
 		Fingerprint:    fingerprint,
 		CallerService:  v.Get(keyCallerService),
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -46,7 +46,7 @@
 		ID: id, Method: "POST", Path: "/x/y%2Fz", RawQuery: "q=1", Host: "a.example",
 		Header: pipeline.Header{"X-Kept": {"1"}}, Payload: []byte("body"),
 		Deadline: time.Now().Add(10 * time.Second), Principal: pipeline.Principal{Team: "acme"},
-		Service: "roster", Class: pipeline.Class{TargetLatency: 2 * time.Second}, Fingerprint: 1 << 60,
+		Service: "roster", Route: "read", Class: pipeline.Class{TargetLatency: 2 * time.Second}, Fingerprint: 1 << 60,
 		CallerService: "bookings", Rank: 2, Backend: "i-1", MaxQueueWait: 150 * time.Millisecond, ReachedBackend: true, IsCall: true, BackendLimit: rateLimit,
 	}
 }
@@ -73,7 +73,7 @@
 		t.Fatalf("answer %+v", answer)
 	}
 	if got.Path != want.Path || got.RawQuery != want.RawQuery || got.Host != want.Host || string(got.Payload) != "body" ||
-		got.Principal != want.Principal || got.Service != want.Service || got.Fingerprint != want.Fingerprint ||
+		got.Principal != want.Principal || got.Service != want.Service || got.Route != want.Route || got.Fingerprint != want.Fingerprint ||
 		got.CallerService != want.CallerService || got.Rank != want.Rank || got.Backend != want.Backend || got.MaxQueueWait != want.MaxQueueWait ||
 		!got.ReachedBackend || !got.IsCall || got.Class != want.Class || got.Header.Get("X-Kept") != "1" {
 		t.Errorf("got %+v", got)
