filters/slots: a wait beyond the deadline at one server is no reason to give up

Cause: the exit answered 3003 both for a wait that was too long there and for too little time to run at all, and an entry gives up after 3003.

Change: 3003 means that a request could not be answered even if it started at once; a wait that is too long is 3002, after which the entry tries up to three servers without taking a retry, as for a full queue, and tells when there is room. Nothing is tried for a request that is known not to be servable.

Why it works: only what is true for all servers ends a request.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -233,6 +233,10 @@
 	return start.After(q.lastStart(now, item))
 }
 
+// IsTooLate reports whether a request is unlikely to be answered before its deadline even if
+// it starts now.
+func (q *Queue) IsTooLate(now time.Time, item Item) bool { return q.cannotFinish(now, now, item) }
+
 // lastStart returns the latest start after which the item is unlikely to be answered
 // before its deadline.
 func (q *Queue) lastStart(now time.Time, item Item) time.Time {
@@ -289,7 +293,7 @@
 func (q *Queue) RemoveExpired(now time.Time) []Item {
 	var expired []Item
 	q.items = slices.DeleteFunc(q.items, func(item Item) bool {
-		if !q.cannotFinish(now, now, item) {
+		if !q.IsTooLate(now, item) {
 			return false
 		}
 		expired = append(expired, item)
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -321,15 +321,19 @@
 	case slotqueue.MissesDeadline:
 		q.cold.countRefusal(q.queue)
 		q.deadlineRefusals.onArrival.Add(1)
-		q.logDeadlineRefusal(now, t)
-		t.decision <- pipeline.CodeDeadlineTooShort
+		code := pipeline.CodeQueueFull // another server may have a shorter queue
+		if q.queue.IsTooLate(now, t.item) {
+			code = pipeline.CodeDeadlineTooShort
+		}
+		q.logDeadlineRefusal(now, t, code)
+		t.decision <- code
 	}
 }
 
 // logDeadlineRefusal logs that an attempt cannot be answered before its deadline, with the
 // data on which this was decided.
-func (q *Queue) logDeadlineRefusal(now time.Time, t *ticket) {
-	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend), zap.String("route", t.item.Route),
+func (q *Queue) logDeadlineRefusal(now time.Time, t *ticket, code pipeline.Code) {
+	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend), zap.String("route", t.item.Route), zap.Uint16("code", uint16(code)),
 		zap.Int64("waited_ms", now.Sub(t.arrived).Milliseconds()), zap.Int64("left_ms", t.item.Deadline.Sub(now).Milliseconds()),
 		zap.Int64("service_ms", q.queue.ServiceTime(now, t.item).Milliseconds()), zap.Int64("mean_service_ms", q.queue.MeanServiceTime().Milliseconds()),
 		zap.Int("running", q.queue.Running()), zap.Int("waiting", q.queue.Waiting()), zap.Int("rank", t.item.Rank))
@@ -434,7 +438,7 @@
 	for _, item := range q.queue.RemoveExpired(now) {
 		q.cold.countRefusal(q.queue)
 		q.deadlineRefusals.afterWait.Add(1)
-		q.logDeadlineRefusal(now, item.Payload.(*ticket))
+		q.logDeadlineRefusal(now, item.Payload.(*ticket), pipeline.CodeDeadlineTooShort)
 		q.refuse(item, pipeline.CodeDeadlineTooShort)
 	}
 	for {
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -294,3 +294,33 @@
 		}
 	})
 }
+
+// Guards against giving up a request that would wait too long at one server although another
+// one may have a shorter queue, and against sending on one that has no time left to run.
+func TestWaitBeyondTheDeadlineIsNoReasonToGiveUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, stop := run(t, 7, discardEvent)
+		defer stop()
+		end := holdSlots(t, f, 7, "slow")
+		<-time.After(2 * time.Second)
+		for range 7 {
+			end()
+		}
+		synctest.Wait()
+		holdSlots(t, f, 7, "slow")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i := range 6 {
+			req := request(fmt.Sprint("waits", i), time.Hour)
+			go f.Handle(ctx, req)
+		}
+		synctest.Wait()
+		for route, want := range map[string]pipeline.Code{"other": pipeline.CodeQueueFull, "slow": pipeline.CodeDeadlineTooShort} {
+			req := request(route, 900*time.Millisecond)
+			req.Route, req.Deadline, req.MaxQueueWait = route, time.Now().Add(900*time.Millisecond), time.Hour
+			if r := f.Handle(t.Context(), req); r == nil || r.Code != want {
+				t.Errorf("%s: %+v, want code %v", route, r, want)
+			}
+		}
+	})
+}
