decide/selection: servers that are all busy are compared by their queues for short deadlines too

A request with little time left was sent to any busy server, whatever its queue, when other requests take long.

Cause: the entry counted a request as failed at a server if half of the mean service time of all requests there did not fit behind the wait. Beside requests of two seconds, each busy server cost a request with 0.9 s left the same, and health alone decided.

Change: the time left is compared with the wait alone; the exit, which knows the service time of the route, judges the rest. Among servers whose wait is too long, a shorter one costs less.

Measured: TestShortDeadlinePrefersTheShorterQueue failed on the code before ("chose a queue of 2 instead of one of 0") and passes.

--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -227,8 +227,10 @@
 	return min(costRetry+known, costFailure+costRetryTaken) * probability, 0 - exploration // not -0, which would be printed
 }
 
-// loadCost grows with the fraction of busy slots and, if none is free, with the
-// estimated wait for one. A request that would start too late counts as failed.
+// loadCost grows with the fraction of busy slots and, if none is free, with the estimated wait
+// for one. A request that would start after its deadline counts as failed; among such servers,
+// a shorter wait costs less. How long the request itself runs is not known here, since the mean
+// service time is that of all routes; the exit proxy judges that.
 func (c *Candidate) loadCost(r Request) (load, wait float64) {
 	slots := max(c.Slots, 1)
 	busy := min(c.Running, slots)
@@ -239,8 +241,8 @@
 	expected := c.EstimatedWait()
 	switch {
 	case expected <= 0:
-	case expected+c.MeanServiceTime/2 > r.TimeLeft:
-		wait = costFailure
+	case expected > r.TimeLeft:
+		wait = costFailure + costMaxWait*(1-float64(max(r.TimeLeft, 0))/float64(expected))
 	default:
 		wait = min(costWaitPerTarget*float64(expected)/float64(max(r.TargetLatency, time.Millisecond)), costMaxWait)
 	}
--- a/decide/selection/selection_test.go
+++ b/decide/selection/selection_test.go
@@ -189,3 +189,18 @@
 		}
 	}
 }
+
+// Guards against choosing a server regardless of its queue because its other requests take longer than this one has left.
+func TestShortDeadlinePrefersTheShorterQueue(t *testing.T) {
+	long, random := 2*time.Second, newRand()
+	r := Request{TargetLatency: time.Second, TimeLeft: 900 * time.Millisecond}
+	for _, queued := range []struct{ shorter, longer int }{{0, 2}, {2, 12}, {8, 16}} {
+		short := Candidate{Running: 7, QueuedAhead: queued.shorter, Slots: 7, MeanServiceTime: long, GrayFailureProbability: 0.12}
+		full := Candidate{Running: 7, QueuedAhead: queued.longer, Slots: 7, MeanServiceTime: long}
+		for range 20 {
+			if Choose(r, []Candidate{full, short}, random) != 1 {
+				t.Fatalf("chose a queue of %d instead of one of %d", queued.longer, queued.shorter)
+			}
+		}
+	}
+}
