decide/fairqueue: an item's time is judged by its own class

On the own interface a caller with a short deadline got 503 or 504 while a backend server was busy with requests of other classes.

Cause: refusal on arrival, expiry and choice of the next item used the mean service time of all requests of the server.

Change: items name their class, whose service time is estimated by decide/servicetime. Items without a class are judged as before, by the times that the caller of the package sets. Expire and a full queue look at all items, since the one with the earliest deadline is not always the first that is late.

Measured: TestShortClassIsServedBesideALongOne failed 3 of 3 on the code before ("1004 deadline-passed") and passes; the other tests of the package are unchanged and pass.

--- a/decide/fairqueue/pop.go
+++ b/decide/fairqueue/pop.go
@@ -8,13 +8,12 @@
 // Pop removes and returns the item to run next. It reports false if no item is left
 // that can still be answered in time; Expire removes the others.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	cutoff := q.deadlineCutoff(now)
-	if !q.hasLiveItem(cutoff) {
+	if !q.hasLiveItem(now) {
 		return Item{}, false
 	}
 	for {
 		t := q.activeTeams[0]
-		if item, ok := q.popFrom(cutoff, t); ok {
+		if item, ok := q.popFrom(now, t); ok {
 			q.lastPop = now
 			return item, true
 		}
@@ -22,19 +21,19 @@
 	}
 }
 
-func (q *Queue) hasLiveItem(cutoff time.Time) bool {
+func (q *Queue) hasLiveItem(now time.Time) bool {
 	for _, t := range q.activeTeams {
-		if t.firstLive(cutoff) < len(t.items) {
+		if q.firstLive(now, t) < len(t.items) {
 			return true
 		}
 	}
 	return false
 }
 
-// firstLive returns the index of the first item whose deadline is after the cutoff.
-func (t *teamQueue) firstLive(cutoff time.Time) int {
+// firstLive returns the index of the team's first item that is not late.
+func (q *Queue) firstLive(now time.Time, t *teamQueue) int {
 	for i := range t.items {
-		if !expired(t.items[i].Item, cutoff) {
+		if !q.isLate(now, t.items[i].Item) {
 			return i
 		}
 	}
@@ -43,8 +42,8 @@
 
 // popFrom pops the item of the team with the earliest useful deadline. It reports
 // false if there is none or if the team's deficit does not cover the cost.
-func (q *Queue) popFrom(cutoff time.Time, t *teamQueue) (Item, bool) {
-	at := t.firstLive(cutoff)
+func (q *Queue) popFrom(now time.Time, t *teamQueue) (Item, bool) {
+	at := q.firstLive(now, t)
 	if at == len(t.items) {
 		t.deficit = 0
 		return Item{}, false
@@ -75,11 +74,14 @@
 // for an answer. These items have not run.
 func (q *Queue) Expire(now time.Time) []Item {
 	var items []Item
-	cutoff := q.deadlineCutoff(now)
 	for i := len(q.activeTeams) - 1; i >= 0; i-- {
 		t := q.activeTeams[i]
-		for len(t.items) > 0 && expired(t.items[0].Item, cutoff) {
-			items = append(items, q.remove(t, 0))
+		for at := 0; at < len(t.items); {
+			if !q.isLate(now, t.items[at].Item) {
+				at++
+				continue
+			}
+			items = append(items, q.remove(t, at))
 		}
 	}
 	return items
--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -32,15 +32,23 @@
 	return !now.Before(item.Deadline)
 }
 
-// deadlineCutoff returns the time up to which a deadline counts as expired: now, or
-// half of the typical service time later, since hardly any answer arrives faster.
-// The service time is used only if the last pop is recent; without pops it is not
-// measured again and may be outdated.
-func (q *Queue) deadlineCutoff(now time.Time) time.Time {
-	if now.Sub(q.lastPop) > q.serviceTimes.ServiceTime {
-		return now
+// isLate reports whether the deadline of an item has passed or is less than half of its
+// service time away, since hardly any answer arrives faster. The service time of items
+// without a class is used only if the last pop is recent; without pops it is not measured
+// again and may be outdated.
+func (q *Queue) isLate(now time.Time, item Item) bool {
+	if item.Class == "" && now.Sub(q.lastPop) > q.serviceTimes.ServiceTime {
+		return expired(item, now)
+	}
+	return expired(item, now.Add(q.serviceTime(now, item)/2))
+}
+
+// serviceTime returns the expected service time of an item, or 0 if it is not known.
+func (q *Queue) serviceTime(now time.Time, item Item) time.Duration {
+	if item.Class == "" {
+		return q.serviceTimes.ServiceTime
 	}
-	return now.Add(q.serviceTimes.ServiceTime / 2)
+	return q.byClass.Expected(now, item.Class)
 }
 
 // itemCost returns the cost of an item in quanta, the inverse of its weight.
@@ -60,7 +68,7 @@
 		return false
 	}
 	wait := time.Duration(ahead+1) * q.serviceTimes.PopInterval
-	return now.Add(wait + q.serviceTimes.ServiceTime).After(entry.Deadline)
+	return now.Add(wait + q.serviceTime(now, entry.Item)).After(entry.Deadline)
 }
 
 // countAhead estimates how many items will be popped before the entry.
@@ -142,10 +150,11 @@
 
 // evict removes one item from a queue that exceeds its maximum length by one.
 func (q *Queue) evict(now time.Time) Refusal {
-	cutoff := q.deadlineCutoff(now)
 	for _, t := range q.activeTeams {
-		if expired(t.items[0].Item, cutoff) {
-			return Refusal{Item: q.remove(t, 0), Reason: DeadlinePassed}
+		for i := range t.items {
+			if q.isLate(now, t.items[i].Item) {
+				return Refusal{Item: q.remove(t, i), Reason: DeadlinePassed}
+			}
 		}
 	}
 	victim := q.activeTeams[0]
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -4,7 +4,11 @@
 // not safe for concurrent use.
 package fairqueue
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragwortyard/ragwortyard/decide/servicetime"
+)
 
 const (
 	// LengthPerSlot is the maximum queue length for each slot. An accepted request
@@ -33,6 +37,7 @@
 type Item struct {
 	ID       uint64 // chosen by the caller, unique in the queue
 	Team     string
+	Class    string  // requests of one class take about the same time
 	Weight   float64 // weight of the request's class; 0 counts as 1
 	Deadline time.Time
 	Payload  any
@@ -60,7 +65,7 @@
 // The zero value means unknown: Push then refuses no item because of an estimate.
 type ServiceTimes struct {
 	PopInterval time.Duration // mean time between two pops while items wait
-	ServiceTime time.Duration // typical time from pop to answer
+	ServiceTime time.Duration // typical time from pop to answer, used for items without a class
 }
 
 // Queue is a bounded queue that is fair between teams.
@@ -69,6 +74,7 @@
 	usageHalfLifePops float64 // half-life of served cost
 	length            int
 	serviceTimes      ServiceTimes
+	byClass           *servicetime.Estimates[string]
 	teams             map[string]*teamQueue // teams with items or with recent usage
 	activeTeams       []*teamQueue          // teams with items in round-robin order; the first has its turn
 	seq               uint64
@@ -96,10 +102,16 @@
 	return &Queue{
 		maxLength:         LengthPerSlot * slots,
 		usageHalfLifePops: float64(usageHalfLifePopsPerSlot * slots),
+		byClass:           servicetime.New[string](),
 		teams:             make(map[string]*teamQueue),
 	}
 }
 
+// ObserveServiceTime records how long an item of a class took from its pop to its answer.
+func (q *Queue) ObserveServiceTime(now time.Time, class string, took time.Duration) {
+	q.byClass.Observe(now, class, took)
+}
+
 // SetServiceTimes sets the service times used to estimate whether a deadline can be
 // met.
 func (q *Queue) SetServiceTimes(times ServiceTimes) {
--- a/filters/queue/dispatcher.go
+++ b/filters/queue/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/ragwortyard/ragwortyard/decide/concurrency"
 	"github.com/ragwortyard/ragwortyard/decide/fairqueue"
 	"github.com/ragwortyard/ragwortyard/decide/quarantine"
+	"github.com/ragwortyard/ragwortyard/decide/servicetime"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -184,10 +185,6 @@
 	}
 }
 
-// serviceSmoothing is the number of requests in the moving average of the time that
-// a slot is held.
-const serviceSmoothing = 16
-
 func (d *Dispatcher) handleDeparture(now time.Time, dep departure) {
 	if d.gate.SuspectRunning() {
 		d.queuedBeforeSuspect = d.limiter.Limit()
@@ -196,19 +193,17 @@
 		d.options.Report(reports)
 	}
 	d.limiter.Release(now, dep.sample)
-	d.updateServiceTimes(dep.sample)
+	d.updateServiceTimes(now, dep.sample)
 }
 
-// updateServiceTimes updates the mean service time with a completed request and passes
-// the new service times to the queue.
-func (d *Dispatcher) updateServiceTimes(s concurrency.Sample) {
+// updateServiceTimes updates the service times with a completed request and passes them to
+// the queue.
+func (d *Dispatcher) updateServiceTimes(now time.Time, s concurrency.Sample) {
 	if s.Outcome != concurrency.Completed {
 		return
 	}
-	if d.meanServiceTime == 0 {
-		d.meanServiceTime = s.Latency
-	}
-	d.meanServiceTime += (s.Latency - d.meanServiceTime) / serviceSmoothing
+	d.queue.ObserveServiceTime(now, s.Class, s.Latency)
+	d.meanServiceTime = servicetime.Smooth(d.meanServiceTime, s.Latency)
 	d.queue.SetServiceTimes(fairqueue.ServiceTimes{PopInterval: d.meanServiceTime / time.Duration(d.limiter.Limit()), ServiceTime: d.meanServiceTime})
 }
 
--- a/filters/queue/queue.go
+++ b/filters/queue/queue.go
@@ -30,6 +30,7 @@
 	t.item = fairqueue.Item{
 		ID:       d.lastID.Add(1),
 		Team:     req.Principal.Team,
+		Class:    req.Class.Name,
 		Weight:   req.Class.Worth,
 		Deadline: req.Deadline,
 		Payload:  t,
--- a/filters/queue/queue_test.go
+++ b/filters/queue/queue_test.go
@@ -145,3 +145,41 @@
 		}
 	})
 }
+
+// Guards against refusing the requests of a class because those of other classes take long.
+func TestShortClassIsServedBesideALongOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := Filter{Dispatcher: NewDispatcher(Options{
+			Slots: 2,
+			FingerprintStatus: func(time.Time, quarantine.Fingerprint) quarantine.FingerprintStatus {
+				return quarantine.FingerprintStatus{}
+			},
+			Report: func([]quarantine.Report) {},
+		})}
+		go f.Dispatcher.Run(t.Context())
+		send := func(class string, runsFor, timeout time.Duration) <-chan *pipeline.Result {
+			ended := make(chan *pipeline.Result, 1)
+			req := &pipeline.Request{Deadline: time.Now().Add(timeout), Class: pipeline.Class{Name: class}}
+			go func() {
+				if refusal := f.Handle(t.Context(), req); refusal != nil {
+					ended <- refusal
+					return
+				}
+				time.Sleep(runsFor)
+				req.Complete(pipeline.Completion{Outcome: pipeline.Answered, Status: 200})
+				ended <- nil
+			}()
+			synctest.Wait()
+			return ended
+		}
+		for range 20 {
+			<-send("long", 400*time.Millisecond, time.Minute)
+		}
+		send("long", 400*time.Millisecond, time.Minute)
+		send("long", 400*time.Millisecond, time.Minute)
+		time.Sleep(350 * time.Millisecond)
+		if refusal := <-send("short", 5*time.Millisecond, 150*time.Millisecond); refusal != nil {
+			t.Errorf("%v, want an answer: a slot became free 100 ms before the deadline", refusal.Code)
+		}
+	})
+}
