--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -240,6 +240,17 @@
 	}
 }
 
+// runFor lets requests of a route hold all slots for a time.
+func runFor(t *testing.T, f *Filter, slots int, route string, d time.Duration) {
+	t.Helper()
+	end := holdSlots(t, f, slots, route)
+	<-time.After(d)
+	for range slots {
+		end()
+	}
+	synctest.Wait()
+}
+
 // handleShort sends a request of the route "short" that has 900 ms left and may wait.
 func handleShort(t *testing.T, f *Filter, id string) <-chan *pipeline.Result {
 	req := request(id, 900*time.Millisecond)
@@ -254,13 +265,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, stop := run(t, 7, discardEvent)
 		defer stop()
+		runFor(t, f, 7, "long", 2*time.Second)
 		end := holdSlots(t, f, 7, "long")
-		<-time.After(2 * time.Second)
-		for range 7 {
-			end()
-		}
-		synctest.Wait()
-		end = holdSlots(t, f, 7, "long")
 		result := handleShort(t, f, "short")
 		<-time.After(300 * time.Millisecond)
 		end()
@@ -275,13 +281,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, stop := run(t, 7, discardEvent)
 		defer stop()
-		end := holdSlots(t, f, 7, "short")
-		<-time.After(2 * time.Second)
-		for range 7 {
-			end()
-		}
-		synctest.Wait()
-		end = holdSlots(t, f, 7, "long")
+		runFor(t, f, 7, "short", 2*time.Second)
+		end := holdSlots(t, f, 7, "long")
 		if r := <-handleShort(t, f, "slow"); r == nil || r.Outcome != pipeline.NotRun {
 			t.Errorf("%+v for a request of a route that takes 2 s", r)
 		}
@@ -301,12 +302,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, stop := run(t, 7, discardEvent)
 		defer stop()
-		end := holdSlots(t, f, 7, "slow")
-		<-time.After(2 * time.Second)
-		for range 7 {
-			end()
-		}
-		synctest.Wait()
+		runFor(t, f, 7, "slow", 2*time.Second)
 		holdSlots(t, f, 7, "slow")
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -61,6 +61,10 @@
 	keyStartWait       = "p" // milliseconds until another request may start within the rate limit
 )
 
+// maxRouteBytes limits the name of the route in an attempt, which bounds the header. Routes
+// whose longer names begin alike share an estimate of their service time.
+const maxRouteBytes = 64
+
 // encodeRequest returns the headerRequest value of an attempt, which expires after
 // left.
 func encodeRequest(req *pipeline.Request, left time.Duration) string {
@@ -71,7 +75,7 @@
 	v.Set(keyCallerService, req.CallerService)
 	v.Set(keyService, req.Service)
 	if req.Route != "" {
-		v.Set(keyRoute, req.Route)
+		v.Set(keyRoute, req.Route[:min(len(req.Route), maxRouteBytes)])
 	}
 	v.Set(keyFingerprint, strconv.FormatUint(req.Fingerprint, 36))
 	if req.Principal.Team != "" {
