--- a/decide/servicetime/servicetime.go
+++ b/decide/servicetime/servicetime.go
@@ -8,9 +8,9 @@
 const (
 	// smoothing is the number of requests in a moving average.
 	smoothing = 16
-	// MaxAge is how long an estimate is used after the last request of its kind has run, plus
-	// the estimate itself. Requests that are refused because of an estimate do not correct it,
-	// so it has to expire.
+	// MaxAge, plus the estimate itself, is the time after the last run of its kind for which an
+	// estimate is used. Requests that are refused because of an estimate do not correct it, so
+	// it has to expire.
 	MaxAge = 3 * time.Second
 	// maxKinds is the maximum number of kinds with an estimate.
 	maxKinds = 256
