filters/slots, dispatch: refusals for lack of room name the data that decided them

Requests on added routes are refused with 3002 within 5 ms although their entries see nobody ahead. The exit logs nothing about an attempt that it refuses on arrival for a full queue or for the expected wait, and no metric tells these two apart, so the hypotheses (order of the queue, estimate of the wait, number of places, view of the entry) can't be distinguished.

Change: slotqueue.Push distinguishes QueueFull from WaitTooLong, where it said Refused for both; Outlook tells how many requests go before an item and how long it would wait. The exit logs `attempt may not wait for a slot` with both; the entry logs the wait that it expected with each attempt. Metric ragwortyard_queue_refused_attempts_total{reason}. No decision changes.

Measured: tests of decide/slotqueue, filters and sidecar pass.

--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -127,10 +127,44 @@
 const (
 	Granted        PushResult = iota // the request holds a slot
 	Queued                           // the request waits for a slot
-	Refused                          // no slot is free, and the wait or the number of waiting requests would exceed its maximum
+	QueueFull                        // no slot is free, and the request would go behind all those that may wait
+	WaitTooLong                      // the expected wait exceeds its maximum
 	MissesDeadline                   // the request would start too late to be answered before its deadline
 )
 
+// Outlook is what a request that arrives now may expect if it has to wait.
+type Outlook struct {
+	Ahead int           // waiting requests that would start before it
+	Wait  time.Duration // until it starts
+}
+
+// Outlook returns what an item may expect if it waits. It changes nothing.
+func (q *Queue) Outlook(now time.Time, item Item) Outlook {
+	item.sortTime = sortTime(now, item)
+	return q.outlookAt(now, item, q.position(item))
+}
+
+// sortTime returns the time by which an item that arrives now is ordered.
+func sortTime(now time.Time, item Item) time.Time {
+	return now.Add(time.Duration(item.Rank) * DelayPerRank)
+}
+
+// position returns the position in items at which an item is inserted.
+func (q *Queue) position(item Item) int {
+	position, _ := slices.BinarySearchFunc(q.items, item, func(other, item Item) int {
+		if item.goesBefore(other) {
+			return 1
+		}
+		return -1
+	})
+	return position
+}
+
+func (q *Queue) outlookAt(now time.Time, item Item, position int) Outlook {
+	ahead := q.startsBefore(item, position)
+	return Outlook{Ahead: ahead, Wait: q.estimatedWaitAt(now, ahead)}
+}
+
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
 // that is expected to wait for longer than maxWait. If the queue is full, a request that
 // goes before the last one displaces it.
@@ -139,22 +173,17 @@
 		q.running++
 		return Granted, nil
 	}
-	item.sortTime = now.Add(time.Duration(item.Rank) * DelayPerRank)
-	position, _ := slices.BinarySearchFunc(q.items, item, func(other, item Item) int {
-		if item.goesBefore(other) {
-			return 1
-		}
-		return -1
-	})
+	item.sortTime = sortTime(now, item)
+	position := q.position(item)
 	victim := -1
 	if len(q.items) >= q.maxWaiting {
 		if victim = q.displacedBy(item, position); victim < 0 {
-			return Refused, nil
+			return QueueFull, nil
 		}
 	}
-	wait := q.estimatedWaitAt(now, q.startsBefore(item, position))
+	wait := q.outlookAt(now, item, position).Wait
 	if maxWait <= 0 || wait > maxWait {
-		return Refused, nil
+		return WaitTooLong, nil
 	}
 	if q.cannotFinish(now, now.Add(wait), item) {
 		return MissesDeadline, nil
--- a/decide/slotqueue/slotqueue_test.go
+++ b/decide/slotqueue/slotqueue_test.go
@@ -92,7 +92,7 @@
 	if v, _ := q.Push(start, Item{ID: 3, Deadline: start.Add(time.Second)}, time.Hour); v != MissesDeadline {
 		t.Errorf("result %d for a request that cannot start in time", v)
 	}
-	if v, _ := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, 0); v != Refused {
+	if v, _ := q.Push(start, Item{ID: 4, Deadline: start.Add(time.Minute)}, 0); v != WaitTooLong {
 		t.Errorf("result %d for a request with a maximum wait of 0", v)
 	}
 }
@@ -108,7 +108,7 @@
 	if v, _ := q.Push(start, Item{ID: 3, Deadline: deadline}, 150*time.Millisecond); v != Queued {
 		t.Errorf("result %d for an expected wait of one service time", v)
 	}
-	if v, _ := q.Push(start, Item{ID: 4, Deadline: deadline}, 150*time.Millisecond); v != Refused {
+	if v, _ := q.Push(start, Item{ID: 4, Deadline: deadline}, 150*time.Millisecond); v != WaitTooLong {
 		t.Errorf("result %d for an expected wait of two service times", v)
 	}
 }
@@ -125,7 +125,7 @@
 	if result != Queued || len(displaced) != 1 || displaced[0].ID != 2 {
 		t.Fatalf("result %d, displaced %v, want the last request displaced", result, displaced)
 	}
-	if result, _ := q.Push(start.Add(time.Minute/2), Item{ID: 4, Deadline: deadline}, time.Hour); result != Refused {
+	if result, _ := q.Push(start.Add(time.Minute/2), Item{ID: 4, Deadline: deadline}, time.Hour); result != QueueFull {
 		t.Errorf("result %d for a request at the end of a full queue", result)
 	}
 	q.Release(start, Item{}, 0)
@@ -176,11 +176,11 @@
 		switch {
 		case id < 4 && (result != Queued || len(displaced) != 1 || displaced[0].ID != 16-id):
 			t.Errorf("request %d: result %d, displaced %v", id, result, displaced)
-		case id == 4 && result != Refused:
+		case id == 4 && result != QueueFull:
 			t.Errorf("request %d: result %d beyond its share", id, result)
 		}
 	}
-	if result, _ := q.Push(start, Item{ID: 200, IsCall: true, Deadline: deadline}, time.Hour); result != Refused || q.Waiting() != 16 {
+	if result, _ := q.Push(start, Item{ID: 200, IsCall: true, Deadline: deadline}, time.Hour); result != QueueFull || q.Waiting() != 16 {
 		t.Errorf("result %d for a call at the end of the calls, %d wait", result, q.Waiting())
 	}
 	var order []uint64
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -46,7 +46,7 @@
 		zap.String("request", r.req.ID), zap.String("attempt", attempt.ID),
 		zap.String("backend", target.ID), zap.String("host", target.Host),
 		zap.Float64("bad", candidate.GrayFailureProbability), zap.Int64("evidence_ms", candidate.EvidenceAge.Milliseconds()),
-		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Bool("same_zone", candidate.SameZone), zap.Float64("leave_cost", candidate.LeaveCost),
+		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Int64("expected_wait_ms", candidate.EstimatedWait().Milliseconds()), zap.Bool("same_zone", candidate.SameZone), zap.Float64("leave_cost", candidate.LeaveCost),
 		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
 		zap.Int64("took_ms", took.Milliseconds()))
 }
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -51,7 +51,7 @@
 	cold               coldStarts
 	evacuationRefusals atomic.Uint64
 	undecided          atomic.Uint64
-	deadlineRefusals   deadlineRefusals
+	refusals           refusals
 	log                *zap.Logger
 	postEvent          func(control.Event) bool
 	lastCrashAt        time.Time
@@ -70,10 +70,12 @@
 	WarmUpRate  float64       // requests per second that it accepts while it is cold; 0 for no limit
 }
 
-// deadlineRefusals counts attempts that were refused because they could not be answered
-// before their deadline.
-type deadlineRefusals struct {
-	onArrival, afterWait atomic.Uint64
+// refusals counts attempts that were refused by the queue: on arrival because all places were
+// taken or the expected wait exceeded its maximum, and, on arrival or after a wait, because they could not be
+// answered before their deadline.
+type refusals struct {
+	queueFull, waitTooLong                 atomic.Uint64
+	deadlineOnArrival, deadlineAfterWaited atomic.Uint64
 }
 
 // ticket is one request for a slot.
@@ -165,7 +167,13 @@
 // DeadlineRefusals returns the numbers of attempts that were refused on arrival and after a
 // wait because they could not be answered before their deadline.
 func (q *Queue) DeadlineRefusals() (onArrival, afterWait uint64) {
-	return q.deadlineRefusals.onArrival.Load(), q.deadlineRefusals.afterWait.Load()
+	return q.refusals.deadlineOnArrival.Load(), q.refusals.deadlineAfterWaited.Load()
+}
+
+// ArrivalRefusals returns the numbers of attempts that were refused on arrival because all
+// places in the queue were taken, and because the expected wait exceeded its maximum.
+func (q *Queue) ArrivalRefusals() (queueFull, waitTooLong uint64) {
+	return q.refusals.queueFull.Load(), q.refusals.waitTooLong.Load()
 }
 
 // Load returns the load after the last event.
@@ -315,12 +323,19 @@
 		t.decision <- pipeline.CodeOK
 	case slotqueue.Queued:
 		q.tickets[t.item.ID] = t
-	case slotqueue.Refused:
+	case slotqueue.QueueFull:
 		q.cold.countRefusal(q.queue)
+		q.refusals.queueFull.Add(1)
+		q.logArrivalRefusal(now, t, "queue full")
+		t.decision <- pipeline.CodeQueueFull
+	case slotqueue.WaitTooLong:
+		q.cold.countRefusal(q.queue)
+		q.refusals.waitTooLong.Add(1)
+		q.logArrivalRefusal(now, t, "wait too long")
 		t.decision <- pipeline.CodeQueueFull
 	case slotqueue.MissesDeadline:
 		q.cold.countRefusal(q.queue)
-		q.deadlineRefusals.onArrival.Add(1)
+		q.refusals.deadlineOnArrival.Add(1)
 		code := pipeline.CodeQueueFull // another server may have a shorter queue
 		if q.queue.IsTooLate(now, t.item) {
 			code = pipeline.CodeDeadlineTooShort
@@ -330,13 +345,29 @@
 	}
 }
 
+// logArrivalRefusal logs that an attempt may not wait, with the data on which this was decided.
+func (q *Queue) logArrivalRefusal(now time.Time, t *ticket, reason string) {
+	q.log.Info("attempt may not wait for a slot", append(q.queueFields(now, t), zap.String("reason", reason),
+		zap.Int64("max_wait_ms", t.maxWait.Milliseconds()))...)
+}
+
 // logDeadlineRefusal logs that an attempt cannot be answered before its deadline, with the
 // data on which this was decided.
 func (q *Queue) logDeadlineRefusal(now time.Time, t *ticket, code pipeline.Code) {
-	q.log.Info("attempt cannot meet its deadline", zap.String("attempt", t.attemptID), zap.String("backend", t.backend), zap.String("route", t.item.Route), zap.Uint16("code", uint16(code)),
-		zap.Int64("waited_ms", now.Sub(t.arrived).Milliseconds()), zap.Int64("left_ms", t.item.Deadline.Sub(now).Milliseconds()),
+	q.log.Info("attempt cannot meet its deadline", append(q.queueFields(now, t), zap.Uint16("code", uint16(code)),
+		zap.Int64("waited_ms", now.Sub(t.arrived).Milliseconds()))...)
+}
+
+// queueFields returns the data on which the queue decides on an attempt.
+func (q *Queue) queueFields(now time.Time, t *ticket) []zap.Field {
+	outlook := q.queue.Outlook(now, t.item)
+	return []zap.Field{
+		zap.String("attempt", t.attemptID), zap.String("backend", t.backend), zap.String("route", t.item.Route), zap.Int("rank", t.item.Rank),
+		zap.Int64("left_ms", t.item.Deadline.Sub(now).Milliseconds()),
 		zap.Int64("service_ms", q.queue.ServiceTime(now, t.item).Milliseconds()), zap.Int64("mean_service_ms", q.queue.MeanServiceTime().Milliseconds()),
-		zap.Int("running", q.queue.Running()), zap.Int("waiting", q.queue.Waiting()), zap.Int("rank", t.item.Rank))
+		zap.Int("running", q.queue.Running()), zap.Int("waiting", q.queue.Waiting()),
+		zap.Int("ahead", outlook.Ahead), zap.Int64("expected_wait_ms", outlook.Wait.Milliseconds()),
+	}
 }
 
 func (q *Queue) handleDeparture(now time.Time, dep departure) {
@@ -437,7 +468,7 @@
 func (q *Queue) grantSlots(now time.Time) {
 	for _, item := range q.queue.RemoveExpired(now) {
 		q.cold.countRefusal(q.queue)
-		q.deadlineRefusals.afterWait.Add(1)
+		q.refusals.deadlineAfterWaited.Add(1)
 		q.logDeadlineRefusal(now, item.Payload.(*ticket), pipeline.CodeDeadlineTooShort)
 		q.refuse(item, pipeline.CodeDeadlineTooShort)
 	}
@@ -529,8 +560,8 @@
 	return nil
 }
 
-// logRefusal logs that an attempt got no slot. Attempts that are refused on arrival are
-// logged by their entry proxy, those that cannot meet their deadline by the queue.
+// logRefusal logs that an attempt got no slot after it waited. The queue logs those that it
+// refuses on arrival and those that cannot meet their deadline.
 func (f *Filter) logRefusal(req *pipeline.Request, code pipeline.Code, waited time.Duration) {
 	if waited < minLoggedWait || code == pipeline.CodeDeadlineTooShort {
 		return
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -59,6 +59,14 @@
 			_, afterWait := s.queue.DeadlineRefusals()
 			return float64(afterWait)
 		},
+		`ragwortyard_queue_refused_attempts_total{reason="full"}`: func() float64 {
+			full, _ := s.queue.ArrivalRefusals()
+			return float64(full)
+		},
+		`ragwortyard_queue_refused_attempts_total{reason="wait"}`: func() float64 {
+			_, tooLong := s.queue.ArrivalRefusals()
+			return float64(tooLong)
+		},
 		"ragwortyard_undecided_withdrawals_total": func() float64 { return float64(s.queue.UndecidedWithdrawals()) },
 		"ragwortyard_hosts":                       func() float64 { return float64(s.loop.Snapshot().Hosts) },
 	}
