decide/slotqueue: short requests pass long ones that can wait for them

Seen by callers: on overloaded services most requests of short routes with little time (added routes among them) were refused with 503, 3002, at every exit that was asked, while long requests with more time were served.

Cause: the order of the queue knew rank and age, but not how long a request runs. A request of 1 ms with 0.9 s left stood behind ten of a second each that were 0.6 s older, and was refused for that position, though running it first would have delayed them by nothing that they could notice.

Change: a request that is expected to run for less than half as long as one that waits goes before it. The harm bounds this: all requests that pass one delay it by at most its own service time, divided by one more than the number of ranks that they are less urgent. So neither long requests nor urgent ones starve in a flood of short ones, at any number of slots and any speed. A kind that has not run for 3 s is tested by one request at a time; one that never ran passes others whatever they take, since only a run tells.

TestWaitBeyondTheDeadlineIsNoReasonToGiveUp used a request of a route that had never run, which now goes to the front; it uses one of 1.2 s among those of 2 s, and asks for the same codes.

The tests of decide/slotqueue fail without the passing, without its bound and without the limit of tests. An order by arrival plus twice the service time fails TestShortRequestIsNotRefusedForTheLongOnesAhead in 24 of 48 cases.

Still refused: requests as urgent as those that take all places, at the entry.

--- a/decide/servicetime/servicetime.go
+++ b/decide/servicetime/servicetime.go
@@ -55,6 +55,10 @@
 	return known.mean
 }
 
+// Last returns the mean service time of a kind at its last run, however old, or 0 if it has
+// not run. Nothing may be refused because of it.
+func (e *Estimates[Kind]) Last(kind Kind) time.Duration { return e.byKind[kind].mean }
+
 // makeRoom removes the kind that has not run for the longest time if there are maxKinds.
 func (e *Estimates[Kind]) makeRoom() {
 	if len(e.byKind) < maxKinds {
--- /dev/null
+++ b/decide/slotqueue/order_test.go
@@ -0,0 +1,125 @@
+package slotqueue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// learn lets the queue know how long requests of a route take.
+func learn(t interface{ Fatalf(string, ...any) }, q *Queue, now time.Time, route string, took time.Duration) {
+	item := Item{Route: route, Deadline: now.Add(time.Hour)}
+	if result, _ := q.Push(now, item, 0); result != Granted {
+		t.Fatalf("result %d for the first request of %s", result, route)
+	}
+	q.Release(now, item, took)
+}
+
+// Guards against a short request that is refused, or expires, since it would wait for long ones that can wait for it.
+func TestShortRequestIsNotRefusedForTheLongOnesAhead(t *testing.T) {
+	for _, slots := range []int{1, 2, 7, 13} {
+		for _, long := range []time.Duration{100 * time.Millisecond, time.Second, 4 * time.Second} {
+			for rank := range 4 {
+				t.Run(fmt.Sprintf("%d slots, %v, rank %d", slots, long, rank), func(t *testing.T) {
+					q := New(slots, MaxWaiting)
+					learn(t, q, start, "long", long)
+					learn(t, q, start, "short", time.Millisecond)
+					learn(t, q, start, "long", long)
+					for id := range uint64(slots + MaxWaiting - 1) {
+						q.Push(start, Item{ID: id, Route: "long", Rank: rank, Deadline: start.Add(time.Hour)}, time.Hour)
+					}
+					now := start.Add(2 * time.Second)
+					left := 2 * long / time.Duration(slots)
+					if result, _ := q.Push(now, Item{ID: 1000, Route: "short", Rank: 1, Deadline: now.Add(left)}, left); result != Queued {
+						t.Fatalf("result %d for a request of 1 ms with %v left", result, left)
+					}
+					q.Release(now, Item{Route: "long"}, 0)
+					if item, _ := q.Pop(now); item.ID != 1000 {
+						t.Errorf("request %d goes before the short one", item.ID)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against long requests that starve beside a flood of short ones, and against more urgent ones that wait for less urgent ones.
+func TestShortRequestsDelayALongOneByAtMostItsOwnTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		q := New(slots, 100)
+		times := map[string]time.Duration{"a": time.Millisecond, "b": 20 * time.Millisecond, "c": 300 * time.Millisecond, "d": 2 * time.Second}
+		for route, took := range times {
+			learn(t, q, start, route, took)
+		}
+		type waiting struct {
+			Item
+			arrived time.Time
+			delay   [6]time.Duration // by later requests that are at least so many ranks less urgent
+		}
+		var queued []*waiting
+		var running []Item
+		now, id := start, uint64(0)
+		for range rapid.IntRange(10, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "op") > 0 {
+				id++
+				item := Item{ID: id, Route: rapid.SampledFrom([]string{"a", "a", "b", "c", "d"}).Draw(t, "route"), Rank: rapid.IntRange(0, 5).Draw(t, "rank"), Deadline: now.Add(time.Hour)}
+				if result, _ := q.Push(now, item, time.Hour); result == Queued {
+					queued = append(queued, &waiting{Item: item, arrived: now})
+				} else if result == Granted {
+					running = append(running, item)
+				}
+			} else if len(running) > 0 {
+				q.Release(now, running[0], times[running[0].Route])
+				running = running[1:]
+			}
+			for item, ok := q.Pop(now); ok; item, ok = q.Pop(now) {
+				running = append(running, item)
+				var started *waiting
+				for i, w := range queued {
+					if w.ID == item.ID {
+						started, queued = w, append(queued[:i:i], queued[i+1:]...)
+						break
+					}
+				}
+				for _, w := range queued {
+					byRankAndAge := started.arrived.Add(time.Duration(started.Rank) * DelayPerRank).Before(w.arrived.Add(time.Duration(w.Rank) * DelayPerRank))
+					if !started.arrived.After(w.arrived) && started.ID < w.ID || byRankAndAge {
+						continue
+					}
+					for lessUrgent := range max(started.Rank-w.Rank, 0) + 1 {
+						w.delay[lessUrgent] += times[item.Route] / time.Duration(slots)
+						if limit := times[w.Route] / time.Duration(1+lessUrgent); w.delay[lessUrgent] > limit {
+							t.Fatalf("request of %v is delayed by %v by later ones that are at least %d ranks less urgent, at most %v", times[w.Route], w.delay[lessUrgent], lessUrgent, limit)
+						}
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against long requests of a new route that all pass the others until the first of them has ended.
+func TestRequestsOfAnUnknownRoutePassOneAtATime(t *testing.T) {
+	q := New(1, 10)
+	learn(t, q, start, "known", time.Second)
+	deadline := start.Add(time.Hour)
+	for id := range uint64(3) {
+		q.Push(start, Item{ID: id, Route: "known", Deadline: deadline}, time.Hour)
+	}
+	for id := range uint64(2) {
+		q.Push(start, Item{ID: 10 + id, Route: "new", Deadline: deadline}, time.Hour)
+	}
+	var order []uint64
+	for range 4 {
+		q.Release(start, Item{}, 0)
+		item, _ := q.Pop(start)
+		order = append(order, item.ID)
+	}
+	if want := "[10 1 2 11]"; fmt.Sprint(order) != want {
+		t.Errorf("order %v, want %s", order, want)
+	}
+}
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -11,12 +11,6 @@
 	"github.com/ragwortyard/ragwortyard/decide/servicetime"
 )
 
-// DelayPerRank is the priority aging: a request goes before a request that is one
-// rank more urgent if it arrived earlier by more than this time. It prevents
-// starvation. With a smaller delay, ranks would have little effect in queues of
-// more than a second, which occur in an overload.
-const DelayPerRank = 600 * time.Millisecond
-
 // MaxWaiting is the maximum number of requests that wait for the slots of a server.
 const MaxWaiting = 16
 
@@ -46,7 +40,9 @@
 	IsCall  bool
 	Payload any
 
-	sortTime time.Time // arrival plus DelayPerRank for each rank; the earliest goes first
+	sortTime time.Time     // arrival plus DelayPerRank for each rank; the earliest goes first
+	slotTime time.Duration // for which it is expected to hold a slot, as known when it arrived
+	passed   time.Duration // how much later it starts because of shorter requests that passed it
 }
 
 // kind identifies requests that take about the same time.
@@ -62,6 +58,7 @@
 	slots           int
 	maxWaiting      int // maximum number of waiting requests
 	running         int
+	runningKinds    map[kind]int
 	items           []Item        // calls, then others, each in the order in which they are served
 	calls           int           // number of calls in items
 	callsInARow     int           // calls that started while other requests waited
@@ -78,7 +75,7 @@
 // New returns a queue for a server that runs slots requests at once. At most
 // maxWaiting requests wait.
 func New(slots, maxWaiting int) *Queue {
-	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, serviceTimes: servicetime.New[kind]()}
+	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, runningKinds: make(map[kind]int), serviceTimes: servicetime.New[kind]()}
 }
 
 // ServiceTime returns the mean service time of requests of the item's kind, or 0 while it is
@@ -140,24 +137,8 @@
 
 // Outlook returns what an item may expect if it waits. It changes nothing.
 func (q *Queue) Outlook(now time.Time, item Item) Outlook {
-	item.sortTime = sortTime(now, item)
-	return q.outlookAt(now, item, q.position(item))
-}
-
-// sortTime returns the time by which an item that arrives now is ordered.
-func sortTime(now time.Time, item Item) time.Time {
-	return now.Add(time.Duration(item.Rank) * DelayPerRank)
-}
-
-// position returns the position in items at which an item is inserted.
-func (q *Queue) position(item Item) int {
-	position, _ := slices.BinarySearchFunc(q.items, item, func(other, item Item) int {
-		if item.goesBefore(other) {
-			return 1
-		}
-		return -1
-	})
-	return position
+	item = q.arriving(now, item)
+	return q.outlookAt(now, item, q.position(now, item))
 }
 
 func (q *Queue) outlookAt(now time.Time, item Item, position int) Outlook {
@@ -169,12 +150,12 @@
 // that is expected to wait for longer than maxWait. If the queue is full, a request that
 // goes before the last one displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
+	item = q.arriving(now, item)
 	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
-		q.running++
+		q.start(item)
 		return Granted, nil
 	}
-	item.sortTime = sortTime(now, item)
-	position := q.position(item)
+	position := q.position(now, item)
 	victim := -1
 	if len(q.items) >= q.maxWaiting {
 		if victim = q.displacedBy(item, position); victim < 0 {
@@ -194,6 +175,7 @@
 			position--
 		}
 	}
+	q.countPassing(item, position)
 	q.items = slices.Insert(q.items, position, item)
 	if item.IsCall {
 		q.calls++
@@ -247,15 +229,6 @@
 	return item
 }
 
-// goesBefore reports whether the item is served before another one that is already in
-// the queue.
-func (i Item) goesBefore(other Item) bool {
-	if i.IsCall != other.IsCall {
-		return i.IsCall
-	}
-	return i.sortTime.Before(other.sortTime)
-}
-
 // cannotFinish reports whether a request that starts at the given time is unlikely
 // to be answered before its deadline.
 func (q *Queue) cannotFinish(now, start time.Time, item Item) bool {
@@ -287,24 +260,37 @@
 	if q.running >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
 		return Item{}, false
 	}
-	q.running++
+	item := q.removeAt(q.nextPosition())
+	q.start(item)
+	return item, true
+}
+
+// nextPosition returns the position of the request that starts next.
+func (q *Queue) nextPosition() int {
 	others := len(q.items) > q.calls
 	switch {
 	case q.calls > 0 && others && q.callsInARow >= q.callsPerOther():
 		q.callsInARow = 0
-		return q.removeAt(q.calls), true
+		return q.calls
 	case q.calls > 0 && others:
 		q.callsInARow++
 	default:
 		q.callsInARow = 0
 	}
-	return q.removeAt(0), true
+	return 0
+}
+
+// start gives a slot to an item.
+func (q *Queue) start(item Item) {
+	q.running++
+	q.runningKinds[item.kind()]++
 }
 
 // Release frees the slot of an item. held is how long it held the slot, or 0 if that is
 // not representative of the service time.
 func (q *Queue) Release(now time.Time, item Item, held time.Duration) {
 	q.running--
+	q.ended(item.kind())
 	if held <= 0 {
 		return
 	}
@@ -317,6 +303,13 @@
 	}
 }
 
+// ended counts the end of a request of a kind.
+func (q *Queue) ended(k kind) {
+	if q.runningKinds[k]--; q.runningKinds[k] <= 0 {
+		delete(q.runningKinds, k)
+	}
+}
+
 // RemoveExpired removes and returns the requests that are unlikely to be answered
 // before their deadline even if they start now.
 func (q *Queue) RemoveExpired(now time.Time) []Item {
--- a/decide/slotqueue/startrate.go
+++ b/decide/slotqueue/startrate.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// interval returns the time between two starts, or 0 without a limit.
+func (r *startRate) interval() time.Duration {
+	if r.perSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / r.perSecond)
+}
+
 // wait returns the time until the n-th of the next requests may start.
 func (r *startRate) wait(now time.Time, n int) time.Duration {
 	if r.perSecond <= 0 {
--- a/filters/slots/slots_test.go
+++ b/filters/slots/slots_test.go
@@ -302,6 +302,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, stop := run(t, 7, discardEvent)
 		defer stop()
+		runFor(t, f, 7, "other", 1200*time.Millisecond)
 		runFor(t, f, 7, "slow", 2*time.Second)
 		holdSlots(t, f, 7, "slow")
 		ctx, cancel := context.WithCancel(t.Context())
