decide/slotqueue: the wait is estimated by the requests that are ahead

Seen by callers: behind short requests at a server that mostly runs long ones a request is refused (3002) although it could start at once; behind long ones at a server that mostly runs short ones it is queued and refused when its deadline is near (3003), too late to try elsewhere.

Cause: the estimate was the mean service time of all requests times the position in the queue, so the history of other requests decided again.

Change: the sum of the service times that are expected of the requests ahead, each by its kind, and the time until one of those that hold a slot ends. That is the inverse of the sum of their rates: the times of one kind vary too much for the time since the start to tell more. If all are of one kind the estimate is the same as before.

--- a/decide/slotqueue/order.go
+++ b/decide/slotqueue/order.go
@@ -1,6 +1,9 @@
 package slotqueue
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // DelayPerRank is the priority aging: a request goes before a request that is one
 // rank more urgent if it arrived earlier by more than this time. It prevents
@@ -74,12 +77,8 @@
 
 // hasKind reports whether a request of a kind waits or runs.
 func (q *Queue) hasKind(k kind) bool {
-	for i := range q.items {
-		if q.items[i].kind() == k {
-			return true
-		}
-	}
-	return q.runningKinds[k] > 0
+	return slices.ContainsFunc(q.items, func(waiting Item) bool { return waiting.kind() == k }) ||
+		slices.ContainsFunc(q.runs, func(r run) bool { return r.kind == k })
 }
 
 // countPassing counts the delay of the requests that an item passes at a position.
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -56,9 +56,8 @@
 // Queue grants a limited number of slots.
 type Queue struct {
 	slots           int
-	maxWaiting      int // maximum number of waiting requests
-	running         int
-	runningKinds    map[kind]int
+	maxWaiting      int           // maximum number of waiting requests
+	runs            []run         // of the requests that hold a slot
 	items           []Item        // calls, then others, each in the order in which they are served
 	calls           int           // number of calls in items
 	callsInARow     int           // calls that started while other requests waited
@@ -75,7 +74,7 @@
 // New returns a queue for a server that runs slots requests at once. At most
 // maxWaiting requests wait.
 func New(slots, maxWaiting int) *Queue {
-	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, runningKinds: make(map[kind]int), serviceTimes: servicetime.New[kind]()}
+	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, serviceTimes: servicetime.New[kind]()}
 }
 
 // ServiceTime returns the mean service time of requests of the item's kind, or 0 while it is
@@ -142,8 +141,8 @@
 }
 
 func (q *Queue) outlookAt(now time.Time, item Item, position int) Outlook {
-	ahead := q.startsBefore(item, position)
-	return Outlook{Ahead: ahead, Wait: q.estimatedWaitAt(now, ahead)}
+	calls, others := q.startBefore(item, position)
+	return Outlook{Ahead: len(calls) + len(others), Wait: q.estimatedWait(now, calls, others)}
 }
 
 // Push grants a slot to a request, queues it or refuses it. It refuses a request
@@ -151,7 +150,7 @@
 // goes before the last one displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
 	item = q.arriving(now, item)
-	if q.running < q.slots && len(q.items) == 0 && q.takeStart(now) {
+	if len(q.runs) < q.slots && len(q.items) == 0 && q.takeStart(now) {
 		q.start(item)
 		return Granted, nil
 	}
@@ -201,16 +200,6 @@
 	return last
 }
 
-// startsBefore returns how many waiting requests start before an item that is inserted at a
-// position.
-func (q *Queue) startsBefore(item Item, position int) int {
-	if item.IsCall {
-		return position + min(position/q.callsPerOther(), len(q.items)-q.calls)
-	}
-	others := position - q.calls
-	return others + min(q.calls, q.callsPerOther()*(others+1))
-}
-
 // callsPerOther returns how many calls start before another request does while both wait.
 func (q *Queue) callsPerOther() int {
 	if q.meanCallTime <= 0 || q.meanRequestTime <= 0 {
@@ -245,19 +234,10 @@
 	return item.Deadline.Add(-time.Duration(minServiceFraction * float64(q.ServiceTime(now, item))))
 }
 
-// estimatedWaitAt estimates how long the request at a position of the queue waits.
-func (q *Queue) estimatedWaitAt(now time.Time, position int) time.Duration {
-	wait := q.waitToStart(now, position+1)
-	if q.running < q.slots {
-		return wait
-	}
-	return max(wait, q.meanServiceTime*time.Duration(position+1)/time.Duration(q.slots))
-}
-
 // Pop removes the first waiting request and gives it a slot. It reports false if no
 // request waits, no slot is free or none may start yet.
 func (q *Queue) Pop(now time.Time) (Item, bool) {
-	if q.running >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
+	if len(q.runs) >= q.slots || len(q.items) == 0 || !q.takeStart(now) {
 		return Item{}, false
 	}
 	item := q.removeAt(q.nextPosition())
@@ -280,17 +260,28 @@
 	return 0
 }
 
+// run is a request that holds a slot.
+type run struct {
+	id       uint64
+	kind     kind
+	slotTime time.Duration // expected
+}
+
 // start gives a slot to an item.
 func (q *Queue) start(item Item) {
-	q.running++
-	q.runningKinds[item.kind()]++
+	q.runs = append(q.runs, run{id: item.ID, kind: item.kind(), slotTime: item.slotTime})
+}
+
+// end takes the slot from an item, or from the oldest run if the item is not known.
+func (q *Queue) end(item Item) {
+	at := max(slices.IndexFunc(q.runs, func(r run) bool { return r.id == item.ID }), 0)
+	q.runs = slices.Delete(q.runs, at, at+1)
 }
 
 // Release frees the slot of an item. held is how long it held the slot, or 0 if that is
 // not representative of the service time.
 func (q *Queue) Release(now time.Time, item Item, held time.Duration) {
-	q.running--
-	q.ended(item.kind())
+	q.end(item)
 	if held <= 0 {
 		return
 	}
@@ -303,13 +294,6 @@
 	}
 }
 
-// ended counts the end of a request of a kind.
-func (q *Queue) ended(k kind) {
-	if q.runningKinds[k]--; q.runningKinds[k] <= 0 {
-		delete(q.runningKinds, k)
-	}
-}
-
 // RemoveExpired removes and returns the requests that are unlikely to be answered
 // before their deadline even if they start now.
 func (q *Queue) RemoveExpired(now time.Time) []Item {
@@ -338,7 +322,7 @@
 			next = expiry
 		}
 	}
-	if start := now.Add(q.waitToStart(now, 1)); q.running < q.slots && start.Before(next) {
+	if start := now.Add(q.waitToStart(now, 1)); len(q.runs) < q.slots && start.Before(next) {
 		next = start
 	}
 	return next, len(q.items) > 0
@@ -362,10 +346,10 @@
 }
 
 // HasFreeSlot reports whether a slot is free.
-func (q *Queue) HasFreeSlot() bool { return q.running < q.slots }
+func (q *Queue) HasFreeSlot() bool { return len(q.runs) < q.slots }
 
 // Running returns the number of slots in use.
-func (q *Queue) Running() int { return q.running }
+func (q *Queue) Running() int { return len(q.runs) }
 
 // Waiting returns the number of waiting requests.
 func (q *Queue) Waiting() int { return len(q.items) }
