decide/slotqueue: requests that pass longer ones take no place in the queue

Seen by callers: while 16 long requests wait, each short one pushes out the last of them, which is refused (3002) after it has waited, although the short one is gone within milliseconds.

Cause: a place is counted for each waiting request, whatever it takes. Since short requests pass long ones, they are never the last, so the long one always yields.

Change: a request that passed a longer one takes no place and displaces none; at most four times as many requests wait as there are places. Exits report the places that are taken.

Measured: TestShortRequestsDisplaceNoLongOnes fails on the code before: the first short request displaces a long one.

--- a/decide/slotqueue/order.go
+++ b/decide/slotqueue/order.go
@@ -31,18 +31,25 @@
 	return q.meanServiceTime
 }
 
-// position returns the position at which an item is inserted: behind the last waiting request
-// that it neither goes before nor passes.
-func (q *Queue) position(now time.Time, item Item) int {
+// position returns the position at which an item is inserted, behind the last waiting request
+// that it neither goes before nor passes, and whether it passes one.
+func (q *Queue) position(now time.Time, item Item) (position int, passes bool) {
 	position, first := len(q.items), q.calls
 	if item.IsCall {
 		position, first = q.calls, 0
 	}
 	short := q.passesAsShort(now, item)
-	for position > first && (item.goesBefore(&q.items[position-1]) || short(&q.items[position-1])) {
-		position--
+	for ; position > first; position-- {
+		waiting := &q.items[position-1]
+		if item.goesBefore(waiting) {
+			continue
+		}
+		if !short(waiting) {
+			break
+		}
+		passes = true
 	}
-	return position
+	return position, passes
 }
 
 // goesBefore reports whether the item goes before one that waits, by rank and age.
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -11,19 +11,6 @@
 	"github.com/ragwortyard/ragwortyard/decide/servicetime"
 )
 
-// MaxWaiting is the maximum number of requests that wait for the slots of a server.
-const MaxWaiting = 16
-
-// While both wait, calls get callTimeShare times as much slot time as other requests, which keep
-// at least 1 in minOtherShare of the places in the queue. Otherwise a service that is
-// overloaded by calls would serve nothing else.
-const (
-	callTimeShare = 4
-	minOtherShare = 4
-	// MinOthers is that number of places in a queue of MaxWaiting.
-	MinOthers = MaxWaiting / minOtherShare
-)
-
 // minServiceFraction is the fraction of the mean service time of its kind that must be left
 // before the deadline when a request starts. With less time, it is unlikely to be
 // answered before the deadline.
@@ -43,6 +30,7 @@
 	sortTime time.Time     // arrival plus DelayPerRank for each rank; the earliest goes first
 	slotTime time.Duration // for which it is expected to hold a slot, as known when it arrived
 	passed   time.Duration // how much later it starts because of shorter requests that passed it
+	passes   bool          // it passed one itself
 }
 
 // kind identifies requests that take about the same time.
@@ -56,7 +44,7 @@
 // Queue grants a limited number of slots.
 type Queue struct {
 	slots           int
-	maxWaiting      int           // maximum number of waiting requests
+	maxWaiting      int           // number of places
 	runs            []run         // of the requests that hold a slot
 	items           []Item        // calls, then others, each in the order in which they are served
 	calls           int           // number of calls in items
@@ -71,8 +59,8 @@
 	coldRate  startRate // while the server is cold
 }
 
-// New returns a queue for a server that runs slots requests at once. At most
-// maxWaiting requests wait.
+// New returns a queue for a server that runs slots requests at once, with maxWaiting places for
+// requests that wait.
 func New(slots, maxWaiting int) *Queue {
 	return &Queue{slots: max(slots, 1), maxWaiting: maxWaiting, serviceTimes: servicetime.New[kind]()}
 }
@@ -137,7 +125,8 @@
 // Outlook returns what an item may expect if it waits. It changes nothing.
 func (q *Queue) Outlook(now time.Time, item Item) Outlook {
 	item = q.arriving(now, item)
-	return q.outlookAt(now, item, q.position(now, item))
+	position, _ := q.position(now, item)
+	return q.outlookAt(now, item, position)
 }
 
 func (q *Queue) outlookAt(now time.Time, item Item, position int) Outlook {
@@ -154,12 +143,11 @@
 		q.start(item)
 		return Granted, nil
 	}
-	position := q.position(now, item)
-	victim := -1
-	if len(q.items) >= q.maxWaiting {
-		if victim = q.displacedBy(item, position); victim < 0 {
-			return QueueFull, nil
-		}
+	position, passes := q.position(now, item)
+	item.passes = passes
+	victim, hasPlace := q.makeRoom(item, position)
+	if !hasPlace {
+		return QueueFull, nil
 	}
 	wait := q.outlookAt(now, item, position).Wait
 	if maxWait <= 0 || wait > maxWait {
@@ -182,24 +170,6 @@
 	return Queued, displaced
 }
 
-// displacedBy returns the position in the full queue of the request that yields to an item
-// at the given position, or -1 if the item itself does: the last call if the other requests
-// have no more places than their share, else the last of all.
-func (q *Queue) displacedBy(item Item, position int) int {
-	others := len(q.items) - q.calls
-	if !item.IsCall {
-		others++
-	}
-	last, yields := len(q.items)-1, position == len(q.items)
-	if others <= q.maxWaiting/minOtherShare {
-		last, yields = q.calls-1, item.IsCall && position == q.calls
-	}
-	if yields {
-		return -1
-	}
-	return last
-}
-
 // callsPerOther returns how many calls start before another request does while both wait.
 func (q *Queue) callsPerOther() int {
 	if q.meanCallTime <= 0 || q.meanRequestTime <= 0 {
@@ -351,21 +321,9 @@
 // Running returns the number of slots in use.
 func (q *Queue) Running() int { return len(q.runs) }
 
-// Waiting returns the number of waiting requests.
+// Waiting returns the number of waiting requests, with those that take no place.
 func (q *Queue) Waiting() int { return len(q.items) }
 
-// WaitingWithRankUpTo returns the number of waiting requests whose rank is at most
-// rank.
-func (q *Queue) WaitingWithRankUpTo(rank int) int {
-	n := 0
-	for i := range q.items {
-		if q.items[i].Rank <= rank {
-			n++
-		}
-	}
-	return n
-}
-
 // MeanServiceTime returns the moving average of the time that a request holds a
 // slot, or 0 while it is unknown.
 func (q *Queue) MeanServiceTime() time.Duration { return q.meanServiceTime }
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -245,10 +245,11 @@
 }
 
 func (q *Queue) publishLoad(now time.Time, slots int) {
+	places, urgent := q.queue.TakenPlaces(pipeline.MaxUrgentRank)
 	q.load.Store(&pipeline.Load{
 		Running:         q.queue.Running(),
-		Waiting:         q.queue.Waiting(),
-		Urgent:          q.queue.WaitingWithRankUpTo(pipeline.MaxUrgentRank),
+		Waiting:         places,
+		Urgent:          urgent,
 		Slots:           slots,
 		MeanServiceTime: q.queue.MeanServiceTime(),
 		Limit:           q.cold.limit(q.limit.limit),
