filters/dispatch: short requests are sent to queues that are full of long ones

Seen by callers: while requests as urgent as theirs, or more urgent ones, take all places at every server of a service, short requests are refused at their entry (3002) without having been sent, although they would pass the others at any exit.

Cause: an entry knows how many places are taken, but not that its own request needs none. Nothing told it: a route that is refused does not run, so no answer shows how long its requests take.

Change: exits report with an answer how long the attempt held its slot. An entry keeps these times by route and sends a request that is expected to run for less than half of the mean of a server there, full or not. While the time of a route is not known, one of its requests a second is sent although all queues are full. Failed requests don't count, since they often end early, nor do calls, which go before others anyway.

Three tests that expect no attempt at full queues used a route that had never run; they name one that takes a second, and expect the same. The stand-in of exits in the tests reports statuses, as exits do.

Measured: TestShortRequestsAreSentToQueuesFullOfLongOnes fails without the change: nothing is sent.

--- a/decide/servicetime/servicetime.go
+++ b/decide/servicetime/servicetime.go
@@ -19,19 +19,31 @@
 // Estimates holds the mean service time of each kind of request. It is not safe for
 // concurrent use.
 type Estimates[Kind comparable] struct {
-	byKind map[Kind]estimate
+	byKind map[Kind]Estimate
 }
 
-type estimate struct {
+// Estimate is the mean service time of one kind of request. The zero value has seen none.
+type Estimate struct {
 	mean    time.Duration
 	lastRun time.Time
 }
 
-func (e estimate) validAt(now time.Time) bool { return now.Sub(e.lastRun) <= MaxAge+e.mean }
+// Expected returns the mean service time, or 0 if it is not known.
+func (e Estimate) Expected(now time.Time) time.Duration {
+	if now.Sub(e.lastRun) > MaxAge+e.mean {
+		return 0
+	}
+	return e.mean
+}
+
+// After returns the estimate after a further request that has run for a time.
+func (e Estimate) After(now time.Time, ran time.Duration) Estimate {
+	return Estimate{mean: Smooth(e.Expected(now), ran), lastRun: now}
+}
 
 // New returns Estimates without any kind.
 func New[Kind comparable]() *Estimates[Kind] {
-	return &Estimates[Kind]{byKind: make(map[Kind]estimate)}
+	return &Estimates[Kind]{byKind: make(map[Kind]Estimate)}
 }
 
 // Observe records how long a request of a kind has run.
@@ -40,19 +52,12 @@
 	if !ok {
 		e.makeRoom()
 	}
-	if !ok || !known.validAt(now) {
-		known.mean = 0
-	}
-	e.byKind[kind] = estimate{mean: Smooth(known.mean, ran), lastRun: now}
+	e.byKind[kind] = known.After(now, ran)
 }
 
 // Expected returns the mean service time of a kind, or 0 if it is not known.
 func (e *Estimates[Kind]) Expected(now time.Time, kind Kind) time.Duration {
-	known, ok := e.byKind[kind]
-	if !ok || !known.validAt(now) {
-		return 0
-	}
-	return known.mean
+	return e.byKind[kind].Expected(now)
 }
 
 // Last returns the mean service time of a kind at its last run, however old, or 0 if it has
--- a/decide/slotqueue/order.go
+++ b/decide/slotqueue/order.go
@@ -11,9 +11,9 @@
 // more than a second, which occur in an overload.
 const DelayPerRank = 600 * time.Millisecond
 
-// minLengthRatio is how many times as long as a request another one has to be expected to run
+// MinLengthRatio is how many times as long as a request another one has to be expected to run
 // for the request to pass it. Estimates of kinds that take about as long differ by less.
-const minLengthRatio = 2
+const MinLengthRatio = 2
 
 // arriving returns an item with what its place in the order depends on.
 func (q *Queue) arriving(now time.Time, item Item) Item {
@@ -69,7 +69,7 @@
 	isProbe := q.serviceTimes.Last(item.kind()) == 0
 	delay := q.delayByStart(item)
 	return func(waiting *Item) bool {
-		if !isProbe && waiting.slotTime < minLengthRatio*item.slotTime {
+		if !isProbe && waiting.slotTime < MinLengthRatio*item.slotTime {
 			return false
 		}
 		lessUrgent := max(item.Rank-waiting.Rank, 0)
--- a/filters/dispatch/choose.go
+++ b/filters/dispatch/choose.go
@@ -27,6 +27,9 @@
 	case ctx.Err() == nil:
 		target.Live.RecordPathFailure(time.Now())
 	}
+	if answer.ServiceTime > 0 && isSuccess(answer.Result) { // failures often end early
+		r.times.observe(time.Now(), answer.ServiceTime)
+	}
 	if answer.Result.Code == pipeline.CodeOK {
 		r.filter.Sizes.Observe(r.req.Route, answer.Result.ContentLength)
 	}
@@ -48,7 +51,7 @@
 		zap.Float64("bad", candidate.GrayFailureProbability), zap.Int64("evidence_ms", candidate.EvidenceAge.Milliseconds()),
 		zap.Int("running", candidate.Running), zap.Int("waiting", candidate.QueuedAhead), zap.Int64("expected_wait_ms", candidate.EstimatedWait().Milliseconds()), zap.Bool("same_zone", candidate.SameZone), zap.Float64("leave_cost", candidate.LeaveCost),
 		zap.Uint16("code", uint16(answer.Result.Code)), zap.Int("status", answer.Result.Status),
-		zap.Int64("took_ms", took.Milliseconds()))
+		zap.Int64("took_ms", took.Milliseconds()), zap.Int64("service_ms", answer.ServiceTime.Milliseconds()))
 }
 
 // choose returns the backend server with the lowest expected cost, or nil if none
@@ -63,6 +66,9 @@
 		r.queueFullRefusals = maxQueueFullRefusals
 		return r.choose()
 	}
+	if index < 0 && r.becomeProbe(now) {
+		return r.choose()
+	}
 	if index < 0 {
 		return nil, selection.Candidate{}
 	}
@@ -100,9 +106,13 @@
 }
 
 // isFull reports whether the queue of a server's exit proxy had no place for the request when
-// it last reported. Less urgent requests have places of their own. An old report does not count: if
-// no further one arrives, only an answer tells that there is room again.
+// it last reported. Less urgent requests have places of their own, and short ones need none. An old report
+// does not count: if no further one arrives, only an answer tells that there is room again.
 func (r *requestState) isFull(now time.Time, snap *mesh.Snapshot, target *mesh.Target) bool {
+	health := target.Live.Health()
+	if r.isProbe || r.passesOthers(&health) {
+		return false
+	}
 	return r.queueRoom(target) <= 0 && target.Live.LoadReportedWithin(now, snap.PeerTimeout)
 }
 
@@ -173,6 +183,9 @@
 	if r.req.Rank <= pipeline.MaxUrgentRank {
 		waiting = urgent
 	}
+	if r.passesOthers(&health) {
+		waiting = 0
+	}
 	limit, startWait := target.Live.Limit(now)
 	return selection.Candidate{
 		GrayFailureProbability: belief.DecayToPrior(health.BadProbability, now.Sub(health.LastOutcomeAt)),
--- a/filters/dispatch/dispatch.go
+++ b/filters/dispatch/dispatch.go
@@ -31,7 +31,9 @@
 	Sender   Sender
 	Budgets  *RetryBudgets
 	Sizes    ResponseSizes
-	NewID    func() string
+	// ServiceTimes is what is known of the routes of requests.
+	ServiceTimes ServiceTimes
+	NewID        func() string
 	// RetryProbability returns the probability that a call by the backend server of
 	// this host was made on behalf of a retried request. Such calls are charged to
 	// the retry budget. parent identifies the request that made the call.
@@ -91,6 +93,9 @@
 	filter            *Filter
 	req               *pipeline.Request
 	requestBytes      int // size of the body
+	times             *routeTimes
+	serviceTime       time.Duration // for which it is expected to hold a slot; 0 when unknown
+	isProbe           bool          // it is sent to full queues since its service time is not known
 	budget            *retryBudget
 	results           chan attemptResult
 	open              map[string]openAttempt // attempts without a result, by identifier
@@ -135,6 +140,7 @@
 
 // newRequestState returns the state of a request without attempts.
 func (f *Filter) newRequestState(req *pipeline.Request) *requestState {
+	times := f.ServiceTimes.of(req.Route)
 	return &requestState{
 		filter:       f,
 		req:          req,
@@ -144,6 +150,8 @@
 		open:         make(map[string]openAttempt),
 		excluded:     make(map[string]bool),
 		queueFull:    make(map[string]bool),
+		times:        times,
+		serviceTime:  times.expected(time.Now()),
 	}
 }
 
--- a/filters/dispatch/dispatch_test.go
+++ b/filters/dispatch/dispatch_test.go
@@ -281,6 +281,7 @@
 			}
 		}
 		snap.Services["roster"][0].Live.SetLoad(time.Now(), &full)
+		f.ServiceTimes.of(request(true).Route).observe(time.Now(), time.Second)
 		start, sent := time.Now(), len(sender.sent)
 		result := f.Handle(t.Context(), request(true))
 		if len(sender.sent) != sent || time.Since(start) > 0 || result.Code != pipeline.CodeQueueFull || result.RetryAfter < time.Second {
@@ -304,6 +305,7 @@
 					Snapshot: func() *mesh.Snapshot { return snap }, Sender: sender, NewID: func() string { return "1" },
 					Budgets: &RetryBudgets{Window: 10 * time.Second, Submit: sharedRetries(0)}, Log: zap.NewNop(),
 				}
+				f.ServiceTimes.of(request(true).Route).observe(time.Now(), time.Second)
 				f.Handle(t.Context(), request(true))
 				if len(sender.sent) != want {
 					t.Errorf("%d slots, %d requests wait: sent %d times, want %d", slots, waiting, len(sender.sent), want)
@@ -370,6 +372,7 @@
 			}
 			req := request(true)
 			req.Rank = pipeline.MaxUrgentRank + 1
+			f.ServiceTimes.of(req.Route).observe(time.Now(), time.Second)
 			f.Handle(t.Context(), req)
 			if len(sender.sent) != want {
 				t.Errorf("%d others wait: sent %d times, want %d", others, len(sender.sent), want)
--- a/filters/dispatch/evacuation_test.go
+++ b/filters/dispatch/evacuation_test.go
@@ -14,8 +14,10 @@
 
 	"github.com/ragwortyard/ragwortyard/control"
 	"github.com/ragwortyard/ragwortyard/control/mesh"
+	"github.com/ragwortyard/ragwortyard/decide/belief"
 	"github.com/ragwortyard/ragwortyard/filters/slots"
 	"github.com/ragwortyard/ragwortyard/fleet/hop"
+	"github.com/ragwortyard/ragwortyard/fleet/notice"
 	"github.com/ragwortyard/ragwortyard/pipeline"
 )
 
@@ -160,6 +162,7 @@
 type exitsWithQueues struct {
 	filters     map[string]*slots.Filter
 	serviceTime map[string]time.Duration
+	statuses    uint32
 }
 
 // Do implements Sender.
@@ -171,10 +174,23 @@
 	<-time.After(e.serviceTime[req.Route])
 	req.Complete(pipeline.Completion{Outcome: pipeline.Answered, Status: 200})
 	answer := status(200)
-	answer.HasLoad, answer.Load = true, filter.Queue.Load()
+	answer.HasLoad, answer.Load, answer.ServiceTime = true, filter.Queue.Load(), e.serviceTime[req.Route]
 	return answer
 }
 
+// sendStatuses reports the loads of all servers to an entry proxy.
+func (e *exitsWithQueues) sendStatuses(to *entryOfZones) {
+	e.statuses++
+	for host, filter := range e.filters {
+		load := filter.Queue.Load()
+		to.loop.Step(time.Now(), mesh.MessageReceived{Host: host, Direct: true, Message: notice.Message{Status: &notice.Status{
+			BootID: 1, Seq: e.statuses, Backend: host, BadProbability: float32(belief.PriorBadProbability),
+			Running: uint16(load.Running), Waiting: uint16(load.Waiting), Urgent: uint16(load.Urgent),
+			MeanServiceTimeMS: uint32(load.MeanServiceTime.Milliseconds()),
+		}}})
+	}
+}
+
 // Withdraw implements Sender.
 func (e *exitsWithQueues) Withdraw(context.Context, string, string, time.Time) hop.WithdrawResult {
 	return hop.NotWithdrawn
--- a/filters/dispatch/short_requests_test.go
+++ b/filters/dispatch/short_requests_test.go
@@ -95,6 +95,9 @@
 		if tick%(load.perSecond/8) == 0 && tick > 8*load.perSecond {
 			send("short", 1, 900*time.Millisecond, short)
 		}
+		if tick%(load.perSecond/10) == 0 {
+			exits.sendStatuses(e)
+		}
 		<-time.After(time.Second / time.Duration(load.perSecond))
 	}
 	requests.Wait()
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -552,6 +552,7 @@
 		dep.reached = c.Outcome == pipeline.Answered || c.Code == pipeline.CodeShed || c.Code == pipeline.CodeWrongExit
 		if c.Outcome == pipeline.Answered {
 			dep.held = time.Since(granted)
+			req.ServiceTime = dep.held
 		}
 		select {
 		case q.departures <- dep:
--- a/fleet/hop/client.go
+++ b/fleet/hop/client.go
@@ -55,6 +55,8 @@
 	Reached bool
 	Load    pipeline.Load
 	HasLoad bool // the exit proxy reported Load
+	// ServiceTime is the time for which an answered attempt held a slot, or 0 if it is not known.
+	ServiceTime time.Duration
 }
 
 // Do sends one attempt to the exit proxy at addr. The outcome is NotRun only if the
@@ -166,7 +168,7 @@
 	}
 	header := pipeline.Header(answer.Header)
 	delete(header, headerResult)
-	return Answer{Result: CompleteResult(answer.Status, header, answer.Body), Reached: true, Load: o.load, HasLoad: true}
+	return Answer{Result: CompleteResult(answer.Status, header, answer.Body), Reached: true, Load: o.load, HasLoad: true, ServiceTime: o.serviceTime}
 }
 
 // CompleteResult returns the result for a backend server's answer that has been read
--- a/fleet/hop/hop.go
+++ b/fleet/hop/hop.go
@@ -58,6 +58,7 @@
 	keyAge             = "o" // milliseconds since an attempt was sent
 	keyRateLimit       = "l" // requests per second that the backend server accepts; only while it limits them
 	keyLeaving         = "x" // the backend server is leaving
+	keyServiceTime     = "h" // milliseconds for which the attempt held a slot
 	keyStartWait       = "p" // milliseconds until another request may start within the rate limit
 )
 
@@ -168,9 +169,12 @@
 
 // encodeResult returns the headerResult value for an attempt's result and the load of
 // the backend server.
-func encodeResult(id string, result *pipeline.Result, load pipeline.Load) string {
+func encodeResult(req *pipeline.Request, result *pipeline.Result, load pipeline.Load) string {
 	v := url.Values{}
-	v.Set(keyResultAttemptID, id)
+	v.Set(keyResultAttemptID, req.ID)
+	if req.ServiceTime > 0 {
+		v.Set(keyServiceTime, strconv.FormatInt(max(req.ServiceTime.Milliseconds(), 1), 10))
+	}
 	v.Set(keyCode, strconv.Itoa(int(result.Code)))
 	if result.RetryAfter > 0 {
 		v.Set(keyRetryAfter, strconv.FormatInt(result.RetryAfter.Milliseconds(), 10))
@@ -195,6 +199,8 @@
 	code       pipeline.Code
 	retryAfter time.Duration
 	load       pipeline.Load
+	// serviceTime is the time for which the attempt held a slot, or 0.
+	serviceTime time.Duration
 }
 
 func decodeResult(h http.Header) (attemptResult, error) {
@@ -231,6 +237,10 @@
 		return attemptResult{}, fmt.Errorf("start wait: %w", err)
 	}
 	o.load.StartWait = time.Duration(millis) * time.Millisecond
+	if millis, err = optionalInt(v, keyServiceTime); err != nil {
+		return attemptResult{}, fmt.Errorf("service time: %w", err)
+	}
+	o.serviceTime = time.Duration(millis) * time.Millisecond
 	o.load.Leaving = v.Get(keyLeaving) == "1"
 	return o, nil
 }
--- a/fleet/hop/hop_test.go
+++ b/fleet/hop/hop_test.go
@@ -60,6 +60,7 @@
 	var got *pipeline.Request
 	addr := startExitProxy(t, func(_ context.Context, req *pipeline.Request) *pipeline.Result {
 		got = req
+		req.ServiceTime = 120 * time.Millisecond
 		return CompleteResult(201, pipeline.Header{"Sum": {"5"}}, []byte("answer"))
 	}, false)
 	client := NewClient(0)
@@ -69,7 +70,7 @@
 	if answer.Load.Limit != (pipeline.RateLimit{Known: true, Limited: true, PerSecond: 2.5}) || answer.Load.StartWait != 400*time.Millisecond || !answer.Load.Leaving || !got.BackendLimit.Limited || got.BackendLimit.PerSecond != 2.5 {
 		t.Errorf("limit in the answer %+v, in the attempt %+v", answer.Load, got.BackendLimit)
 	}
-	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 || answer.Load.Urgent != 1 {
+	if answer.Result.Status != 201 || answer.Result.Header.Get("Sum") != "5" || !answer.Reached || answer.Load.Waiting != 2 || answer.Load.Urgent != 1 || answer.ServiceTime != 120*time.Millisecond {
 		t.Fatalf("answer %+v", answer)
 	}
 	if got.Path != want.Path || got.RawQuery != want.RawQuery || got.Host != want.Host || string(got.Payload) != "body" ||
@@ -212,7 +213,7 @@
 			t.Error(err)
 			return
 		}
-		result := encodeResult("a-7", &pipeline.Result{}, pipeline.Load{})
+		result := encodeResult(&pipeline.Request{ID: "a-7"}, &pipeline.Result{}, pipeline.Load{})
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\npart", headerResult, result)
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
--- a/fleet/hop/server.go
+++ b/fleet/hop/server.go
@@ -82,7 +82,7 @@
 		header[name] = values
 	}
 	header["Date"] = nil // omitted, because traffic between availability zones is billed per byte
-	header.Set(headerResult, encodeResult(req.ID, result, load))
+	header.Set(headerResult, encodeResult(req, result, load))
 	header.Set("Content-Length", strconv.FormatInt(max(result.ContentLength, 0), 10))
 	status := result.Status
 	if status == 0 {
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -94,6 +94,9 @@
 	// IsCall means that a backend server makes the request while another one holds a slot
 	// there.
 	IsCall bool
+	// ServiceTime is the time for which an attempt that was answered held a slot. It is set when the
+	// attempt completes.
+	ServiceTime time.Duration
 	// MaxQueueWait is the maximum time that the attempt may wait for a slot. It is
 	// refused immediately if the expected wait is longer, so that it can be sent to
 	// another backend server.
