decide/fairqueue: teams share time, and the wait is that of the items ahead

Seen by callers (own interface): while seven other teams send requests of a second, a team that sends requests of 10 ms with 0.9 s left is refused (3003) although it uses almost nothing; a team with long requests gets 99% of the slot time of two teams.

Each item cost its team as much, whatever it takes, the wait was the number of items ahead times the mean interval between two pops, and a round served one item of each other team before a short one had its turn.

Change: an item costs the service time that is expected of its class over the mean of all, divided by its weight, as before. A round gives each team the cost of the shortest item; rounds in which no team can afford an item are skipped at once. The estimated wait and the usage that decides who yields count the same lengths. Items without a class, or of one that is not known, have the mean length, so nothing changes where all items are alike.

Tried: a fixed quantum of an eighth.

--- a/decide/fairqueue/pop.go
+++ b/decide/fairqueue/pop.go
@@ -1,6 +1,7 @@
 package fairqueue
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,9 +12,11 @@
 	if !q.hasLiveItem(now) {
 		return Item{}, false
 	}
+	quantum := q.quantum()
+	q.skipRounds(now, quantum)
 	for {
 		t := q.activeTeams[0]
-		if item, ok := q.popFrom(now, t); ok {
+		if item, ok := q.popFrom(now, t, quantum); ok {
 			q.lastPop = now
 			return item, true
 		}
@@ -30,6 +33,35 @@
 	return false
 }
 
+// quantum returns the cost that a team may spend in one round: at most the length of the shortest item, so
+// that this one does not wait until each other team has had a longer one served.
+func (q *Queue) quantum() float64 {
+	shortest := maxQuantum
+	for _, t := range q.activeTeams {
+		for i := range t.items {
+			shortest = min(shortest, t.items[i].length)
+		}
+	}
+	return shortest
+}
+
+// skipRounds adds the quanta of the rounds in which no team can afford an item, so that a pop
+// takes few steps at any cost.
+func (q *Queue) skipRounds(now time.Time, quantum float64) {
+	fewest := math.Inf(1)
+	for _, t := range q.activeTeams {
+		if at := q.firstLive(now, t); at < len(t.items) {
+			fewest = min(fewest, math.Ceil((t.items[at].cost-t.deficit)/quantum))
+		}
+	}
+	if fewest <= 1 {
+		return
+	}
+	for _, t := range q.activeTeams {
+		t.deficit += (fewest - 1) * quantum
+	}
+}
+
 // firstLive returns the index of the team's first item that is not late.
 func (q *Queue) firstLive(now time.Time, t *teamQueue) int {
 	for i := range t.items {
@@ -42,7 +74,7 @@
 
 // popFrom pops the item of the team with the earliest useful deadline. It reports
 // false if there is none or if the team's deficit does not cover the cost.
-func (q *Queue) popFrom(now time.Time, t *teamQueue) (Item, bool) {
+func (q *Queue) popFrom(now time.Time, t *teamQueue, quantum float64) (Item, bool) {
 	at := q.firstLive(now, t)
 	if at == len(t.items) {
 		t.deficit = 0
@@ -55,11 +87,11 @@
 	if t.deficit < t.items[at].cost {
 		return Item{}, false
 	}
-	cost := t.items[at].cost
-	t.deficit -= cost
-	t.servedCost = q.recentUsage(t) + cost
-	q.popCount++
-	t.servedCostAtPop = q.popCount
+	entry := t.items[at]
+	t.deficit -= entry.cost
+	t.servedCost = q.recentUsage(t) + entry.cost
+	q.popped += entry.length
+	t.servedCostAtPop = q.popped
 	return q.remove(t, at), true
 }
 
@@ -114,8 +146,12 @@
 
 func (q *Queue) remove(t *teamQueue, at int) Item {
 	item := t.items[at].Item
-	t.items = slices.Delete(t.items, at, at+1)
 	q.length--
+	q.work -= t.items[at].length
+	if q.length == 0 {
+		q.work = 0 // without the rounding errors
+	}
+	t.items = slices.Delete(t.items, at, at+1)
 	if len(t.items) == 0 {
 		q.deactivate(t)
 	}
--- a/decide/fairqueue/push.go
+++ b/decide/fairqueue/push.go
@@ -15,14 +15,15 @@
 	if expired(item, now) {
 		return Refusal{Item: item, Reason: DeadlinePassed}
 	}
-	entry := queuedItem{Item: item, seq: q.seq, cost: itemCost(item)}
+	length := q.itemLength(now, item)
+	entry := queuedItem{Item: item, seq: q.seq, length: length, cost: itemCost(item, length)}
 	q.seq++
 	if q.missesDeadline(now, entry) {
 		return Refusal{Item: item, Reason: DeadlineTooShort}
 	}
 	q.insert(entry)
 	q.dropIdleTeams()
-	if q.length <= q.maxLength {
+	if q.length <= q.capacity {
 		return Refusal{}
 	}
 	return q.evict(now)
@@ -51,52 +52,63 @@
 	return q.byClass.Expected(now, item.Class)
 }
 
-// itemCost returns the cost of an item in quanta, the inverse of its weight.
-func itemCost(item Item) float64 {
+// itemLength returns the expected service time of an item relative to the mean of all, or 1 if it is
+// not known.
+func (q *Queue) itemLength(now time.Time, item Item) float64 {
+	expected := q.serviceTime(now, item)
+	if expected <= 0 || q.serviceTimes.ServiceTime <= 0 {
+		return 1
+	}
+	return min(max(float64(expected)/float64(q.serviceTimes.ServiceTime), minLength), maxLength)
+}
+
+// itemCost returns the cost of an item, its length divided by its weight.
+func itemCost(item Item, length float64) float64 {
 	if item.Weight == 0 {
-		return quantum
+		return length
 	}
-	return quantum / min(max(item.Weight, minWeight), maxWeight)
+	return length / min(max(item.Weight, minWeight), maxWeight)
 }
 
 // missesDeadline reports whether the entry's deadline is earlier than its estimated
 // completion. It reports false if no item is ahead: otherwise outdated service times
 // could cause every item to be refused and would never be measured again.
 func (q *Queue) missesDeadline(now time.Time, entry queuedItem) bool {
-	ahead := q.countAhead(now, entry)
+	ahead := q.lengthAhead(now, entry)
 	if ahead == 0 {
 		return false
 	}
-	wait := time.Duration(ahead+1) * q.serviceTimes.PopInterval
+	wait := time.Duration((ahead + 1) * float64(q.serviceTimes.PopInterval))
 	return now.Add(wait + q.serviceTime(now, entry.Item)).After(entry.Deadline)
 }
 
-// countAhead estimates how many items will be popped before the entry.
-func (q *Queue) countAhead(now time.Time, entry queuedItem) int {
+// lengthAhead estimates the sum of the lengths of the items that will be popped before the entry.
+func (q *Queue) lengthAhead(now time.Time, entry queuedItem) float64 {
 	own := q.teams[entry.Team]
-	need, count := entry.cost, 0
+	need, ahead := entry.cost, 0.0
 	if own != nil {
 		for _, other := range own.items {
 			if !expired(other.Item, now) && !entry.Deadline.Before(other.Deadline) {
 				need += other.cost
-				count++
+				ahead += other.length
 			}
 		}
 		need -= own.deficit
 	}
+	quantum := min(q.quantum(), entry.length)
 	spend := math.Ceil(need/quantum) * quantum
 	for _, t := range q.activeTeams {
 		if t != own {
-			count += t.countAffordable(now, spend)
+			ahead += t.affordableLength(now, spend)
 		}
 	}
-	return count
+	return ahead
 }
 
-// countAffordable counts the unexpired items that the team can pop with its deficit
-// and the given quanta.
-func (t *teamQueue) countAffordable(now time.Time, quanta float64) int {
-	left, count := t.deficit+quanta, 0
+// affordableLength returns the sum of the lengths of the unexpired items that the team can pop with its
+// deficit and the given quanta.
+func (t *teamQueue) affordableLength(now time.Time, quanta float64) float64 {
+	left, sum := t.deficit+quanta, 0.0
 	for _, entry := range t.items {
 		if expired(entry.Item, now) {
 			continue
@@ -105,9 +117,9 @@
 		if left < 0 {
 			break
 		}
-		count++
+		sum += entry.length
 	}
-	return count
+	return sum
 }
 
 // insert adds the entry to its team's items in order of the deadlines.
@@ -124,6 +136,7 @@
 	copy(t.items[at+1:], t.items[at:])
 	t.items[at] = entry
 	q.length++
+	q.work += entry.length
 }
 
 func (q *Queue) teamQueueFor(name string) *teamQueue {
@@ -187,10 +200,10 @@
 	return sum
 }
 
-// recentUsage returns the cost of the team's served items, decayed by the number of
-// pops since then.
+// recentUsage returns the cost of the team's served items, decayed by what was popped
+// since then.
 func (q *Queue) recentUsage(t *teamQueue) float64 {
-	return t.servedCost * math.Exp2(-float64(q.popCount-t.servedCostAtPop)/q.usageHalfLifePops)
+	return t.servedCost * math.Exp2(-(q.popped-t.servedCostAtPop)/q.usageHalfLifePops)
 }
 
 // newestIndex returns the index of the item that was pushed last.
--- a/decide/fairqueue/queue.go
+++ b/decide/fairqueue/queue.go
@@ -1,5 +1,5 @@
 // Package fairqueue implements a bounded queue for requests that wait for a slot of
-// one backend server. Teams share it by weighted deficit round robin (Shreedhar and
+// one backend server. Teams share the time of the slots by weighted deficit round robin (Shreedhar and
 // Varghese, 1995); within a team, the earliest deadline is served first. A queue is
 // not safe for concurrent use.
 package fairqueue
@@ -18,9 +18,9 @@
 	// a pop takes a bounded number of steps.
 	minWeight = 0.01
 	maxWeight = 100
-	// usageHalfLifePopsPerSlot is the half-life of a team's served cost in pops, for
-	// each slot. It is long enough to cover the bursts of a team that sends at its
-	// fair share. It counts pops instead of time, so that it suits fast and slow
+	// usageHalfLifePopsPerSlot is the half-life of a team's served cost in pops of
+	// items of mean length, for each slot. It is long enough to cover the bursts of a team that
+	// sends at its fair share. It counts pops instead of time, so that it suits fast and slow
 	// services alike.
 	usageHalfLifePopsPerSlot = 24
 	// maxIdleTeams is the maximum number of teams without items for which the queue
@@ -28,9 +28,12 @@
 	maxIdleTeams = 64
 	// negligibleUsage is the usage below which an idle team is dropped first.
 	negligibleUsage = 0.1
-	// quantum is the cost that a team may spend in one round; an item costs
-	// 1/weight.
-	quantum = 1.0
+	// maxQuantum is the largest cost that a team may spend in one round; an item of mean length
+	// costs 1/weight.
+	maxQuantum = 1.0
+	// Lengths of items, relative to the mean, are clamped to these bounds.
+	minLength = 0.01
+	maxLength = 100
 )
 
 // Item is one waiting request.
@@ -70,15 +73,16 @@
 
 // Queue is a bounded queue that is fair between teams.
 type Queue struct {
-	maxLength         int
+	capacity          int
 	usageHalfLifePops float64 // half-life of served cost
-	length            int
+	length            int     // number of items
+	work              float64 // sum of their lengths
 	serviceTimes      ServiceTimes
 	byClass           *servicetime.Estimates[string]
 	teams             map[string]*teamQueue // teams with items or with recent usage
 	activeTeams       []*teamQueue          // teams with items in round-robin order; the first has its turn
 	seq               uint64
-	popCount          uint64
+	popped            float64 // sum of the lengths of the items popped
 	lastPop           time.Time
 }
 
@@ -87,20 +91,21 @@
 	hasQuantum      bool         // the team got its quantum in its current turn
 	items           []queuedItem // earliest deadline first
 	servedCost      float64      // cost of the items popped, decayed up to servedCostAtPop
-	servedCostAtPop uint64       // popCount at the team's last pop
+	servedCostAtPop float64      // popped at the team's last pop
 }
 
 type queuedItem struct {
 	Item
-	seq  uint64
-	cost float64
+	seq    uint64
+	length float64 // expected service time relative to the mean of all items
+	cost   float64
 }
 
 // New returns a queue for a backend server with the given number of slots.
 func New(slots int) *Queue {
 	slots = max(slots, 1)
 	return &Queue{
-		maxLength:         LengthPerSlot * slots,
+		capacity:          LengthPerSlot * slots,
 		usageHalfLifePops: float64(usageHalfLifePopsPerSlot * slots),
 		byClass:           servicetime.New[string](),
 		teams:             make(map[string]*teamQueue),
@@ -126,5 +131,5 @@
 // EstimatedWait returns an estimate of the time that an item pushed now by a team
 // without items would wait.
 func (q *Queue) EstimatedWait() time.Duration {
-	return time.Duration(q.length) * q.serviceTimes.PopInterval
+	return time.Duration(q.work * float64(q.serviceTimes.PopInterval))
 }
