decide/slotqueue: exits report the service time of the requests that run or wait

Seen by callers: at a server where short requests ended lately and long ones wait, an entry expects hardly any wait. It sends requests there rather than to shorter queues, and a refused caller is told to come back within milliseconds.

Cause: the entry multiplies the number of those ahead by the mean service time that the exit reports, a moving average of all requests that ended. Short requests that pass long ones end often, so the average says little on those that still run or wait.

Change: exits report the mean of the times that they expect of the requests that hold a slot or a place. If there are none it is the moving average, as before.

Measured: TestExpectedServiceTimeIsThatOfTheRequestsThere fails with the moving average (3 ms while requests of a second run and wait).

--- a/control/mesh/state.go
+++ b/control/mesh/state.go
@@ -43,7 +43,7 @@
 type Health struct {
 	BadProbability  float64 // probability of a gray failure at LastOutcomeAt
 	LastOutcomeAt   time.Time
-	MeanServiceTime time.Duration // mean time that a request holds a slot
+	MeanServiceTime time.Duration // mean time that the requests there are expected to hold a slot
 	Stopping        bool          // its exit proxy is shutting down
 	RefusesAttempts bool          // its exit proxy accepts no new attempts
 }
--- a/decide/selection/selection.go
+++ b/decide/selection/selection.go
@@ -15,7 +15,7 @@
 	Running                int           // requests that hold a slot
 	QueuedAhead            int           // requests in the queue of its exit proxy that would be served first
 	Slots                  int
-	MeanServiceTime        time.Duration // mean time that a request holds a slot; 0 when unknown
+	MeanServiceTime        time.Duration // mean time that the requests there are expected to hold a slot; 0 when unknown
 	RateLimited            bool          // the server limits the rate of requests that it accepts
 	StartWait              time.Duration // time until it accepts another request within its rate limit
 	WarmUpLeft             time.Duration // remaining time after its start in which it is slow
--- a/decide/slotqueue/wait_test.go
+++ b/decide/slotqueue/wait_test.go
@@ -34,3 +34,19 @@
 		})
 	}
 }
+
+// Guards against entry proxies that expect hardly any wait behind long requests, and name that as Retry-After, because short ones ran before.
+func TestExpectedServiceTimeIsThatOfTheRequestsThere(t *testing.T) {
+	q := New(2, MaxWaiting)
+	learn(t, q, start, "long", time.Second)
+	for range 100 {
+		learn(t, q, start, "short", time.Millisecond)
+	}
+	for id := range uint64(10) {
+		q.Push(start, Item{ID: id, Route: "long", Deadline: start.Add(time.Hour)}, time.Hour)
+	}
+	q.Push(start, Item{ID: 100, Route: "short", Deadline: start.Add(time.Hour)}, time.Hour)
+	if got := q.ExpectedServiceTime(); got != time.Second {
+		t.Errorf("%v while requests of a second run and wait", got)
+	}
+}
--- a/fleet/notice/notice.go
+++ b/fleet/notice/notice.go
@@ -26,7 +26,7 @@
 	Running           uint16   // requests that hold a slot
 	Waiting           uint16   // requests that wait for a slot
 	Urgent            uint16   // waiting requests with a rank up to pipeline.MaxUrgentRank
-	MeanServiceTimeMS uint32   `cbor:"HeldMS"` // mean time that a request holds a slot
+	MeanServiceTimeMS uint32   `cbor:"HeldMS"` // mean time that the requests there are expected to hold a slot
 	Stopping          bool     // the sender will stop soon and no longer performs tasks for other processes
 	RefusesAttempts   bool     `cbor:"Closed"` // the sender accepts no new attempts
 	StoreUnreachable  bool     `cbor:"Blind"`  // the sender cannot read the platform's store
--- a/pipeline/load.go
+++ b/pipeline/load.go
@@ -16,7 +16,7 @@
 	Waiting         int // requests that wait for a slot and take a place in the queue
 	Urgent          int // those of them with a rank up to MaxUrgentRank
 	Slots           int
-	MeanServiceTime time.Duration // mean time that a request holds a slot; 0 when unknown
+	MeanServiceTime time.Duration // mean time that the requests there are expected to hold a slot; 0 when unknown
 	Limit           RateLimit
 	StartWait       time.Duration // time until another request may start within Limit
 	Leaving         bool          // an answer of the server said that it is leaving
