decide/slotqueue: requests of unknown routes count like those that run or wait

Seen by callers: while short requests end often, the first requests of many new routes together put a long request back by more than its own time.

Change: it counts with the mean of those that hold a slot or a place.

Measured: TestUnknownRoutesDelayALongRequestByAtMostItsOwnTime fails on the code before: with two slots a long request still waits behind the third of eight new routes.

--- a/decide/slotqueue/order.go
+++ b/decide/slotqueue/order.go
@@ -22,13 +22,13 @@
 	return item
 }
 
-// expectedSlotTime returns for how long an item is expected to hold a slot: that of all
-// requests if no request of its kind has run.
+// expectedSlotTime returns for how long an item is expected to hold a slot: as long as those
+// that hold one or wait if no request of its kind has run.
 func (q *Queue) expectedSlotTime(item Item) time.Duration {
 	if last := q.serviceTimes.Last(item.kind()); last > 0 {
 		return last
 	}
-	return q.meanServiceTime
+	return q.ExpectedServiceTime()
 }
 
 // position returns the position at which an item is inserted, behind the last waiting request
--- a/decide/slotqueue/order_test.go
+++ b/decide/slotqueue/order_test.go
@@ -123,3 +123,29 @@
 		t.Errorf("order %v, want %s", order, want)
 	}
 }
+
+// Guards against long requests that wait for the first ones of many routes, each of which may take as long.
+func TestUnknownRoutesDelayALongRequestByAtMostItsOwnTime(t *testing.T) {
+	q := New(2, MaxWaiting)
+	learn(t, q, start, "long", time.Second)
+	for range 100 {
+		learn(t, q, start, "short", time.Millisecond)
+	}
+	push := func(id uint64, route string) {
+		q.Push(start, Item{ID: id, Route: route, Deadline: start.Add(time.Hour)}, time.Hour)
+	}
+	for id := range uint64(3) {
+		push(id, "long")
+	}
+	for id := range uint64(8) {
+		push(10+id, fmt.Sprint("new ", id))
+	}
+	for starts := range 3 {
+		q.Release(start, Item{}, 0)
+		if item, _ := q.Pop(start); item.ID == 2 {
+			return
+		} else if starts == q.slots {
+			t.Errorf("the long request waits for %d others of routes that have never run", starts+1)
+		}
+	}
+}
