decide/slotqueue: requests that still run count for the estimate of their kind

Seen by callers: at slow servers, or such that fail some requests at once, requests of short routes wait behind long ones until their deadline (3003 after 0.9 s), and entries expect a wait of milliseconds there.

Cause: only requests that ended count. What would correct the estimate is held in the slots.

Change: a request that has run for longer than expected counts as if it ended now, for its own slot and, with the weight of one run, for its kind. The estimates of those that run and wait are renewed with each decision.

The tests of the order let requests hold their slots for longer than their route takes, or hold all slots since the same moment. They now end when they should.

--- a/decide/slotqueue/order.go
+++ b/decide/slotqueue/order.go
@@ -18,17 +18,10 @@
 // arriving returns an item with what its place in the order depends on.
 func (q *Queue) arriving(now time.Time, item Item) Item {
 	item.sortTime = now.Add(time.Duration(item.Rank) * DelayPerRank)
-	item.slotTime = q.expectedSlotTime(item)
-	return item
-}
-
-// expectedSlotTime returns for how long an item is expected to hold a slot: as long as those
-// that hold one or wait if no request of its kind has run.
-func (q *Queue) expectedSlotTime(item Item) time.Duration {
-	if last := q.serviceTimes.Last(item.kind()); last > 0 {
-		return last
+	if item.slotTime = q.expectedSlotTime(now, item.kind()); item.slotTime == 0 {
+		item.slotTime = q.meanSlotTime()
 	}
-	return q.ExpectedServiceTime()
+	return item
 }
 
 // position returns the position at which an item is inserted, behind the last waiting request
--- a/decide/slotqueue/order_test.go
+++ b/decide/slotqueue/order_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,10 +28,14 @@
 					learn(t, q, start, "long", long)
 					learn(t, q, start, "short", time.Millisecond)
 					learn(t, q, start, "long", long)
-					for id := range uint64(slots + MaxWaiting - 1) {
-						q.Push(start, Item{ID: id, Route: "long", Rank: rank, Deadline: start.Add(time.Hour)}, time.Hour)
+					now := start.Add(10 * time.Second)
+					for id := range slots + MaxWaiting - 1 {
+						arrival := now.Add(-2 * time.Second)
+						if id < slots { // they end one after the other
+							arrival = now.Add(-long * time.Duration(id) / time.Duration(slots))
+						}
+						q.Push(arrival, Item{ID: uint64(id), Route: "long", Rank: rank, Deadline: start.Add(time.Hour)}, time.Hour)
 					}
-					now := start.Add(2 * time.Second)
 					left := 2 * long / time.Duration(slots)
 					if result, _ := q.Push(now, Item{ID: 1000, Route: "short", Rank: 1, Deadline: now.Add(left)}, left); result != Queued {
 						t.Fatalf("result %d for a request of 1 ms with %v left", result, left)
@@ -45,60 +50,84 @@
 	}
 }
 
+// load is a queue whose requests run for exactly the time of their route.
+type load struct {
+	*Queue
+	times   map[string]time.Duration
+	running []Item
+	ends    []time.Time // of running
+	started func(Item)
+}
+
+func (l *load) start(now time.Time, item Item) {
+	l.running, l.ends = append(l.running, item), append(l.ends, now.Add(l.times[item.Route]))
+}
+
+// advance lets requests end and others start until now.
+func (l *load) advance(now time.Time) {
+	for len(l.running) > 0 {
+		first := 0
+		for i, end := range l.ends {
+			if end.Before(l.ends[first]) {
+				first = i
+			}
+		}
+		item, end := l.running[first], l.ends[first]
+		if end.After(now) {
+			return
+		}
+		l.running, l.ends = slices.Delete(l.running, first, first+1), slices.Delete(l.ends, first, first+1)
+		l.Release(end, item, l.times[item.Route])
+		for next, ok := l.Pop(end); ok; next, ok = l.Pop(end) {
+			l.start(end, next)
+			l.started(next)
+		}
+	}
+}
+
 // Guards against long requests that starve beside a flood of short ones, and against more urgent ones that wait for less urgent ones.
 func TestShortRequestsDelayALongOneByAtMostItsOwnTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		slots := rapid.IntRange(1, 4).Draw(t, "slots")
-		q := New(slots, 100)
-		times := map[string]time.Duration{"a": time.Millisecond, "b": 20 * time.Millisecond, "c": 300 * time.Millisecond, "d": 2 * time.Second}
-		for route, took := range times {
-			learn(t, q, start, route, took)
-		}
 		type waiting struct {
 			Item
 			arrived time.Time
 			delay   [6]time.Duration // by later requests that are at least so many ranks less urgent
 		}
 		var queued []*waiting
-		var running []Item
-		now, id := start, uint64(0)
-		for range rapid.IntRange(10, 150).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
-			if rapid.IntRange(0, 2).Draw(t, "op") > 0 {
-				id++
-				item := Item{ID: id, Route: rapid.SampledFrom([]string{"a", "a", "b", "c", "d"}).Draw(t, "route"), Rank: rapid.IntRange(0, 5).Draw(t, "rank"), Deadline: now.Add(time.Hour)}
-				if result, _ := q.Push(now, item, time.Hour); result == Queued {
-					queued = append(queued, &waiting{Item: item, arrived: now})
-				} else if result == Granted {
-					running = append(running, item)
-				}
-			} else if len(running) > 0 {
-				q.Release(now, running[0], times[running[0].Route])
-				running = running[1:]
-			}
-			for item, ok := q.Pop(now); ok; item, ok = q.Pop(now) {
-				running = append(running, item)
-				var started *waiting
-				for i, w := range queued {
-					if w.ID == item.ID {
-						started, queued = w, append(queued[:i:i], queued[i+1:]...)
-						break
-					}
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		l := &load{Queue: New(slots, 100), times: map[string]time.Duration{"a": time.Millisecond, "b": 20 * time.Millisecond, "c": 300 * time.Millisecond, "d": 2 * time.Second}}
+		for _, route := range []string{"a", "b", "c", "d"} {
+			learn(t, l.Queue, start, route, l.times[route])
+		}
+		l.started = func(item Item) {
+			at := slices.IndexFunc(queued, func(w *waiting) bool { return w.ID == item.ID })
+			started := queued[at]
+			queued = slices.Delete(queued, at, at+1)
+			for _, w := range queued {
+				byRankAndAge := started.arrived.Add(time.Duration(started.Rank) * DelayPerRank).Before(w.arrived.Add(time.Duration(w.Rank) * DelayPerRank))
+				if started.ID < w.ID || byRankAndAge {
+					continue
 				}
-				for _, w := range queued {
-					byRankAndAge := started.arrived.Add(time.Duration(started.Rank) * DelayPerRank).Before(w.arrived.Add(time.Duration(w.Rank) * DelayPerRank))
-					if !started.arrived.After(w.arrived) && started.ID < w.ID || byRankAndAge {
-						continue
-					}
-					for lessUrgent := range max(started.Rank-w.Rank, 0) + 1 {
-						w.delay[lessUrgent] += times[item.Route] / time.Duration(slots)
-						if limit := times[w.Route] / time.Duration(1+lessUrgent); w.delay[lessUrgent] > limit {
-							t.Fatalf("request of %v is delayed by %v by later ones that are at least %d ranks less urgent, at most %v", times[w.Route], w.delay[lessUrgent], lessUrgent, limit)
-						}
+				for lessUrgent := range max(started.Rank-w.Rank, 0) + 1 {
+					w.delay[lessUrgent] += l.times[item.Route] / time.Duration(slots)
+					if limit := l.times[w.Route] / time.Duration(1+lessUrgent); w.delay[lessUrgent] > limit {
+						t.Fatalf("request of %v is delayed by %v by later ones that are at least %d ranks less urgent, at most %v", l.times[w.Route], w.delay[lessUrgent], lessUrgent, limit)
 					}
 				}
 			}
 		}
+		now := start
+		for id := range uint64(rapid.IntRange(10, 200).Draw(t, "requests")) {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			l.advance(now)
+			item := Item{ID: id, Route: rapid.SampledFrom([]string{"a", "a", "b", "c", "d"}).Draw(t, "route"), Rank: rapid.IntRange(0, 5).Draw(t, "rank"), Deadline: now.Add(time.Hour)}
+			switch result, _ := l.Push(now, item, time.Hour); result {
+			case Granted:
+				l.start(now, item)
+			case Queued:
+				queued = append(queued, &waiting{Item: item, arrived: now})
+			}
+		}
 	})
 }
 
--- a/decide/slotqueue/slotqueue.go
+++ b/decide/slotqueue/slotqueue.go
@@ -28,7 +28,7 @@
 	Payload any
 
 	sortTime time.Time     // arrival plus DelayPerRank for each rank; the earliest goes first
-	slotTime time.Duration // for which it is expected to hold a slot, as known when it arrived
+	slotTime time.Duration // for which it is expected to hold a slot
 	passed   time.Duration // how much later it starts because of shorter requests that passed it
 	passes   bool          // it passed one itself
 }
@@ -124,6 +124,7 @@
 
 // Outlook returns what an item may expect if it waits. It changes nothing.
 func (q *Queue) Outlook(now time.Time, item Item) Outlook {
+	q.updateSlotTimes(now)
 	item = q.arriving(now, item)
 	position, _ := q.position(now, item)
 	return q.outlookAt(now, item, position)
@@ -138,9 +139,10 @@
 // that is expected to wait for longer than maxWait. If the queue is full, a request that
 // goes before the last one displaces it.
 func (q *Queue) Push(now time.Time, item Item, maxWait time.Duration) (result PushResult, displaced []Item) {
+	q.updateSlotTimes(now)
 	item = q.arriving(now, item)
 	if len(q.runs) < q.slots && len(q.items) == 0 && q.takeStart(now) {
-		q.start(item)
+		q.start(now, item)
 		return Granted, nil
 	}
 	position, passes := q.position(now, item)
@@ -211,7 +213,7 @@
 		return Item{}, false
 	}
 	item := q.removeAt(q.nextPosition())
-	q.start(item)
+	q.start(now, item)
 	return item, true
 }
 
@@ -234,12 +236,13 @@
 type run struct {
 	id       uint64
 	kind     kind
+	started  time.Time
 	slotTime time.Duration // expected
 }
 
 // start gives a slot to an item.
-func (q *Queue) start(item Item) {
-	q.runs = append(q.runs, run{id: item.ID, kind: item.kind(), slotTime: item.slotTime})
+func (q *Queue) start(now time.Time, item Item) {
+	q.runs = append(q.runs, run{id: item.ID, kind: item.kind(), started: now, slotTime: item.slotTime})
 }
 
 // end takes the slot from an item, or from the oldest run if the item is not known.
--- a/decide/slotqueue/wait.go
+++ b/decide/slotqueue/wait.go
@@ -30,26 +30,6 @@
 	return max(wait, q.nextFreeSlot()+ahead/time.Duration(q.slots))
 }
 
-// ExpectedServiceTime returns the mean of the expected service times of the requests that hold a
-// slot or a place. If there are none it is that of recent requests, or 0 while it is unknown.
-func (q *Queue) ExpectedServiceTime() time.Duration {
-	var sum time.Duration
-	n := len(q.runs)
-	for i := range q.runs {
-		sum += q.runs[i].slotTime
-	}
-	for i := range q.items {
-		if !q.items[i].passes {
-			sum += q.items[i].slotTime
-			n++
-		}
-	}
-	if sum <= 0 {
-		return q.meanServiceTime
-	}
-	return sum / time.Duration(n)
-}
-
 // nextFreeSlot estimates when a slot becomes free. How long requests of a kind run varies so much
 // that those that began long ago are not likely to end sooner than others.
 func (q *Queue) nextFreeSlot() time.Duration {
--- a/decide/slotqueue/wait_test.go
+++ b/decide/slotqueue/wait_test.go
@@ -46,7 +46,7 @@
 		q.Push(start, Item{ID: id, Route: "long", Deadline: start.Add(time.Hour)}, time.Hour)
 	}
 	q.Push(start, Item{ID: 100, Route: "short", Deadline: start.Add(time.Hour)}, time.Hour)
-	if got := q.ExpectedServiceTime(); got != time.Second {
+	if got := q.ExpectedServiceTime(start); got != time.Second {
 		t.Errorf("%v while requests of a second run and wait", got)
 	}
 }
--- a/filters/slots/slots.go
+++ b/filters/slots/slots.go
@@ -251,7 +251,7 @@
 		Waiting:         places,
 		Urgent:          urgent,
 		Slots:           slots,
-		MeanServiceTime: q.queue.ExpectedServiceTime(),
+		MeanServiceTime: q.queue.ExpectedServiceTime(now),
 		Limit:           q.cold.limit(q.limit.limit),
 		StartWait:       q.queue.StartWait(now),
 	})
